--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,62 @@
+//! The command-line tool `camphorloft`, for operators and callers.
+//!
+//! - [`ask`]: sends a prompt and prints the answer as it arrives.
+//! - [`config`]: checks, proposes and watches object sets.
+//! - [`exit`]: exit codes and errors.
+//! - [`hosts`]: shows hosts and endpoints, drains a host.
+//! - [`key`]: hashes the key of an organisation.
+//! - [`operator`]: calls the operator interface of a host.
+//! - [`trial`]: runs everything in one process, for trying it out.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+mod ask;
+mod config;
+mod exit;
+mod hosts;
+mod key;
+mod operator;
+mod trial;
+
+/// Operator and caller tool of camphorloft.
+///
+/// Exit codes: 0 done; 1 failed; 2 bad input; 3 refused, nothing ran; 4 outcome unknown.
+#[derive(FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Try(trial::TryArgs),
+    Ask(ask::AskArgs),
+    Config(config::ConfigArgs),
+    Hosts(hosts::HostsArgs),
+    Endpoints(hosts::EndpointsArgs),
+    Drain(hosts::DrainArgs),
+    Key(key::KeyArgs),
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let result = match args.command {
+        Command::Try(args) => trial::run(&args),
+        Command::Ask(args) => ask::run(&args),
+        Command::Config(args) => config::run(&args),
+        Command::Hosts(args) => hosts::run_hosts(&args),
+        Command::Endpoints(args) => hosts::run_endpoints(&args),
+        Command::Drain(args) => hosts::run_drain(&args),
+        Command::Key(args) => key::run(&args),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("camphorloft: {err}");
+            err.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/core.rs
@@ -0,0 +1,450 @@
+//! The decision core, a `stakker` actor.
+//!
+//! The actor owns the decider and the registry, answers the gateway and runs on the clock that
+//! the runtime hands to it. It does no I/O.
+
+use std::collections::HashMap;
+use std::sync::mpsc::SyncSender;
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+
+use camphorloft_config::checked::CheckedRoute;
+use camphorloft_config::object::Priority;
+use camphorloft_decide::decider::{Decider, EndKind};
+use camphorloft_decide::decision::{Decision, Placed, RefuseReason, Refused, TickOutput};
+use camphorloft_decide::endpoint_view::{Distance, Report};
+use camphorloft_decide::lengths::{ClassKey, LearnedLengths};
+use camphorloft_decide::poison::Blame;
+use camphorloft_decide::policy_settings::{ObjectiveWeights, PolicySettings};
+use camphorloft_decide::sequence::Ask;
+use camphorloft_engine::load_report::LoadReport;
+use camphorloft_gateway::control::{
+    AttemptEnd, Invariant, Placement, PlacementRequest, Refusal, ServingSet,
+};
+use camphorloft_types::prelude::*;
+use camphorloft_types::rendezvous;
+use serde::Serialize;
+use slog::{Logger, info, warn};
+use stakker::{CX, after};
+
+use crate::core_client::Shared;
+use crate::core_thread::{CoreMessage, PolledEndpoint};
+use crate::load_poller::PolledEndpoints;
+use crate::registry::Registry;
+use crate::settings::Settings;
+
+/// Time between two ticks of the decider.
+const TICK: Duration = Duration::from_millis(20);
+
+/// What the core is built from.
+pub struct CoreSetup {
+    /// Settings of the host.
+    pub settings: Settings,
+    /// State that the gateway reads.
+    pub shared: Arc<Shared>,
+    /// Endpoints whose load is read.
+    pub polled: PolledEndpoints,
+    /// Log.
+    pub log: Logger,
+}
+
+/// A caller that waits for a place.
+struct WaitingCaller {
+    attempt: Attempt,
+    reply: SyncSender<Result<Placement, Refusal>>,
+}
+
+/// The decision core.
+pub struct Core {
+    setup: CoreSetup,
+    decider: Decider<LearnedLengths>,
+    registry: Registry,
+    serving: Option<Arc<ServingSet>>,
+    waiting: HashMap<GenerationId, WaitingCaller>,
+    /// Latest attempt of each generation that was placed here.
+    attempts: HashMap<GenerationId, Attempt>,
+    output: TickOutput,
+}
+
+/// One endpoint as operators see it.
+#[derive(Serialize)]
+struct EndpointRow {
+    name: String,
+    address: String,
+    capacity_tokens: u32,
+    running: u32,
+    engine_waiting: u32,
+    usable: bool,
+    leaving: bool,
+    report_age_ms: Option<u64>,
+}
+
+/// The state of a host as operators see it.
+#[derive(Serialize)]
+struct StatusView {
+    host: String,
+    region: String,
+    zone: String,
+    config_version: u64,
+    running: usize,
+    waiting: usize,
+    violations: u64,
+}
+
+impl Core {
+    /// Starts the actor.
+    pub fn init(cx: CX![], setup: CoreSetup) -> Option<Self> {
+        after!(TICK, [cx], tick());
+        let seed = rendezvous::score("decider", setup.settings.host.as_str());
+        let lengths = LearnedLengths::default();
+        Some(Self {
+            setup,
+            decider: Decider::new(PolicySettings::default(), lengths, seed, cx.now()),
+            registry: Registry::default(),
+            serving: None,
+            waiting: HashMap::new(),
+            attempts: HashMap::new(),
+            output: TickOutput::default(),
+        })
+    }
+
+    /// Handles a message.
+    pub fn handle(&mut self, cx: CX![], message: CoreMessage) {
+        let now = cx.now();
+        match message {
+            CoreMessage::Place(request, reply) => self.place(&request, reply, now),
+            CoreMessage::Progress(generation, tokens) => {
+                let must_move = self.decider.progress(generation, tokens.0, now);
+                self.set_move(generation, must_move);
+            }
+            CoreMessage::EndAttempt(generation, attempt, end) => {
+                self.end_attempt(generation, attempt, end, now);
+            }
+            CoreMessage::Config(serving, source) => self.configure(serving, &source),
+            CoreMessage::Load(endpoint, report, made_at) => {
+                self.take_load(endpoint, &report, made_at, now);
+            }
+            CoreMessage::LoadFailed(endpoint) => self.decider.endpoint_mut(endpoint).failed(now),
+            CoreMessage::CacheEvents(endpoint, events) => {
+                for prefix in events.prefixes {
+                    self.decider.learn_prefix(prefix, endpoint, now);
+                }
+            }
+            CoreMessage::View(name, reply) => {
+                // A caller that gave up does not need the view.
+                let _ = reply.send(self.view(&name, now));
+            }
+            CoreMessage::Stop => {}
+        }
+    }
+
+    /// Lets the decider act on the passage of time.
+    pub fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now = cx.now();
+        let mut output = std::mem::take(&mut self.output);
+        self.decider.tick(now, &mut output);
+        for placed in &output.placed {
+            self.answer_placed(placed, now);
+        }
+        for refused in &output.refused {
+            self.answer_refused(refused);
+        }
+        for decided in &output.moves {
+            info!(self.setup.log, "move";
+                "generation" => %decided.generation,
+                "from" => %self.registry.endpoint(decided.from).name,
+                "risk" => decided.risk);
+            self.count("move");
+            self.set_move(decided.generation, true);
+        }
+        self.output = output;
+        let metrics = &self.setup.shared.metrics;
+        metrics.running.set(self.decider.running() as i64);
+        metrics.waiting.set(self.decider.waiting() as i64);
+    }
+
+    fn count(&self, kind: &str) {
+        self.setup.shared.metrics.decisions.with_label_values(&[kind]).inc();
+    }
+
+    fn set_move(&self, generation: GenerationId, must_move: bool) {
+        let mut moves = self.setup.shared.moves.lock().unwrap_or_else(PoisonError::into_inner);
+        if must_move {
+            moves.insert(generation);
+        } else {
+            moves.remove(&generation);
+        }
+    }
+
+    fn place(
+        &mut self,
+        request: &PlacementRequest,
+        reply: SyncSender<Result<Placement, Refusal>>,
+        now: Instant,
+    ) {
+        let ask = self.ask(request);
+        let generation = request.generation;
+        let is_retry = request.attempt > Attempt(0);
+        self.waiting.insert(generation, WaitingCaller { attempt: request.attempt, reply });
+        if is_retry && !self.decider.may_retry(&ask) {
+            let reason = RefuseReason::RetryBudget;
+            return self.answer_refused(&Refused { generation, reason });
+        }
+        match self.decider.place(ask, now) {
+            Decision::Placed(placed) => self.answer_placed(&placed, now),
+            Decision::Refused(refused) => self.answer_refused(&refused),
+            Decision::Waiting => self.count("wait"),
+        }
+    }
+
+    /// Translates names of the caller's version to stable indices.
+    fn ask(&mut self, request: &PlacementRequest) -> Ask {
+        let set = &request.serving.set;
+        let route = &set.routes[request.route];
+        let organisation = &set.organisations[request.organisation].name;
+        let route_key = rendezvous::score("route", route.name.as_str());
+        let fine = rendezvous::score(organisation.as_str(), route.name.as_str());
+        Ask {
+            generation: request.generation,
+            organisation: self.registry.organisations.intern(organisation),
+            route: self.registry.routes.intern(&route.name),
+            class: self.decider.class(ClassKey { fine, route: route_key }),
+            hint: 0,
+            prompt_tokens: request.prompt_tokens.0,
+            delivered: request.delivered.0,
+            max_tokens: request.max_tokens.0,
+            prefix: request.prefix,
+            fingerprint: request.fingerprint.0,
+            priority: priority_level(route.priority),
+            avoid: request.avoid.as_ref().and_then(|name| self.registry.endpoint_ix(name)),
+        }
+    }
+
+    fn answer_placed(&mut self, placed: &Placed, now: Instant) {
+        let endpoint = self.registry.endpoint(placed.endpoint);
+        info!(self.setup.log, "place";
+            "generation" => %placed.generation,
+            "endpoint" => %endpoint.name,
+            "risk" => placed.risk,
+            "score_seconds" => placed.score,
+            "compared" => placed.compared,
+            "unusable" => placed.unusable,
+            "expected_tokens" => placed.expected_tokens,
+            "prefix_hit" => placed.prefix_hit,
+            "priority" => placed.priority,
+            "waited_ms" => placed.waited.as_millis() as u64,
+            "report_age_ms" => self.decider.endpoint(placed.endpoint).report_age(now)
+                .map_or(-1, |age| age.as_millis() as i64));
+        let view = self.decider.endpoint(placed.endpoint);
+        if view.leaving || view.draining {
+            let detail = format!("endpoint {} is leaving", endpoint.name);
+            self.setup.shared.violated(&self.setup.log, Invariant::NoWorkToLeaving, &detail);
+        }
+        let placement = Placement {
+            endpoint: endpoint.name.clone(),
+            addr: endpoint.addr,
+            priority: placed.priority,
+        };
+        self.count("place");
+        self.set_move(placed.generation, false);
+        let Some(caller) = self.waiting.remove(&placed.generation) else { return };
+        self.attempts.insert(placed.generation, caller.attempt);
+        if caller.reply.send(Ok(placement)).is_err() {
+            self.decider.end(placed.generation, EndKind::Cancelled, now);
+        }
+    }
+
+    fn answer_refused(&mut self, refused: &Refused) {
+        warn!(self.setup.log, "refuse";
+            "generation" => %refused.generation, "reason" => %refused.reason);
+        self.count("refuse");
+        let Some(caller) = self.waiting.remove(&refused.generation) else { return };
+        // A caller that gave up does not need the answer.
+        let _ = caller.reply.send(Err(refusal(refused.reason)));
+    }
+
+    fn end_attempt(
+        &mut self,
+        generation: GenerationId,
+        attempt: Attempt,
+        end: AttemptEnd,
+        now: Instant,
+    ) {
+        if self.attempts.get(&generation) != Some(&attempt) {
+            return;
+        }
+        self.attempts.remove(&generation);
+        self.set_move(generation, false);
+        let (kind, label) = match end {
+            AttemptEnd::Finished => (EndKind::Finished, "finished"),
+            AttemptEnd::NotRun => (EndKind::NotRun, "not_run"),
+            AttemptEnd::EngineLost => (EndKind::Lost, "engine_lost"),
+            AttemptEnd::Moved => (EndKind::Moved, "moved"),
+            AttemptEnd::CallerLeft => (EndKind::Cancelled, "caller_left"),
+        };
+        self.setup.shared.metrics.attempts.with_label_values(&[label]).inc();
+        for blame in self.decider.end(generation, kind, now) {
+            self.log_blame(&blame);
+        }
+    }
+
+    fn log_blame(&self, blame: &Blame) {
+        warn!(self.setup.log, "blame";
+            "fingerprint" => format!("{:016x}", blame.fingerprint), "crashes" => blame.crashes);
+        self.count("blame");
+    }
+
+    /// Puts a version into force.
+    fn configure(&mut self, serving: Arc<ServingSet>, source: &str) {
+        let before = self.serving.as_ref().map_or(ConfigVersion(0), |serving| serving.version);
+        if serving.version < before {
+            let detail = format!("version {} follows {before}", serving.version);
+            self.setup.shared.violated(&self.setup.log, Invariant::ConfigMonotonic, &detail);
+            return;
+        }
+        self.configure_endpoints(&serving);
+        for (_, organisation) in serving.set.organisations.iter() {
+            let ix = self.registry.organisations.intern(&organisation.name);
+            self.decider.set_weight(ix, organisation.weight);
+        }
+        for (_, route) in serving.set.routes.iter() {
+            self.configure_route(&serving, route);
+        }
+        info!(self.setup.log, "configuration in force";
+            "version" => %serving.version, "source" => source);
+        self.setup.shared.metrics.config_version.set(serving.version.0 as i64);
+        self.serving = Some(serving);
+    }
+
+    fn configure_endpoints(&mut self, serving: &ServingSet) {
+        for endpoint in &mut self.registry.endpoints {
+            endpoint.removed = true;
+        }
+        for (_, endpoint) in serving.set.endpoints.iter() {
+            let ix = match self.registry.endpoint_ix(&endpoint.name) {
+                Some(ix) => ix,
+                None => {
+                    let distance = self.distance(&endpoint.object.region, &endpoint.object.zone);
+                    let ix = self.decider.add_endpoint(endpoint.object.kv_tokens.0, distance);
+                    self.registry.add_endpoint(ix, &endpoint.name, endpoint.object.address);
+                    ix
+                }
+            };
+            let registered = &mut self.registry.endpoints[ix.as_u32() as usize];
+            registered.removed = false;
+            registered.addr = endpoint.object.address;
+        }
+        let mut polled = Vec::new();
+        for endpoint in &self.registry.endpoints {
+            self.decider.endpoint_mut(endpoint.ix).leaving = endpoint.removed;
+            if !endpoint.removed {
+                polled.push(PolledEndpoint { ix: endpoint.ix, addr: endpoint.addr });
+            }
+        }
+        *self.setup.polled.lock().unwrap_or_else(PoisonError::into_inner) = polled;
+    }
+
+    fn configure_route(&mut self, serving: &ServingSet, route: &CheckedRoute) {
+        let names = route.endpoints.iter().map(|ix| &serving.set.endpoints[*ix].name);
+        let endpoints = names.filter_map(|name| self.registry.endpoint_ix(name)).collect();
+        let weights = ObjectiveWeights {
+            stall: route.objective.stall as f32,
+            preemption: route.objective.preemption as f32,
+            gap: route.objective.gap as f32,
+        };
+        let ix = self.registry.routes.intern(&route.name);
+        self.decider.set_route(ix, endpoints, weights);
+    }
+
+    fn distance(&self, region: &Region, zone: &AvailabilityZone) -> Distance {
+        if *region != self.setup.settings.region {
+            return Distance::Remote;
+        }
+        if *zone == self.setup.settings.zone { Distance::Zone } else { Distance::Region }
+    }
+
+    fn take_load(
+        &mut self,
+        endpoint: EndpointIx,
+        report: &LoadReport,
+        made_at: Instant,
+        now: Instant,
+    ) {
+        self.setup.shared.metrics.load_reports.inc();
+        let report = Report {
+            kv_used: report.kv_used,
+            kv_tokens: report.kv_tokens,
+            running: report.running,
+            waiting: report.waiting,
+            draining: report.draining,
+        };
+        self.decider.report(endpoint, &report, made_at, now);
+    }
+
+    fn view(&self, name: &str, now: Instant) -> Option<String> {
+        match name {
+            "status" => serde_json::to_string(&self.status_view()).ok(),
+            "endpoints" => serde_json::to_string(&self.endpoint_rows(now)).ok(),
+            _ => None,
+        }
+    }
+
+    fn status_view(&self) -> StatusView {
+        let settings = &self.setup.settings;
+        StatusView {
+            host: settings.host.to_string(),
+            region: settings.region.to_string(),
+            zone: settings.zone.to_string(),
+            config_version: self.serving.as_ref().map_or(0, |serving| serving.version.0),
+            running: self.decider.running(),
+            waiting: self.decider.waiting(),
+            violations: self.setup.shared.metrics.violation_count(),
+        }
+    }
+
+    fn endpoint_rows(&self, now: Instant) -> Vec<EndpointRow> {
+        let rows = self.registry.endpoints.iter().map(|endpoint| {
+            let view = self.decider.endpoint(endpoint.ix);
+            EndpointRow {
+                name: endpoint.name.to_string(),
+                address: endpoint.addr.to_string(),
+                capacity_tokens: view.capacity,
+                running: view.running(),
+                engine_waiting: view.engine_waiting,
+                usable: view.is_usable(now),
+                leaving: view.leaving || view.draining,
+                report_age_ms: view.report_age(now).map(|age| age.as_millis() as u64),
+            }
+        });
+        rows.collect()
+    }
+}
+
+fn priority_level(priority: Priority) -> u8 {
+    match priority {
+        Priority::Low => 0,
+        Priority::Normal => 1,
+        Priority::High => 2,
+    }
+}
+
+/// Returns the answer to a caller whose generation was refused.
+fn refusal(reason: RefuseReason) -> Refusal {
+    let (status, code, detail, retry_after) = match reason {
+        RefuseReason::Poison => {
+            (422, "poison_request", "the request crashed the endpoints that ran it", None)
+        }
+        RefuseReason::Overloaded(wait) => {
+            (429, "overloaded", "more work waits than can be served in time", Some(wait))
+        }
+        RefuseReason::NoEndpoint(wait) => {
+            (503, "no_endpoint", "no endpoint of the route is usable", Some(wait))
+        }
+        RefuseReason::RetryBudget => {
+            let wait = Duration::from_secs(2);
+            (503, "retry_budget", "too many attempts failed lately", Some(wait))
+        }
+    };
+    Refusal { status, code, detail: detail.to_owned(), retry_after }
+}
--- /dev/null
+++ b/crates/daemon/src/core_client.rs
@@ -0,0 +1,129 @@
+//! The gateway's way to the core.
+
+use std::collections::HashSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Sender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+
+use camphorloft_gateway::control::{
+    AttemptEnd, Control, Directive, Invariant, Placement, PlacementRequest, Refusal, ServingSet,
+};
+use camphorloft_types::prelude::*;
+use slog::{Logger, crit};
+
+use crate::config_state::ConfigState;
+use crate::core_thread::CoreMessage;
+use crate::metrics::Metrics;
+
+/// Sends messages to the core.
+#[derive(Clone)]
+pub struct CoreSender {
+    tx: Sender<CoreMessage>,
+}
+
+impl CoreSender {
+    /// Wraps the sending end of the core's channel.
+    pub fn new(tx: Sender<CoreMessage>) -> Self {
+        Self { tx }
+    }
+
+    /// Sends a message. A core that ended loses it.
+    pub fn send(&self, message: CoreMessage) {
+        let _ = self.tx.send(message);
+    }
+}
+
+/// State that the core writes and the gateway reads without asking.
+#[derive(Default)]
+pub struct Shared {
+    /// Generations that must move.
+    pub moves: Mutex<HashSet<GenerationId>>,
+    /// Hosts that are alive.
+    pub live_hosts: RwLock<HashSet<HostName>>,
+    /// True once a graceful shutdown has begun.
+    pub draining: AtomicBool,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+impl Shared {
+    /// Counts the breach of an invariant and logs it.
+    pub fn violated(&self, log: &Logger, invariant: Invariant, detail: &str) {
+        self.metrics.violated(invariant);
+        crit!(log, "invariant violated"; "invariant" => invariant.as_str(), "detail" => detail);
+    }
+}
+
+/// The core as the gateway sees it.
+pub struct CoreClient {
+    /// Sends messages to the core.
+    pub sender: CoreSender,
+    /// The version in force.
+    pub config: ConfigState,
+    /// State that the core writes.
+    pub shared: Arc<Shared>,
+    /// This host.
+    pub host: HostName,
+    /// Log.
+    pub log: Logger,
+}
+
+impl Control for CoreClient {
+    fn serving(&self) -> Option<Arc<ServingSet>> {
+        self.config.serving()
+    }
+
+    fn is_accepting(&self) -> bool {
+        !self.shared.draining.load(Ordering::Relaxed)
+    }
+
+    fn place(&self, request: PlacementRequest) -> Result<Placement, Refusal> {
+        let (reply, placement) = sync_channel(1);
+        self.sender.send(CoreMessage::Place(Box::new(request), reply));
+        placement.recv().unwrap_or_else(|_| {
+            Err(Refusal {
+                status: 503,
+                code: "shutting_down",
+                detail: "the host is shutting down".to_owned(),
+                retry_after: None,
+            })
+        })
+    }
+
+    fn report_progress(&self, generation: GenerationId, tokens: TokenCount) -> Directive {
+        self.sender.send(CoreMessage::Progress(generation, tokens));
+        let moves = self.shared.moves.lock().unwrap_or_else(PoisonError::into_inner);
+        if moves.contains(&generation) { Directive::Move } else { Directive::Continue }
+    }
+
+    fn end_attempt(&self, generation: GenerationId, attempt: Attempt, end: AttemptEnd) {
+        self.sender.send(CoreMessage::EndAttempt(generation, attempt, end));
+    }
+
+    fn end_request(&self, _organisation: OrganisationIx, outcome: Outcome) {
+        self.shared.metrics.end_request(outcome);
+    }
+
+    fn violated(&self, invariant: Invariant, detail: &str) {
+        self.shared.violated(&self.log, invariant, detail);
+    }
+
+    fn is_host_alive(&self, host: &HostName) -> bool {
+        let live = self.shared.live_hosts.read().unwrap_or_else(PoisonError::into_inner);
+        *host == self.host || live.contains(host)
+    }
+
+    fn metrics(&self) -> String {
+        self.shared.metrics.to_text()
+    }
+
+    fn view(&self, name: &str) -> Option<String> {
+        let (reply, view) = sync_channel(1);
+        self.sender.send(CoreMessage::View(name.to_owned(), reply));
+        view.recv().ok().flatten()
+    }
+
+    fn drain(&self) {
+        self.shared.draining.store(true, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,27 @@
+//! One host of the system: every part wired together.
+//!
+//! - [`settings`]: the JSON settings of a host, checked.
+//! - [`logging`]: structured logs.
+//! - [`metrics`]: counters and gauges.
+//! - [`config_state`]: the version in force, which never decreases.
+//! - [`config_watch`]: learns of new versions from the platform.
+//! - [`registry`]: dense indices that stay the same across versions.
+//! - [`core`]: the decision core, a `stakker` actor.
+//! - [`core_thread`]: the thread that runs the actor.
+//! - [`core_client`]: the gateway's way to the core.
+//! - [`load_poller`]: reads the load reports of the engines.
+//! - [`host`]: starts and stops a host.
+//! - [`embedded`]: a host with its own stand-ins, for trying it out.
+
+pub mod config_state;
+pub mod config_watch;
+pub mod core;
+pub mod core_client;
+pub mod core_thread;
+pub mod embedded;
+pub mod host;
+pub mod load_poller;
+pub mod logging;
+pub mod metrics;
+pub mod registry;
+pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/logging.rs
@@ -0,0 +1,34 @@
+//! Structured logs on standard error, one JSON object a line.
+
+use std::io;
+
+use slog::{Drain, Level, Logger, o};
+use slog_async::{Async, OverflowStrategy};
+
+/// Records that may wait to be written. Further ones are dropped and counted in a record.
+const CHANNEL_RECORDS: usize = 8192;
+
+/// Builds a logger that writes JSON lines to standard error.
+pub fn stderr_logger(host: &str, level: Level) -> Logger {
+    writer_logger(io::stderr(), host, level)
+}
+
+/// Builds a logger that writes JSON lines to `writer`.
+///
+/// ```
+/// let logger = camphorloft_daemon::logging::writer_logger(std::io::sink(), "h", slog::Level::Info);
+/// slog::info!(logger, "started");
+/// ```
+pub fn writer_logger<W>(writer: W, host: &str, level: Level) -> Logger
+where
+    W: io::Write + Send + 'static,
+{
+    let json = slog_json::Json::default(writer).fuse();
+    let filtered = slog::LevelFilter::new(json, level).fuse();
+    let drain = Async::new(filtered)
+        .chan_size(CHANNEL_RECORDS)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
+    Logger::root(drain, o!("host" => host.to_owned()))
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,92 @@
+//! The daemon `camphorloftd`: one host of the system.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use argh::FromArgs;
+use camphorloft_daemon::embedded::start_embedded;
+use camphorloft_daemon::host::{Host, start_host};
+use camphorloft_daemon::logging::stderr_logger;
+use camphorloft_daemon::settings::Settings;
+use slog::Level;
+
+/// Exit code when the settings have findings.
+const EXIT_FINDINGS: u8 = 2;
+/// Exit code when a request was cut by the shutdown.
+const EXIT_CUT: u8 = 3;
+/// Time between two looks at the signals.
+const SIGNAL_POLL: Duration = Duration::from_millis(100);
+
+/// One host of camphorloft, between callers and endpoints.
+#[derive(FromArgs)]
+struct Args {
+    /// settings file
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// start with embedded stand-ins instead of a settings file
+    #[argh(switch)]
+    embedded: bool,
+    /// listening address in embedded mode
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 8080))")]
+    listen: SocketAddr,
+    /// check the settings, print all findings and exit
+    #[argh(switch)]
+    check: bool,
+    /// log every decision (default: info)
+    #[argh(switch)]
+    debug: bool,
+}
+
+fn main() -> ExitCode {
+    let args: Args = argh::from_env();
+    let level = if args.debug { Level::Debug } else { Level::Info };
+    if args.embedded {
+        return match start_embedded(args.listen, stderr_logger("embedded-1", level)) {
+            Ok(embedded) => wait_and_drain(&embedded.host),
+            Err(err) => fail(&err.to_string()),
+        };
+    }
+    let Some(path) = &args.config else {
+        return fail("give --config FILE or --embedded");
+    };
+    let settings = match Settings::read(path) {
+        Ok(settings) => settings,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_FINDINGS);
+        }
+    };
+    if args.check {
+        println!("{}: no findings", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let log = stderr_logger(settings.host.as_str(), level);
+    match start_host(settings, log) {
+        Ok(host) => wait_and_drain(&host),
+        Err(err) => fail(&err.to_string()),
+    }
+}
+
+fn fail(what: &str) -> ExitCode {
+    eprintln!("camphorloftd: {what}");
+    ExitCode::FAILURE
+}
+
+/// Waits for a signal or an operator, then shuts down gracefully.
+fn wait_and_drain(host: &Host) -> ExitCode {
+    let terminate = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        if let Err(err) = signal_hook::flag::register(signal, terminate.clone()) {
+            return fail(&err.to_string());
+        }
+    }
+    while !terminate.load(Ordering::Relaxed) && !host.is_draining() {
+        thread::sleep(SIGNAL_POLL);
+    }
+    if host.drain() > 0 { ExitCode::from(EXIT_CUT) } else { ExitCode::SUCCESS }
+}
--- /dev/null
+++ b/crates/daemon/src/registry.rs
@@ -0,0 +1,91 @@
+//! Dense indices that stay the same across versions of the object set.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::net::SocketAddr;
+
+use camphorloft_types::prelude::*;
+use cranelift_entity::EntityRef;
+
+/// Assigns indices to names, in order of first sight.
+#[derive(Clone, Debug)]
+pub struct Interner<Name, Ix>
+where
+    Name: Eq + Hash,
+{
+    indices: HashMap<Name, Ix>,
+}
+
+impl<Name, Ix> Default for Interner<Name, Ix>
+where
+    Name: Eq + Hash,
+{
+    fn default() -> Self {
+        Self { indices: HashMap::new() }
+    }
+}
+
+impl<Name, Ix> Interner<Name, Ix>
+where
+    Name: Clone + Eq + Hash,
+    Ix: Copy + EntityRef,
+{
+    /// Returns the index of a name, if it has one.
+    pub fn get(&self, name: &Name) -> Option<Ix> {
+        self.indices.get(name).copied()
+    }
+
+    /// Returns the index of a name, assigned when new.
+    pub fn intern(&mut self, name: &Name) -> Ix {
+        if let Some(ix) = self.get(name) {
+            return ix;
+        }
+        let ix = Ix::new(self.indices.len());
+        self.indices.insert(name.clone(), ix);
+        ix
+    }
+}
+
+/// A configured endpoint with its stable index.
+#[derive(Clone, Debug)]
+pub struct RegisteredEndpoint {
+    /// Stable index.
+    pub ix: EndpointIx,
+    /// Name.
+    pub name: EndpointName,
+    /// Address of the engine.
+    pub addr: SocketAddr,
+    /// True when the configuration no longer has it.
+    pub removed: bool,
+}
+
+/// Stable indices of endpoints, routes and organisations.
+#[derive(Default)]
+pub struct Registry {
+    /// Endpoints in order of their indices.
+    pub endpoints: Vec<RegisteredEndpoint>,
+    by_name: HashMap<EndpointName, EndpointIx>,
+    /// Routes.
+    pub routes: Interner<RouteName, RouteIx>,
+    /// Organisations.
+    pub organisations: Interner<OrganisationName, OrganisationIx>,
+}
+
+impl Registry {
+    /// Returns an endpoint.
+    pub fn endpoint(&self, ix: EndpointIx) -> &RegisteredEndpoint {
+        &self.endpoints[ix.index()]
+    }
+
+    /// Returns the index of an endpoint by name.
+    pub fn endpoint_ix(&self, name: &EndpointName) -> Option<EndpointIx> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Adds an endpoint, whose index must be the next one.
+    pub fn add_endpoint(&mut self, ix: EndpointIx, name: &EndpointName, addr: SocketAddr) {
+        debug_assert_eq!(ix.index(), self.endpoints.len());
+        self.by_name.insert(name.clone(), ix);
+        self.endpoints.push(RegisteredEndpoint { ix, name: name.clone(), addr, removed: false });
+    }
+}
--- /dev/null
+++ b/crates/decide/src/endpoint_view.rs
@@ -0,0 +1,169 @@
+//! What is known of one endpoint.
+
+use std::time::{Duration, Instant};
+
+use crate::forecast::{Forecast, HORIZONS};
+use crate::sequence::SequenceIx;
+
+/// Age at which a load report no longer counts.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
+/// Time for which an endpoint that failed is not chosen.
+const SUSPECT_TIME: Duration = Duration::from_secs(2);
+/// Longest such time after repeated failures.
+const MAX_SUSPECT_TIME: Duration = Duration::from_secs(30);
+/// Step time before one was observed, in seconds.
+const INITIAL_STEP_SECONDS: f32 = 0.022;
+/// Weight of a new observation of the step time.
+const STEP_GAIN: f32 = 0.1;
+
+/// A load report, as it reached this host.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// KV memory in use, in tokens.
+    pub kv_used: u32,
+    /// KV memory, in tokens.
+    pub kv_tokens: u32,
+    /// Sequences that decode.
+    pub running: u32,
+    /// Sequences that wait in the engine.
+    pub waiting: u32,
+    /// True when the engine is about to leave.
+    pub draining: bool,
+}
+
+/// Where an endpoint is, relative to this host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Distance {
+    /// The same availability zone.
+    #[default]
+    Zone,
+    /// Another availability zone of the region.
+    Region,
+    /// Another region, where traffic is paid by volume.
+    Remote,
+}
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointView {
+    /// KV memory, in tokens.
+    pub capacity: u32,
+    /// Where it is.
+    pub distance: Distance,
+    /// True when the configuration or the host list says that it leaves.
+    pub leaving: bool,
+    /// True when its own report says that it leaves.
+    pub draining: bool,
+    /// Forecast of the sequences placed from here.
+    pub forecast: Forecast,
+    /// Forecast of what other hosts placed.
+    pub foreign: Forecast,
+    /// Sequences placed from here.
+    pub sequences: Vec<SequenceIx>,
+    /// Sequences among them that are suspected to crash endpoints.
+    pub suspects: u32,
+    /// Sequences that wait in the engine, as last reported.
+    pub engine_waiting: u32,
+    /// Sequences that other hosts run there.
+    pub foreign_running: u32,
+    /// Time of a step, in seconds, averaged.
+    pub step_seconds: f32,
+    reported_at: Option<Instant>,
+    suspect_until: Option<Instant>,
+    failures: u32,
+}
+
+impl EndpointView {
+    /// Builds the view of an endpoint of which nothing was reported.
+    pub fn new(capacity: u32, distance: Distance) -> Self {
+        Self {
+            capacity,
+            distance,
+            leaving: false,
+            draining: false,
+            forecast: Forecast::default(),
+            foreign: Forecast::default(),
+            sequences: Vec::with_capacity(128),
+            suspects: 0,
+            engine_waiting: 0,
+            foreign_running: 0,
+            step_seconds: INITIAL_STEP_SECONDS,
+            reported_at: None,
+            suspect_until: None,
+            failures: 0,
+        }
+    }
+
+    /// Returns true when new work may be sent to the endpoint.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        !self.leaving && !self.draining && self.suspect_until.is_none_or(|until| now >= until)
+    }
+
+    /// Returns the sequences that run there, as far as they are known.
+    pub fn running(&self) -> u32 {
+        self.sequences.len() as u32 + self.foreign_running
+    }
+
+    /// Returns the time since the last report, for log lines.
+    pub fn report_age(&self, now: Instant) -> Option<Duration> {
+        self.reported_at.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Takes a report. `own_running` and `own_kv` are what this host had there when it was made.
+    pub fn take_report(&mut self, report: &Report, own_running: u32, own_kv: u32, now: Instant) {
+        self.reported_at = Some(now);
+        self.draining = report.draining;
+        self.engine_waiting = report.waiting;
+        if report.kv_tokens > 0 {
+            self.capacity = report.kv_tokens;
+        }
+        let foreign_running = (report.running + report.waiting).saturating_sub(own_running);
+        let foreign_kv = report.kv_used.saturating_sub(own_kv);
+        self.foreign_running = foreign_running;
+        self.foreign = foreign_forecast(foreign_running, foreign_kv);
+    }
+
+    /// Forgets a report that is too old to count.
+    pub fn expire_report(&mut self, now: Instant) {
+        if self.report_age(now).is_some_and(|age| age > MAX_REPORT_AGE) {
+            self.engine_waiting = 0;
+        }
+    }
+
+    /// Averages an observed time per token.
+    pub fn observe_step(&mut self, seconds: f32) {
+        const LONGEST_STEP_SECONDS: f32 = 0.2;
+        let seconds = seconds.min(LONGEST_STEP_SECONDS);
+        self.step_seconds += (seconds - self.step_seconds) * STEP_GAIN;
+    }
+
+    /// Takes a failure: the endpoint is left alone for a time that doubles with each failure.
+    pub fn failed(&mut self, now: Instant) {
+        let doubled = SUSPECT_TIME.saturating_mul(1 << self.failures.min(4));
+        self.failures += 1;
+        self.suspect_until = Some(now + doubled.min(MAX_SUSPECT_TIME));
+    }
+
+    /// Takes a success.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.suspect_until = None;
+    }
+}
+
+/// Forecasts what other hosts placed: half of it is assumed to end by each further horizon.
+fn foreign_forecast(running: u32, kv: u32) -> Forecast {
+    let mut forecast = Forecast::default();
+    if running == 0 {
+        return forecast;
+    }
+    let mut alive = 1.0_f32;
+    let each = kv as f32 / running as f32;
+    for (ix, horizon) in HORIZONS.iter().enumerate() {
+        let size = each + *horizon as f32;
+        forecast.mean[ix] = alive * size * running as f32;
+        forecast.variance[ix] = alive * (1.0 - alive) * size * size * running as f32;
+        alive /= 1.5;
+    }
+    forecast
+}
--- /dev/null
+++ b/crates/decide/src/fair_queue.rs
@@ -0,0 +1,166 @@
+//! Generations that wait, by priority, organisation and expected length.
+//!
+//! Organisations are served by weighted fair queueing: each admission advances the virtual time of
+//! its organisation by the expected tokens divided by its weight, and the organisation with the
+//! smallest virtual time is next. Within an organisation a higher priority goes first, then the
+//! shorter expected length, so that short answers do not wait behind long ones. A generation that
+//! waited longer than a limit is no longer overtaken.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use camphorloft_types::prelude::*;
+
+use crate::sequence::Ask;
+
+/// Identifies a waiting generation; ascending in order of arrival.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+/// A generation that waits.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiting {
+    /// What was asked.
+    pub ask: Ask,
+    /// Expected tokens, prompt included.
+    pub expected: u32,
+    /// When it began to wait.
+    pub since: Instant,
+}
+
+/// Order within an organisation: larger priority, then shorter, then older.
+type ServiceKey = (std::cmp::Reverse<u8>, u32, Ticket);
+
+#[derive(Clone, Debug, Default)]
+struct OrganisationQueue {
+    virtual_time: f64,
+    expected: u64,
+    order: BTreeSet<ServiceKey>,
+}
+
+/// Generations that wait.
+#[derive(Clone, Debug, Default)]
+pub struct FairQueue {
+    waiting: BTreeMap<Ticket, Waiting>,
+    organisations: BTreeMap<OrganisationIx, OrganisationQueue>,
+    weights: BTreeMap<OrganisationIx, Weight>,
+    virtual_time: f64,
+    next: u64,
+    expected: u64,
+}
+
+fn service_key(ticket: Ticket, waiting: &Waiting) -> ServiceKey {
+    (std::cmp::Reverse(waiting.ask.priority), waiting.expected, ticket)
+}
+
+impl FairQueue {
+    /// Sets the weight of an organisation.
+    pub fn set_weight(&mut self, organisation: OrganisationIx, weight: Weight) {
+        self.weights.insert(organisation, weight);
+    }
+
+    /// Returns the number of waiting generations.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns true when none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns the expected tokens of all waiting generations.
+    pub fn expected_tokens(&self) -> u64 {
+        self.expected
+    }
+
+    /// Adds a generation.
+    pub fn push(&mut self, waiting: Waiting) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        let floor = self.virtual_time;
+        let organisation = self.organisations.entry(waiting.ask.organisation).or_default();
+        if organisation.order.is_empty() {
+            organisation.virtual_time = organisation.virtual_time.max(floor);
+        }
+        organisation.order.insert(service_key(ticket, &waiting));
+        organisation.expected += u64::from(waiting.expected);
+        self.expected += u64::from(waiting.expected);
+        self.waiting.insert(ticket, waiting);
+        ticket
+    }
+
+    /// Returns a waiting generation.
+    pub fn get(&self, ticket: Ticket) -> Option<&Waiting> {
+        self.waiting.get(&ticket)
+    }
+
+    /// Removes a generation without serving it.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.waiting.remove(&ticket)?;
+        if let Some(organisation) = self.organisations.get_mut(&waiting.ask.organisation) {
+            organisation.order.remove(&service_key(ticket, &waiting));
+            organisation.expected -= u64::from(waiting.expected);
+        }
+        self.expected -= u64::from(waiting.expected);
+        Some(waiting)
+    }
+
+    /// Removes a generation that was admitted and charges its organisation.
+    pub fn serve(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.remove(ticket)?;
+        self.charge(waiting.ask.organisation, waiting.expected);
+        Some(waiting)
+    }
+
+    /// Charges an organisation for expected tokens.
+    pub fn charge(&mut self, organisation: OrganisationIx, expected: u32) {
+        let weight = self.weights.get(&organisation).map_or(1, |weight| weight.0.max(1));
+        let floor = self.virtual_time;
+        let queue = self.organisations.entry(organisation).or_default();
+        queue.virtual_time =
+            queue.virtual_time.max(floor) + f64::from(expected) / f64::from(weight);
+        let active = self.organisations.values().filter(|queue| !queue.order.is_empty());
+        let least = active.map(|queue| queue.virtual_time).min_by(f64::total_cmp);
+        self.virtual_time = self.virtual_time.max(least.unwrap_or(floor));
+    }
+
+    /// Returns the oldest generation if it waited longer than `limit`.
+    pub fn overdue(&self, now: Instant, limit: Duration) -> Option<Ticket> {
+        let (ticket, oldest) = self.waiting.first_key_value()?;
+        (now.saturating_duration_since(oldest.since) >= limit).then_some(*ticket)
+    }
+
+    /// Writes the next generation of each organisation to `out`, the organisation with the
+    /// smallest virtual time first, up to `limit` of them.
+    pub fn heads(&self, limit: usize, out: &mut Vec<Ticket>) {
+        out.clear();
+        let mut heads: Vec<(f64, ServiceKey)> = Vec::new();
+        for organisation in self.organisations.values() {
+            if let Some(key) = organisation.order.first() {
+                heads.push((organisation.virtual_time, *key));
+            }
+        }
+        heads.sort_by(|a, b| a.1.0.cmp(&b.1.0).then(a.0.total_cmp(&b.0)));
+        out.extend(heads.iter().take(limit).map(|(_, (_, _, ticket))| *ticket));
+    }
+
+    /// Returns the generation to shed in overload: the newest of the lowest priority, from the
+    /// organisation that waits for the most tokens relative to its weight.
+    pub fn shed_candidate(&self) -> Option<Ticket> {
+        let share = |organisation: &OrganisationIx, queue: &OrganisationQueue| {
+            let weight = self.weights.get(organisation).map_or(1, |weight| weight.0.max(1));
+            queue.expected as f64 / f64::from(weight)
+        };
+        let waiting = self.organisations.iter().filter(|(_, queue)| !queue.order.is_empty());
+        let largest = waiting.max_by(|a, b| share(a.0, a.1).total_cmp(&share(b.0, b.1)))?;
+        let newest =
+            largest.1.order.iter().max_by_key(|(priority, _, ticket)| (*priority, *ticket));
+        newest.map(|(_, _, ticket)| *ticket)
+    }
+
+    /// Returns every waiting generation in order of arrival.
+    pub fn iter(&self) -> impl Iterator<Item = (Ticket, &Waiting)> {
+        self.waiting.iter().map(|(ticket, waiting)| (*ticket, waiting))
+    }
+}
--- /dev/null
+++ b/crates/decide/src/forecast.rs
@@ -0,0 +1,79 @@
+//! Memory of an engine at a few horizons, and the probability of overflow.
+//!
+//! All sequences of an engine advance by one token a step, so a horizon in steps is a horizon in
+//! tokens for each of them. At horizon `h` a sequence that holds `k` tokens now holds `k + h` with
+//! the probability that it continues that far, and nothing otherwise. Sums of means and variances
+//! over the running set give a normal approximation of the memory at that horizon.
+
+/// Horizons, in steps.
+pub const HORIZONS: [u32; 6] = [1, 48, 160, 480, 1200, 2800];
+
+/// Mean and variance of memory at each horizon, in tokens.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Forecast {
+    /// Means.
+    pub mean: [f32; HORIZONS.len()],
+    /// Variances.
+    pub variance: [f32; HORIZONS.len()],
+}
+
+impl Forecast {
+    /// Builds the forecast of one sequence that holds `kv` tokens. `continues(h)` is the
+    /// probability that it generates `h` more tokens.
+    pub fn of_sequence<Continues>(kv: u32, continues: Continues) -> Self
+    where
+        Continues: Fn(u32) -> f32,
+    {
+        let mut forecast = Self::default();
+        for (ix, horizon) in HORIZONS.iter().enumerate() {
+            let alive = continues(*horizon);
+            let size = (kv + horizon) as f32;
+            forecast.mean[ix] = alive * size;
+            forecast.variance[ix] = alive * (1.0 - alive) * size * size;
+        }
+        forecast
+    }
+
+    /// Adds another forecast.
+    pub fn add(&mut self, other: &Self) {
+        for ix in 0..HORIZONS.len() {
+            self.mean[ix] += other.mean[ix];
+            self.variance[ix] += other.variance[ix];
+        }
+    }
+
+    /// Subtracts a forecast that was added before.
+    pub fn subtract(&mut self, other: &Self) {
+        for ix in 0..HORIZONS.len() {
+            self.mean[ix] = (self.mean[ix] - other.mean[ix]).max(0.0);
+            self.variance[ix] = (self.variance[ix] - other.variance[ix]).max(0.0);
+        }
+    }
+
+    /// Returns the probability that memory exceeds `capacity` at the worst horizon among the
+    /// first `horizons`, with `extra` added.
+    ///
+    /// ```
+    /// use camphorloft_decide::forecast::{Forecast, HORIZONS};
+    /// let one = Forecast::of_sequence(100, |_| 0.5);
+    /// let none = Forecast::default();
+    /// assert!(one.overflow(&none, 100_000.0, HORIZONS.len()) < 0.01);
+    /// assert!(one.overflow(&one, 50.0, HORIZONS.len()) > 0.5);
+    /// ```
+    pub fn overflow(&self, extra: &Self, capacity: f32, horizons: usize) -> f32 {
+        let mut worst = f32::NEG_INFINITY;
+        for ix in 0..horizons {
+            let mean = self.mean[ix] + extra.mean[ix];
+            let variance = self.variance[ix] + extra.variance[ix];
+            let deviation = (variance + 1.0).sqrt();
+            worst = worst.max((mean - capacity) / deviation);
+        }
+        normal_cdf(worst)
+    }
+}
+
+/// Logistic approximation of the standard normal distribution function; its error is below 0.01.
+fn normal_cdf(z: f32) -> f32 {
+    const SLOPE: f32 = 1.702;
+    1.0 / (1.0 + (-SLOPE * z).exp())
+}
--- /dev/null
+++ b/crates/decide/src/lengths.rs
@@ -0,0 +1,191 @@
+//! Length estimates per organisation and route, with fallback to coarser ones.
+
+use std::collections::HashMap;
+
+use cranelift_entity::{PrimaryMap, entity_impl};
+
+use crate::hazard::{HazardTable, Survival};
+
+/// Index of a class of generations whose lengths are estimated together.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassIx(u32);
+entity_impl!(ClassIx, "class");
+
+/// Events of a class between two estimates.
+const REFRESH_EVENTS: u32 = 16;
+
+/// A class with its estimate.
+#[derive(Clone, Debug)]
+struct Class {
+    parent: Option<ClassIx>,
+    table: HazardTable,
+    survival: Survival,
+    events: u32,
+}
+
+/// Identifies a class among its siblings. The parts are stable digests of names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct ClassKey {
+    /// Organisation and route together.
+    pub fine: u64,
+    /// Route.
+    pub route: u64,
+}
+
+/// Estimates lengths.
+pub trait Lengths {
+    /// Returns the class of a generation, created when new.
+    fn class(&mut self, key: ClassKey) -> ClassIx;
+
+    /// Counts progress from one number of tokens to another.
+    fn advance(&mut self, class: ClassIx, from: u32, to: u32);
+
+    /// Counts the end of a generation at a number of tokens.
+    fn end(&mut self, class: ClassIx, length: u32);
+
+    /// Returns the distribution of a class. `hint` is a length that only an oracle knows.
+    fn continues(&self, class: ClassIx, hint: u32, from: u32, to: u32) -> f32;
+
+    /// Returns the expected number of tokens after `from`.
+    fn mean_residual(&self, class: ClassIx, hint: u32, from: u32) -> f32;
+
+    /// Returns the length that a share `quantile` does not exceed.
+    fn quantile(&self, class: ClassIx, hint: u32, from: u32, quantile: f32) -> u32;
+}
+
+/// Estimates learned from the generations seen.
+#[derive(Clone, Debug)]
+pub struct LearnedLengths {
+    classes: PrimaryMap<ClassIx, Class>,
+    fine: HashMap<u64, ClassIx>,
+    routes: HashMap<u64, ClassIx>,
+    root: ClassIx,
+}
+
+impl Default for LearnedLengths {
+    fn default() -> Self {
+        let mut classes = PrimaryMap::new();
+        let root = classes.push(Class::new(None, Survival::unknown()));
+        Self { classes, fine: HashMap::new(), routes: HashMap::new(), root }
+    }
+}
+
+impl Class {
+    fn new(parent: Option<ClassIx>, survival: Survival) -> Self {
+        Self { parent, table: HazardTable::default(), survival, events: 0 }
+    }
+}
+
+impl LearnedLengths {
+    /// Returns the distribution of a class.
+    pub fn survival(&self, class: ClassIx) -> &Survival {
+        &self.classes[class].survival
+    }
+
+    fn child(&mut self, parent: ClassIx) -> ClassIx {
+        let survival = self.classes[parent].survival.clone();
+        self.classes.push(Class::new(Some(parent), survival))
+    }
+
+    fn route_class(&mut self, route: u64) -> ClassIx {
+        if let Some(class) = self.routes.get(&route) {
+            return *class;
+        }
+        let class = self.child(self.root);
+        self.routes.insert(route, class);
+        class
+    }
+
+    /// Applies a change to a class and to the coarser ones above it.
+    fn update<Change>(&mut self, class: ClassIx, change: Change)
+    where
+        Change: Fn(&mut HazardTable),
+    {
+        let mut next = Some(class);
+        while let Some(ix) = next {
+            change(&mut self.classes[ix].table);
+            next = self.classes[ix].parent;
+        }
+        self.classes[class].events += 1;
+        if self.classes[class].events >= REFRESH_EVENTS {
+            self.classes[class].events = 0;
+            self.refresh(class);
+        }
+    }
+
+    /// Estimates a class anew, coarsest first.
+    fn refresh(&mut self, class: ClassIx) {
+        let coarser = match self.classes[class].parent {
+            Some(parent) => {
+                self.refresh(parent);
+                self.classes[parent].survival.clone()
+            }
+            None => Survival::unknown(),
+        };
+        let estimate = Survival::estimate(&self.classes[class].table, &coarser);
+        self.classes[class].survival = estimate;
+    }
+}
+
+impl Lengths for LearnedLengths {
+    fn class(&mut self, key: ClassKey) -> ClassIx {
+        if let Some(class) = self.fine.get(&key.fine) {
+            return *class;
+        }
+        let route = self.route_class(key.route);
+        let class = self.child(route);
+        self.fine.insert(key.fine, class);
+        class
+    }
+
+    fn advance(&mut self, class: ClassIx, from: u32, to: u32) {
+        self.update(class, |table| table.advance(from, to));
+    }
+
+    fn end(&mut self, class: ClassIx, length: u32) {
+        self.update(class, |table| table.end(length));
+    }
+
+    fn continues(&self, class: ClassIx, _hint: u32, from: u32, to: u32) -> f32 {
+        self.classes[class].survival.continues(from, to)
+    }
+
+    fn mean_residual(&self, class: ClassIx, _hint: u32, from: u32) -> f32 {
+        self.classes[class].survival.mean_residual(from)
+    }
+
+    fn quantile(&self, class: ClassIx, _hint: u32, from: u32, quantile: f32) -> u32 {
+        self.classes[class].survival.quantile(from, quantile)
+    }
+}
+
+/// Exact lengths, for the oracle of the experiments.
+#[derive(Clone, Debug, Default)]
+pub struct ExactLengths {
+    classes: PrimaryMap<ClassIx, ()>,
+}
+
+impl Lengths for ExactLengths {
+    fn class(&mut self, _key: ClassKey) -> ClassIx {
+        if self.classes.is_empty() {
+            self.classes.push(());
+        }
+        ClassIx::from_u32(0)
+    }
+
+    fn advance(&mut self, _class: ClassIx, _from: u32, _to: u32) {}
+
+    fn end(&mut self, _class: ClassIx, _length: u32) {}
+
+    fn continues(&self, _class: ClassIx, hint: u32, _from: u32, to: u32) -> f32 {
+        if to < hint { 1.0 } else { 0.0 }
+    }
+
+    fn mean_residual(&self, _class: ClassIx, hint: u32, from: u32) -> f32 {
+        hint.saturating_sub(from) as f32
+    }
+
+    fn quantile(&self, _class: ClassIx, hint: u32, from: u32, _quantile: f32) -> u32 {
+        hint.max(from)
+    }
+}
--- /dev/null
+++ b/crates/decide/src/poison.rs
@@ -0,0 +1,96 @@
+//! Requests that crash endpoints.
+//!
+//! When an endpoint crashes, every request that it ran is a suspect. Blame goes to the suspects
+//! with the most blame so far, so that one bad request does not drag others along, and two
+//! suspects are not placed on one endpoint, so that the next crash tells them apart. A request
+//! that finishes is cleared. A request with [`REFUSE_AT`] crashes is refused.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+/// Crashes after which a request is refused.
+pub const REFUSE_AT: u8 = 3;
+/// Time for which blame is kept.
+const KEEP: Duration = Duration::from_secs(600);
+/// Suspects that are kept.
+const MAX_SUSPECTS: usize = 10_000;
+
+/// Blame of one request, as it is told to other hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Blame {
+    /// Digest of the request.
+    pub fingerprint: u64,
+    /// Crashes that it is blamed for.
+    pub crashes: u8,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Suspect {
+    crashes: u8,
+    blamed_at: Instant,
+}
+
+/// Requests that are suspected to crash endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct PoisonTable {
+    suspects: HashMap<u64, Suspect>,
+}
+
+impl PoisonTable {
+    /// Returns the crashes that a request is blamed for.
+    pub fn crashes(&self, fingerprint: u64, now: Instant) -> u8 {
+        let suspect = self.suspects.get(&fingerprint);
+        let fresh = suspect.filter(|s| now.saturating_duration_since(s.blamed_at) < KEEP);
+        fresh.map_or(0, |suspect| suspect.crashes)
+    }
+
+    /// Returns true when a request must be refused.
+    pub fn is_refused(&self, fingerprint: u64, now: Instant) -> bool {
+        self.crashes(fingerprint, now) >= REFUSE_AT
+    }
+
+    /// Blames the requests that a crashed endpoint ran. Returns those that were blamed.
+    ///
+    /// ```
+    /// use camphorloft_decide::poison::PoisonTable;
+    /// use std::time::Instant;
+    /// let now = Instant::now();
+    /// let mut table = PoisonTable::default();
+    /// assert_eq!(table.endpoint_crashed(&[1, 2], now).len(), 2);
+    /// // The second crash ran one suspect and one newcomer: only the suspect is blamed.
+    /// assert_eq!(table.endpoint_crashed(&[1, 3], now).len(), 1);
+    /// assert_eq!(table.crashes(3, now), 0);
+    /// ```
+    pub fn endpoint_crashed(&mut self, running: &[u64], now: Instant) -> Vec<Blame> {
+        let worst = running.iter().map(|f| self.crashes(*f, now)).max().unwrap_or(0);
+        let blamed = running.iter().filter(|f| self.crashes(**f, now) == worst);
+        let blames: Vec<Blame> = blamed
+            .map(|fingerprint| Blame { fingerprint: *fingerprint, crashes: worst + 1 })
+            .collect();
+        for blame in &blames {
+            self.learn(*blame, now);
+        }
+        blames
+    }
+
+    /// Takes the blame that another host found.
+    pub fn learn(&mut self, blame: Blame, now: Instant) {
+        if self.suspects.len() >= MAX_SUSPECTS {
+            self.suspects.retain(|_, s| now.saturating_duration_since(s.blamed_at) < KEEP);
+        }
+        if self.suspects.len() >= MAX_SUSPECTS {
+            return;
+        }
+        let fresh = Suspect { crashes: 0, blamed_at: now };
+        let suspect = self.suspects.entry(blame.fingerprint).or_insert(fresh);
+        suspect.crashes = suspect.crashes.max(blame.crashes);
+        suspect.blamed_at = now;
+    }
+
+    /// Clears a request that finished. A request that was refused stays refused.
+    pub fn finished(&mut self, fingerprint: u64) {
+        if self.suspects.get(&fingerprint).is_some_and(|s| s.crashes < REFUSE_AT) {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/rebalance.rs
@@ -0,0 +1,130 @@
+//! Moves generations away from engines whose memory runs out.
+//!
+//! A preempted sequence waits until memory frees and is recomputed. A moved one only costs the
+//! prefill of its text on an engine that has room. So when overflow nears on one engine while
+//! another has room, the generation with the least loss is moved before the engine must preempt.
+
+use std::time::{Duration, Instant};
+
+use camphorloft_types::prelude::EndpointIx;
+
+use crate::decider::Decider;
+use crate::decision::{Move, TickOutput};
+use crate::forecast::{Forecast, HORIZONS};
+use crate::lengths::Lengths;
+use crate::scoring::risk;
+use crate::sequence::SequenceIx;
+
+/// Horizons at which an overflow counts as near.
+const NEAR_HORIZONS: usize = 2;
+/// Moves that are decided per endpoint and tick.
+const MOVES_PER_ENDPOINT: usize = 2;
+/// Time that a placed generation stays before it may move.
+const MIN_STAY: Duration = Duration::from_millis(800);
+/// Expected tokens below which a generation is left to finish.
+const MIN_RESIDUAL: f32 = 48.0;
+
+impl<L> Decider<L>
+where
+    L: Lengths,
+{
+    /// Computes the forecasts of all endpoints anew from the sequences placed there.
+    pub(crate) fn refresh_forecasts(&mut self, now: Instant) {
+        for endpoint in self.endpoints.keys() {
+            if self.endpoints[endpoint].sequences.is_empty() {
+                self.endpoints[endpoint].expire_report(now);
+                continue;
+            }
+            let mut total = Forecast::default();
+            for position in 0..self.endpoints[endpoint].sequences.len() {
+                let ix = self.endpoints[endpoint].sequences[position];
+                total.add(&self.refresh_sequence(ix, now));
+            }
+            self.endpoints[endpoint].forecast = total;
+            self.endpoints[endpoint].expire_report(now);
+        }
+    }
+
+    /// Computes the forecast of a sequence, extrapolated from its last progress report.
+    fn refresh_sequence(&mut self, ix: SequenceIx, now: Instant) -> Forecast {
+        let Some(sequence) = self.sequences[ix].filter(|sequence| !sequence.moving) else {
+            return Forecast::default();
+        };
+        let step = self.endpoints[sequence.endpoint].step_seconds;
+        let elapsed = now.saturating_duration_since(sequence.reported_at);
+        let unreported = (elapsed.as_secs_f32() / step) as u32;
+        let longest = Duration::from_millis(500).as_secs_f32() / step;
+        let generated = sequence.generated + unreported.min(longest as u32);
+        let forecast = self.forecast(&sequence.ask, generated);
+        if let Some(sequence) = &mut self.sequences[ix] {
+            sequence.forecast = forecast;
+        }
+        forecast
+    }
+
+    /// Decides moves for every endpoint whose memory is about to run out.
+    pub(crate) fn rebalance(&mut self, now: Instant, out: &mut TickOutput) {
+        for endpoint in self.endpoints.keys() {
+            for _ in 0..MOVES_PER_ENDPOINT {
+                let near = self.near_risk(endpoint);
+                let Some(ix) = self.move_candidate(endpoint, near, now) else { break };
+                self.decide_move(ix, near, out);
+            }
+        }
+    }
+
+    fn near_risk(&self, endpoint: EndpointIx) -> f32 {
+        let none = Forecast::default();
+        risk(&self.endpoints[endpoint], &none, &self.settings, NEAR_HORIZONS)
+    }
+
+    /// Returns, for an endpoint with a near overflow risk of `near`, the sequence whose
+    /// move loses least for the memory that it frees, if another endpoint has room for it.
+    fn move_candidate(&self, endpoint: EndpointIx, near: f32, now: Instant) -> Option<SequenceIx> {
+        let mut best: Option<(f32, SequenceIx)> = None;
+        for ix in &self.endpoints[endpoint].sequences {
+            let Some(sequence) = &self.sequences[*ix] else { continue };
+            let settled = now.saturating_duration_since(sequence.placed_at) >= MIN_STAY;
+            let movable = sequence.interruptions < self.settings.max_moves && !sequence.moving;
+            let ask = &sequence.ask;
+            if !settled || !movable || near < self.route_settings(ask.route).move_risk {
+                continue;
+            }
+            let residual = self.lengths.mean_residual(ask.class, ask.hint, sequence.generated);
+            if residual < MIN_RESIDUAL {
+                continue;
+            }
+            let prefill = sequence.kv() as f32 * self.settings.prefill_seconds;
+            let freed = sequence.forecast.mean[NEAR_HORIZONS];
+            let interrupted = 1.0 + f32::from(sequence.interruptions);
+            let loss = (prefill + self.settings.prefill_seconds) * interrupted / freed.max(1.0);
+            // Among equal losses, a longer residual gains more from room.
+            let rank = loss / residual.sqrt();
+            if best.is_none_or(|(least, _)| rank < least) && self.has_room_elsewhere(*ix, now) {
+                best = Some((rank, *ix));
+            }
+        }
+        best.map(|(_, ix)| ix)
+    }
+
+    fn has_room_elsewhere(&self, ix: SequenceIx, now: Instant) -> bool {
+        let Some(sequence) = &self.sequences[ix] else { return false };
+        let candidates = self.route_endpoints(sequence.ask.route);
+        let sample = candidates.iter().take(self.settings.candidates);
+        sample.filter(|endpoint| **endpoint != sequence.endpoint).any(|endpoint| {
+            let view = &self.endpoints[*endpoint];
+            let room = risk(view, &sequence.forecast, &self.settings, HORIZONS.len());
+            view.is_usable(now)
+                && view.engine_waiting == 0
+                && room <= self.settings.move_target_risk
+        })
+    }
+
+    fn decide_move(&mut self, ix: SequenceIx, risk: f32, out: &mut TickOutput) {
+        let Some(sequence) = &mut self.sequences[ix] else { return };
+        sequence.moving = true;
+        let (endpoint, forecast) = (sequence.endpoint, sequence.forecast);
+        out.moves.push(Move { generation: sequence.ask.generation, from: endpoint, risk });
+        self.endpoints[endpoint].forecast.subtract(&forecast);
+    }
+}
--- /dev/null
+++ b/crates/decide/src/scoring.rs
@@ -0,0 +1,67 @@
+//! Compares endpoints for one generation.
+
+use crate::endpoint_view::{Distance, EndpointView};
+use crate::forecast::{Forecast, HORIZONS};
+use crate::policy_settings::PolicySettings;
+
+/// Seconds that an overflow is expected to cost.
+const OVERFLOW_SECONDS: f32 = 4.0;
+/// Seconds that a sequence waiting in the engine is expected to cost.
+const ENGINE_WAIT_SECONDS: f32 = 0.5;
+/// Part of a step that each further sequence adds, weighed over a whole generation.
+const BATCH_STEPS: f32 = 40.0;
+/// Seconds that another availability zone costs.
+const REGION_SECONDS: f32 = 0.004;
+/// Seconds that another region costs; its traffic is paid by volume.
+const REMOTE_SECONDS: f32 = 0.6;
+
+/// What a generation brings to an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Load<'a> {
+    /// Its forecast.
+    pub forecast: &'a Forecast,
+    /// Tokens that must be prefilled when no prefix is cached.
+    pub prompt_tokens: u32,
+    /// True when the endpoint is believed to hold the prefix.
+    pub prefix_hit: bool,
+}
+
+/// The comparison of one endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Score {
+    /// Probability of overflow with the generation.
+    pub risk: f32,
+    /// Expected cost, in seconds.
+    pub seconds: f32,
+}
+
+/// Returns the probability that an endpoint overflows with `extra` added, over `horizons`.
+pub fn risk(
+    view: &EndpointView,
+    extra: &Forecast,
+    settings: &PolicySettings,
+    horizons: usize,
+) -> f32 {
+    let mut total = view.forecast;
+    total.add(&view.foreign);
+    total.overflow(extra, view.capacity as f32 * settings.usable_memory, horizons)
+}
+
+/// Scores an endpoint.
+pub fn score(view: &EndpointView, load: &Load<'_>, settings: &PolicySettings) -> Score {
+    let risk = risk(view, load.forecast, settings, HORIZONS.len());
+    let weights = &settings.weights;
+    let mut seconds = risk * OVERFLOW_SECONDS * (weights.stall + weights.preemption) / 2.0;
+    let batch = view.running() as f32 * settings.sequence_seconds;
+    seconds += batch * BATCH_STEPS * weights.gap;
+    seconds += view.engine_waiting as f32 * ENGINE_WAIT_SECONDS;
+    if !load.prefix_hit {
+        seconds += load.prompt_tokens as f32 * settings.prefill_seconds;
+    }
+    seconds += match view.distance {
+        Distance::Zone => 0.0,
+        Distance::Region => REGION_SECONDS,
+        Distance::Remote => REMOTE_SECONDS,
+    };
+    Score { risk, seconds }
+}
--- /dev/null
+++ b/crates/gateway/src/event_id.rs
@@ -0,0 +1,132 @@
+//! Sealed event identifiers.
+//!
+//! The identifier of an event names the endpoint, the generation, the attempt and the ordinal of
+//! the token, with a digest of the text delivered so far. It is sealed with a key of the
+//! organisation, so any host can resume a stream from it with no lookup and no write, and no
+//! organisation can resume a stream of another.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use camphorloft_types::prelude::*;
+use quick_error::quick_error;
+
+const SEAL_CONTEXT: &str = "camphorloft event identifier 2026-12-03";
+/// Bytes of the seal.
+const TAG_BYTES: usize = 12;
+/// Bytes before the name of the endpoint: generation, attempt, offset, digest.
+const FIXED_BYTES: usize = 16 + 4 + 4 + 8;
+
+quick_error! {
+    /// Reason that an event identifier was refused.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum EventIdError {
+        /// The text is not an event identifier.
+        Malformed {
+            display("the text is not an event identifier of this system")
+        }
+        /// The seal does not match the organisation.
+        WrongSeal {
+            display("the event identifier does not belong to this organisation")
+        }
+    }
+}
+
+/// Names one delivered token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EventId {
+    /// Generation.
+    pub generation: GenerationId,
+    /// Attempt that generated the token.
+    pub attempt: Attempt,
+    /// Ordinal of the token within the generation, from 0.
+    pub offset: u32,
+    /// Digest of the text up to and including the token.
+    pub text_digest: u64,
+    /// Endpoint that generated the token.
+    pub endpoint: EndpointName,
+}
+
+/// Key that seals the event identifiers of one organisation.
+#[derive(Clone)]
+pub struct SealKey([u8; 32]);
+
+impl SealKey {
+    /// Derives the key of an organisation from the secret that all hosts share.
+    pub fn derive(secret: &[u8], organisation: &OrganisationName) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(SEAL_CONTEXT);
+        hasher.update(&(secret.len() as u64).to_le_bytes());
+        hasher.update(secret);
+        hasher.update(organisation.as_str().as_bytes());
+        Self(*hasher.finalize().as_bytes())
+    }
+
+    fn tag(&self, payload: &[u8]) -> blake3::Hash {
+        blake3::keyed_hash(&self.0, payload)
+    }
+
+    /// Seals an identifier into text.
+    ///
+    /// ```
+    /// use camphorloft_gateway::event_id::{EventId, SealKey};
+    /// use camphorloft_types::prelude::*;
+    /// let id = EventId {
+    ///     generation: GenerationId(7),
+    ///     attempt: Attempt(1),
+    ///     offset: 41,
+    ///     text_digest: 9,
+    ///     endpoint: "khomas-1".parse().unwrap(),
+    /// };
+    /// let key = SealKey::derive(b"secret", &"kpc".parse().unwrap());
+    /// assert_eq!(key.unseal(&key.seal(&id)).unwrap(), id);
+    /// let other = SealKey::derive(b"secret", &"other".parse().unwrap());
+    /// assert!(other.unseal(&key.seal(&id)).is_err());
+    /// ```
+    pub fn seal(&self, id: &EventId) -> String {
+        let name = id.endpoint.as_str().as_bytes();
+        let mut bytes = Vec::with_capacity(FIXED_BYTES + name.len() + TAG_BYTES);
+        bytes.extend_from_slice(&id.generation.0.to_le_bytes());
+        bytes.extend_from_slice(&id.attempt.0.to_le_bytes());
+        bytes.extend_from_slice(&id.offset.to_le_bytes());
+        bytes.extend_from_slice(&id.text_digest.to_le_bytes());
+        bytes.extend_from_slice(name);
+        let tag = self.tag(&bytes);
+        bytes.extend_from_slice(&tag.as_bytes()[..TAG_BYTES]);
+        URL_SAFE_NO_PAD.encode(&bytes)
+    }
+
+    /// Opens a sealed identifier.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`EventIdError`] for text that this organisation's key did not seal.
+    pub fn unseal(&self, text: &str) -> Result<EventId, EventIdError> {
+        let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| EventIdError::Malformed)?;
+        if bytes.len() <= FIXED_BYTES + TAG_BYTES {
+            return Err(EventIdError::Malformed);
+        }
+        let (payload, tag) = bytes.split_at(bytes.len() - TAG_BYTES);
+        let expected = self.tag(payload);
+        if !constant_time_eq(&expected.as_bytes()[..TAG_BYTES], tag) {
+            return Err(EventIdError::WrongSeal);
+        }
+        parse_payload(payload).ok_or(EventIdError::Malformed)
+    }
+}
+
+fn constant_time_eq(a: &[u8], b: &[u8]) -> bool {
+    a.iter().zip(b).fold(a.len() ^ b.len(), |diff, (x, y)| diff | usize::from(x ^ y)) == 0
+}
+
+fn parse_payload(payload: &[u8]) -> Option<EventId> {
+    let (generation, rest) = payload.split_first_chunk::<16>()?;
+    let (attempt, rest) = rest.split_first_chunk::<4>()?;
+    let (offset, rest) = rest.split_first_chunk::<4>()?;
+    let (digest, name) = rest.split_first_chunk::<8>()?;
+    Some(EventId {
+        generation: GenerationId(u128::from_le_bytes(*generation)),
+        attempt: Attempt(u32::from_le_bytes(*attempt)),
+        offset: u32::from_le_bytes(*offset),
+        text_digest: u64::from_le_bytes(*digest),
+        endpoint: std::str::from_utf8(name).ok()?.parse().ok()?,
+    })
+}
--- /dev/null
+++ b/crates/http/src/event_stream.rs
@@ -0,0 +1,73 @@
+//! Server-sent events written to a caller, flushed one write at a time.
+//!
+//! `tiny_http` gathers 8 KiB of an ordinary chunked response before it writes, which would hold
+//! tokens back. This type takes the raw writer and ends each write with a flushed chunk.
+
+use std::io::{self, Write};
+
+use chunked_transfer::Encoder;
+use tiny_http::Request;
+
+/// An open event stream.
+pub struct EventStream<W>
+where
+    W: Write,
+{
+    encoder: Encoder<W>,
+}
+
+/// An event stream over the connection of a `tiny_http` request.
+pub type RequestEventStream = EventStream<Box<dyn Write + Send + 'static>>;
+
+impl RequestEventStream {
+    /// Sends the response head of an event stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection.
+    pub fn start(req: Request, extra_headers: &[(&str, &str)]) -> io::Result<Self> {
+        Self::over(req.into_writer(), extra_headers)
+    }
+}
+
+impl<W> EventStream<W>
+where
+    W: Write,
+{
+    /// Sends the response head of an event stream to `writer`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the writer.
+    pub fn over(mut writer: W, extra_headers: &[(&str, &str)]) -> io::Result<Self> {
+        let mut head = String::from(
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-store\r\n\
+             transfer-encoding: chunked\r\n",
+        );
+        for (name, value) in extra_headers {
+            head.push_str(name);
+            head.push_str(": ");
+            head.push_str(value);
+            head.push_str("\r\n");
+        }
+        head.push_str("\r\n");
+        writer.write_all(head.as_bytes())?;
+        writer.flush()?;
+        Ok(Self { encoder: Encoder::new(writer) })
+    }
+
+    /// Writes bytes of whole events as one chunk and flushes them.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the connection, for example when the caller left.
+    pub fn send(&mut self, events: &[u8]) -> io::Result<()> {
+        self.encoder.write_all(events)?;
+        self.encoder.flush()
+    }
+
+    /// Ends the response properly.
+    pub fn finish(self) {
+        drop(self.encoder);
+    }
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,114 @@
+//! The platform over HTTP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use camphorloft_http::client::{Deadlines, pooled_agent};
+use serde::de::DeserializeOwned;
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+use crate::api::{PlatformApi, PlatformError, Table, Transacted};
+use crate::wire::{HostEntry, Row, Write};
+
+/// Time to connect.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Time until an answer.
+const RESPONSE: Duration = Duration::from_secs(1);
+
+/// A client of the platform.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    agent: Agent,
+    base: String,
+}
+
+impl HttpPlatform {
+    /// Builds a client of the platform at an address.
+    pub fn new(addr: SocketAddr) -> Self {
+        let deadlines = Deadlines { connect: CONNECT, response: RESPONSE, progress: RESPONSE };
+        Self { agent: pooled_agent(deadlines), base: format!("http://{addr}") }
+    }
+
+    fn get(&self, path: &str) -> Result<Response<Body>, PlatformError> {
+        let response = self.agent.get(format!("{}{path}", self.base)).call().map_err(from_ureq)?;
+        check_available(response)
+    }
+}
+
+/// Turns a refusal of the platform into an error.
+fn check_available(response: Response<Body>) -> Result<Response<Body>, PlatformError> {
+    match response.status().as_u16() {
+        200 | 404 | 409 => Ok(response),
+        503 => Err(PlatformError::Unavailable("status 503".to_owned())),
+        status => Err(PlatformError::Ambiguous(format!("status {status}"))),
+    }
+}
+
+fn from_ureq(err: ureq::Error) -> PlatformError {
+    let refused = matches!(&err, ureq::Error::Io(err)
+        if err.kind() == io::ErrorKind::ConnectionRefused);
+    let connect = matches!(
+        &err,
+        ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect)
+    );
+    if refused || connect {
+        return PlatformError::Unavailable(err.to_string());
+    }
+    PlatformError::Ambiguous(err.to_string())
+}
+
+fn json<Answer>(mut response: Response<Body>) -> Result<Answer, PlatformError>
+where
+    Answer: DeserializeOwned,
+{
+    response.body_mut().read_json().map_err(from_ureq)
+}
+
+impl PlatformApi for HttpPlatform {
+    fn read(&self, table: Table, key: &str) -> Result<Option<Row>, PlatformError> {
+        let response = self.get(&format!("/tables/{table}/rows/{key}"))?;
+        if response.status() == 404 { Ok(None) } else { json(response).map(Some) }
+    }
+
+    fn scan(
+        &self,
+        table: Table,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<(String, Row)>, PlatformError> {
+        let path = format!("/tables/{table}/scan?prefix={prefix}&after={after}&limit={limit}");
+        json(self.get(&path)?)
+    }
+
+    fn transact(&self, table: Table, writes: &[Write]) -> Result<Transacted, PlatformError> {
+        let url = format!("{}/tables/{table}/transact", self.base);
+        let response = self.agent.post(url).send_json(writes).map_err(from_ureq)?;
+        let response = check_available(response)?;
+        match response.status().as_u16() {
+            200 => Ok(Transacted::Applied),
+            409 => json(response).map(Transacted::Conflicts),
+            status => Err(PlatformError::Ambiguous(format!("status {status}"))),
+        }
+    }
+
+    fn put_object(&self, name: &str, bytes: &[u8]) -> Result<(), PlatformError> {
+        let url = format!("{}/objects/{name}", self.base);
+        let response = self.agent.put(url).send(bytes).map_err(from_ureq)?;
+        check_available(response).map(|_| ())
+    }
+
+    fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let mut response = self.get(&format!("/objects/{name}"))?;
+        if response.status() == 404 {
+            return Ok(None);
+        }
+        response.body_mut().read_to_vec().map(Some).map_err(from_ureq)
+    }
+
+    fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
+        json(self.get("/hosts")?)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -0,0 +1,44 @@
+//! Runs the engine stand-in as a process.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+use camphorloft_standins::engine::{EngineSettings, start_engine};
+use camphorloft_standins::engine_model::EngineLimits;
+
+/// Engine stand-in: continuous batching with a KV memory budget behind HTTP.
+#[derive(FromArgs)]
+struct Args {
+    /// listening address
+    #[argh(option, default = "SocketAddr::from(([127, 0, 0, 1], 0))")]
+    addr: SocketAddr,
+    /// KV memory in tokens
+    #[argh(option, default = "EngineLimits::default().kv_tokens")]
+    kv_tokens: u32,
+    /// model that is loaded; may be given more than once
+    #[argh(option)]
+    model: Vec<String>,
+    /// refuse orders with an old fencing number
+    #[argh(switch)]
+    checks_fencing: bool,
+    /// seed of the samplings
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+fn main() -> std::io::Result<()> {
+    let args: Args = argh::from_env();
+    let settings = EngineSettings {
+        addr: args.addr,
+        limits: EngineLimits { kv_tokens: args.kv_tokens, ..EngineLimits::default() },
+        models: args.model,
+        checks_fencing: args.checks_fencing,
+        exit_on_crash: true,
+        seed: args.seed,
+    };
+    let handle = start_engine(settings)?;
+    println!("{}", handle.addr);
+    loop {
+        std::thread::park();
+    }
+}
--- /dev/null
+++ b/crates/types/src/number.rs
@@ -0,0 +1,82 @@
+//! Numeric newtypes.
+
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Reason that a string was refused as a number.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum NumberError {
+        /// The string is not a whole number in range.
+        Integer(err: ParseIntError) {
+            from()
+            display("not a whole number in range: {}", err)
+        }
+    }
+}
+
+macro_rules! number_type {
+    ($(#[$doc:meta])* $name:ident($inner:ty)) => {
+        $(#[$doc])*
+        ///
+        /// ```
+        #[doc = concat!("use camphorloft_types::number::", stringify!($name), ";")]
+        #[doc = concat!("let n: ", stringify!($name), " = \"7\".parse().unwrap();")]
+        #[doc = concat!("assert_eq!(n, ", stringify!($name), "(7));")]
+        /// assert_eq!(n.to_string(), "7");
+        /// ```
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(serde::Serialize, serde::Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub $inner);
+
+        impl $name {
+            /// Returns the number that follows, saturating at the largest.
+            pub fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = NumberError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                Ok(Self(text.parse()?))
+            }
+        }
+    };
+}
+
+number_type! {
+    /// A number of tokens.
+    TokenCount(u32)
+}
+number_type! {
+    /// A size in bytes.
+    ByteSize(u64)
+}
+number_type! {
+    /// The version of a published object set. Version 0 means that none is known.
+    ConfigVersion(u64)
+}
+number_type! {
+    /// A fencing number issued with a lease. A larger number supersedes a smaller one.
+    FencingNumber(u64)
+}
+number_type! {
+    /// The incarnation of a host in the membership protocol.
+    Incarnation(u64)
+}
+number_type! {
+    /// The share of an organisation relative to others.
+    Weight(u32)
+}
--- /dev/null
+++ b/crates/types/src/prelude.rs
@@ -0,0 +1,12 @@
+//! Common imports.
+
+pub use crate::generation::{Attempt, GenerationId};
+pub use crate::index::{EndpointIx, OrganisationIx, RouteIx};
+pub use crate::name::{
+    AdapterName, AvailabilityZone, EndpointName, HostName, ModelName, NameError, ObjectiveName,
+    OrganisationName, PoolName, Region, RouteName, ServiceName,
+};
+pub use crate::number::{
+    ByteSize, ConfigVersion, FencingNumber, Incarnation, NumberError, TokenCount, Weight,
+};
+pub use crate::outcome::Outcome;
