--- a/crates/bench/src/policy/decided.rs
+++ b/crates/bench/src/policy/decided.rs
@@ -35,7 +35,7 @@
     L: Lengths,
 {
     /// Builds the policy for a workload.
-    pub fn new(workload: &Workload, lengths: L, seed: u64) -> Self {
+    pub fn new(workload: &Workload, settings: PolicySettings, lengths: L, seed: u64) -> Self {
         let now = Instant::now();
         let objective = &workload.objective;
         let weights = ObjectiveWeights {
@@ -43,7 +43,7 @@
             preemption: objective.preemption,
             gap: objective.gap,
         };
-        let mut decider = Decider::new(PolicySettings::default(), lengths, seed, now);
+        let mut decider = Decider::new(settings, lengths, seed, now);
         let limits = workload.engine_limits();
         let capacity: Vec<u32> = limits.iter().map(|limits| limits.kv_tokens).collect();
         let endpoints: Vec<EndpointIx> =
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -24,6 +24,7 @@
 
 use argh::FromArgs;
 use camphorloft_decide::lengths::{ExactLengths, LearnedLengths};
+use camphorloft_decide::policy_settings::PolicySettings;
 use serde::Serialize;
 
 use arrivals::{Arrival, draw_arrivals};
@@ -64,6 +65,9 @@
     /// print one JSON object
     #[argh(switch)]
     json: bool,
+    /// file with constants of the policy, to try others than the default ones
+    #[argh(option)]
+    settings: Option<PathBuf>,
     /// directory for an HTML page with plots
     #[argh(option)]
     report: Option<PathBuf>,
@@ -114,6 +118,14 @@
             return ExitCode::from(2);
         }
     };
+    let settings = match read_settings(args.settings.as_deref()) {
+        Ok(settings) => settings,
+        Err(err) => {
+            eprintln!("{err}");
+            return ExitCode::from(2);
+        }
+    };
+    let experiment = Experiment { workload: &workload, settings };
     let names: Vec<&str> = if args.policy == "all" {
         POLICIES.to_vec()
     } else {
@@ -126,7 +138,7 @@
     let mut rows = Vec::new();
     let mut curves = Vec::new();
     for name in names {
-        let results = run_seeds(&workload, name, args.seed, args.seeds);
+        let results = run_seeds(&experiment, name, args.seed, args.seeds);
         rows.push(summarize(name, &results));
         curves.push(report::Curve { name: name.to_owned(), points: results[0].curve.clone() });
     }
@@ -138,6 +150,19 @@
     }
 }
 
+/// What every policy of a comparison is run with.
+struct Experiment<'a> {
+    workload: &'a Workload,
+    settings: PolicySettings,
+}
+
+fn read_settings(path: Option<&Path>) -> Result<PolicySettings, String> {
+    let Some(path) = path else { return Ok(PolicySettings::default()) };
+    let at = |err: &dyn std::fmt::Display| format!("{}: {err}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|err| at(&err))?;
+    serde_json::from_str(&text).map_err(|err| at(&err))
+}
+
 fn write_report(dir: &Path, result: &PolicyResult, curves: &[report::Curve]) -> ExitCode {
     match report::write(dir, result, curves) {
         Ok(path) => {
@@ -152,7 +177,7 @@
 }
 
 /// Runs one policy on several seeds, on all cores.
-fn run_seeds(workload: &Workload, name: &str, first: u64, count: u64) -> Vec<RunResult> {
+fn run_seeds(experiment: &Experiment<'_>, name: &str, first: u64, count: u64) -> Vec<RunResult> {
     let next = AtomicUsize::new(0);
     let results = Mutex::new(vec![RunResult::default(); count as usize]);
     let workers = thread::available_parallelism().map_or(1, usize::from);
@@ -165,8 +190,8 @@
                         return;
                     }
                     let seed = first + ix as u64;
-                    let arrivals = draw_arrivals(workload, seed);
-                    let metrics = run_policy(workload, &arrivals, name, seed);
+                    let arrivals = draw_arrivals(experiment.workload, seed);
+                    let metrics = run_policy(experiment, &arrivals, name, seed);
                     let result = RunResult { figures: metrics.figures(), curve: metrics.curve() };
                     results.lock().expect("no worker panics while it holds the lock")[ix] = result;
                 }
@@ -176,7 +201,8 @@
     results.into_inner().expect("no worker panics while it holds the lock")
 }
 
-fn run_policy(workload: &Workload, arrivals: &[Arrival], name: &str, seed: u64) -> Metrics {
+fn run_policy(experiment: &Experiment<'_>, arrivals: &[Arrival], name: &str, seed: u64) -> Metrics {
+    let Experiment { workload, settings } = *experiment;
     let baseline = |rule| {
         let placer = Baseline::new(rule, workload.engine_count() as usize, seed);
         Simulation::new(workload, arrivals, placer).run()
@@ -187,11 +213,11 @@
         "two_choices" => baseline(Rule::TwoChoices),
         "least_reported_kv" => baseline(Rule::LeastReportedKv),
         "oracle" => {
-            let placer = Decided::new(workload, ExactLengths::default(), seed);
+            let placer = Decided::new(workload, settings, ExactLengths::default(), seed);
             Simulation::new(workload, arrivals, placer).run()
         }
         _ => {
-            let placer = Decided::new(workload, LearnedLengths::default(), seed);
+            let placer = Decided::new(workload, settings, LearnedLengths::default(), seed);
             Simulation::new(workload, arrivals, placer).run()
         }
     }
--- a/crates/bench/src/policy/simulation.rs
+++ b/crates/bench/src/policy/simulation.rs
@@ -14,6 +14,8 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Time between two progress reports of a generation.
 const PROGRESS: Duration = Duration::from_millis(250);
+/// Silence after which a relay looks at its stream anew and can be told to move.
+const SILENCE: Duration = Duration::from_millis(750);
 /// Time after the last arrival in which generations may end.
 const DRAIN: Duration = Duration::from_secs(120);
 
@@ -139,6 +141,7 @@
     states: Vec<EngineState>,
     requests: Vec<Request>,
     attempts: Vec<Option<Attempt>>,
+    token_at: Vec<Duration>,
     by_sequence: Vec<usize>,
     reports: Vec<Vec<Load>>,
     progress_at: Duration,
@@ -182,6 +185,7 @@
             engines,
             requests: requests.collect(),
             attempts: arrivals.iter().map(|_| None).collect(),
+            token_at: vec![Duration::ZERO; arrivals.len()],
             by_sequence: Vec::new(),
             reports: Vec::new(),
             progress_at: Duration::ZERO,
@@ -247,6 +251,7 @@
         let request = self.requests[start.request];
         let sequence = SequenceId(self.by_sequence.len() as u64);
         self.by_sequence.push(start.request);
+        self.token_at[start.request] = self.now;
         self.attempts[start.request] = Some(Attempt { engine: start.engine, sequence });
         let class = &self.workload.classes[request.class];
         let engine = &mut self.engines[start.engine];
@@ -293,6 +298,7 @@
             return;
         }
         self.requests[ix].delivered += 1;
+        self.token_at[ix] = at;
         self.metrics.token(ix, at);
         if matches!(event, StepEvent::Finished(_)) {
             self.attempts[ix] = None;
@@ -321,6 +327,10 @@
         for ix in 0..self.requests.len() {
             let Some(attempt) = &self.attempts[ix] else { continue };
             let (engine, sequence) = (attempt.engine, attempt.sequence);
+            let silent = self.now.saturating_sub(self.token_at[ix]);
+            if silent >= PROGRESS && silent < SILENCE {
+                continue;
+            }
             if self.placer.progress(&self.requests[ix]) {
                 self.engines[engine].model.cancel(sequence);
                 self.attempts[ix] = None;
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -11,7 +11,7 @@
 use crate::decision::{Decision, Placed, RefuseReason, Refused, TickOutput};
 use crate::endpoint_view::{Distance, EndpointView, Report};
 use crate::fair_queue::{FairQueue, Ticket, Waiting};
-use crate::forecast::Forecast;
+use crate::forecast::{Forecast, HORIZONS};
 use crate::lengths::{ClassIx, ClassKey, Lengths};
 use crate::poison::{Blame, PoisonTable};
 use crate::policy_settings::{ObjectiveWeights, PolicySettings};
@@ -83,7 +83,10 @@
     shed: Vec<Refused>,
     heads: Vec<Ticket>,
     candidates: Vec<EndpointIx>,
+    /// Tokens admitted per second, averaged.
     served_rate: f64,
+    /// Expected tokens admitted since the last average.
+    admitted: u64,
     rate_at: Instant,
 }
 
@@ -112,6 +115,7 @@
             heads: Vec::with_capacity(HEADS_PER_ROUND),
             candidates: Vec::with_capacity(256),
             served_rate: 0.0,
+            admitted: 0,
             rate_at: now,
         }
     }
@@ -274,6 +278,7 @@
         let (endpoint, mut placed) = self.best_endpoint(ask, &forecast, now)?;
         placed.expected_tokens = self.expected_tokens(ask);
         placed.waited = now.saturating_duration_since(since);
+        self.admitted += u64::from(placed.expected_tokens + ask.prompt_tokens);
         self.start(ask, endpoint, forecast, now);
         Some(placed)
     }
@@ -290,6 +295,9 @@
         let settings = self.route_settings(ask.route);
         let fresh = ask.delivered == 0;
         let risk_limit = if fresh { settings.admit_risk } else { CONTINUE_RISK };
+        if fresh && self.pool_risk(forecast, &settings, now) > settings.pool_risk {
+            return None;
+        }
         let mut best: Option<Placed> = None;
         let mut unusable = 0;
         for endpoint in &self.candidates {
@@ -328,6 +336,24 @@
         best.map(|best| (best.endpoint, Placed { unusable, ..best }))
     }
 
+    /// Returns the probability that the candidates overflow together with `forecast` added.
+    ///
+    /// Generations move between engines, so far ahead it is the memory of all of them that
+    /// counts; its relative deviation is much smaller than that of one engine.
+    fn pool_risk(&self, forecast: &Forecast, settings: &PolicySettings, now: Instant) -> f32 {
+        let mut total = Forecast::default();
+        let mut capacity = 0.0;
+        for endpoint in &self.candidates {
+            let view = &self.endpoints[*endpoint];
+            if view.is_usable(now) {
+                total.add(&view.forecast);
+                total.add(&view.foreign);
+                capacity += view.capacity as f32 * settings.usable_memory;
+            }
+        }
+        total.overflow(forecast, capacity, HORIZONS.len())
+    }
+
     /// Chooses the endpoints to compare: all when they are few, else a sample and those that are
     /// believed to hold the prefix.
     fn choose_candidates(&mut self, ask: &Ask, now: Instant) {
@@ -504,7 +530,7 @@
         self.place_waiting(now, out);
         self.refuse_hopeless(now, out);
         out.refused.append(&mut self.shed);
-        self.update_rate(now, out);
+        self.update_rate(now);
     }
 
     fn place_waiting(&mut self, now: Instant, out: &mut TickOutput) {
@@ -564,15 +590,15 @@
     }
 
     /// Averages the expected tokens admitted per second.
-    fn update_rate(&mut self, now: Instant, out: &TickOutput) {
+    fn update_rate(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.rate_at).as_secs_f64();
         if elapsed <= 0.0 {
             return;
         }
-        let served: u64 = out.placed.iter().map(|placed| u64::from(placed.expected_tokens)).sum();
         let gain = 1.0 - (-elapsed / RATE_SECONDS).exp();
-        let rate = served as f64 / elapsed;
+        let rate = self.admitted as f64 / elapsed;
         self.served_rate += (rate - self.served_rate) * gain;
+        self.admitted = 0;
         self.rate_at = now;
     }
 }
--- a/crates/decide/src/forecast.rs
+++ b/crates/decide/src/forecast.rs
@@ -6,7 +6,11 @@
 //! over the running set give a normal approximation of the memory at that horizon.
 
 /// Horizons, in steps.
-pub const HORIZONS: [u32; 6] = [1, 48, 160, 480, 1200, 2800];
+pub const HORIZONS: [u32; 12] = [1, 24, 64, 128, 224, 352, 512, 736, 1024, 1440, 2048, 3072];
+
+/// Standard deviation of what the forecast leaves out, such as progress not yet reported, as a
+/// part of the capacity.
+const MODEL_ERROR: f32 = 0.01;
 
 /// Mean and variance of memory at each horizon, in tokens.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -65,7 +69,8 @@
         for ix in 0..horizons {
             let mean = self.mean[ix] + extra.mean[ix];
             let variance = self.variance[ix] + extra.variance[ix];
-            let deviation = (variance + 1.0).sqrt();
+            let error = capacity * MODEL_ERROR;
+            let deviation = (variance + error * error).sqrt();
             worst = worst.max((mean - capacity) / deviation);
         }
         normal_cdf(worst)
--- a/crates/decide/src/policy_settings.rs
+++ b/crates/decide/src/policy_settings.rs
@@ -4,6 +4,8 @@
 
 /// Weights of an objective, as configured for a route.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct ObjectiveWeights {
     /// Weight of stall time.
     pub stall: f32,
@@ -21,13 +23,22 @@
 
 /// The constants of the policy.
 #[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct PolicySettings {
     /// Weights of the objective.
     pub weights: ObjectiveWeights,
     /// Endpoints that are compared for one generation.
     pub candidates: usize,
-    /// Probability of overflow up to which a generation is admitted.
+    /// Probability that the chosen endpoint overflows soon, up to which a generation is admitted.
     pub admit_risk: f32,
+    /// Probability that the compared endpoints overflow together at any horizon, up to which a
+    /// generation is admitted.
+    pub pool_risk: f32,
+    /// Horizons at which an overflow of one endpoint counts as soon.
+    pub local_horizons: usize,
+    /// Horizons at which an overflow makes generations move.
+    pub move_horizons: usize,
     /// Part of an engine's memory that is planned with.
     pub usable_memory: f32,
     /// Probability of overflow within the short horizons from which generations are moved away.
@@ -56,6 +67,9 @@
             weights: ObjectiveWeights::default(),
             candidates: 32,
             admit_risk: 0.25,
+            pool_risk: 0.1,
+            local_horizons: 6,
+            move_horizons: 2,
             usable_memory: 0.98,
             move_risk: 0.5,
             move_target_risk: 0.15,
--- a/crates/decide/src/rebalance.rs
+++ b/crates/decide/src/rebalance.rs
@@ -10,17 +10,17 @@
 
 use crate::decider::Decider;
 use crate::decision::{Move, TickOutput};
-use crate::forecast::{Forecast, HORIZONS};
+use crate::forecast::Forecast;
 use crate::lengths::Lengths;
 use crate::scoring::risk;
 use crate::sequence::SequenceIx;
 
-/// Horizons at which an overflow counts as near.
-const NEAR_HORIZONS: usize = 2;
 /// Moves that are decided per endpoint and tick.
 const MOVES_PER_ENDPOINT: usize = 2;
 /// Time that a placed generation stays before it may move.
 const MIN_STAY: Duration = Duration::from_millis(800);
+/// Time without progress after which a generation is taken for preempted.
+const STALL_LIMIT: Duration = Duration::from_millis(500);
 /// Expected tokens below which a generation is left to finish.
 const MIN_RESIDUAL: f32 = 48.0;
 
@@ -70,12 +70,28 @@
                 let Some(ix) = self.move_candidate(endpoint, near, now) else { break };
                 self.decide_move(ix, near, out);
             }
+            if let Some(ix) = self.stalled_sequence(endpoint, now) {
+                let near = self.near_risk(endpoint);
+                self.decide_move(ix, near, out);
+            }
         }
     }
 
+    /// Returns a sequence that makes no progress, as after a preemption, if another endpoint has
+    /// room for it.
+    fn stalled_sequence(&self, endpoint: EndpointIx, now: Instant) -> Option<SequenceIx> {
+        let sequences = self.endpoints[endpoint].sequences.iter().copied();
+        let mut stalled = sequences.filter(|ix| {
+            let Some(sequence) = &self.sequences[*ix] else { return false };
+            let silent = now.saturating_duration_since(sequence.reported_at);
+            !sequence.moving && silent >= STALL_LIMIT
+        });
+        stalled.find(|ix| self.has_room_elsewhere(*ix, now))
+    }
+
     fn near_risk(&self, endpoint: EndpointIx) -> f32 {
         let none = Forecast::default();
-        risk(&self.endpoints[endpoint], &none, &self.settings, NEAR_HORIZONS)
+        risk(&self.endpoints[endpoint], &none, &self.settings, self.settings.move_horizons)
     }
 
     /// Returns, for an endpoint with a near overflow risk of `near`, the sequence whose
@@ -95,7 +111,7 @@
                 continue;
             }
             let prefill = sequence.kv() as f32 * self.settings.prefill_seconds;
-            let freed = sequence.forecast.mean[NEAR_HORIZONS];
+            let freed = sequence.forecast.mean[self.settings.move_horizons];
             let interrupted = 1.0 + f32::from(sequence.interruptions);
             let loss = (prefill + self.settings.prefill_seconds) * interrupted / freed.max(1.0);
             // Among equal losses, a longer residual gains more from room.
@@ -113,7 +129,7 @@
         let sample = candidates.iter().take(self.settings.candidates);
         sample.filter(|endpoint| **endpoint != sequence.endpoint).any(|endpoint| {
             let view = &self.endpoints[*endpoint];
-            let room = risk(view, &sequence.forecast, &self.settings, HORIZONS.len());
+            let room = risk(view, &sequence.forecast, &self.settings, self.settings.local_horizons);
             view.is_usable(now)
                 && view.engine_waiting == 0
                 && room <= self.settings.move_target_risk
--- a/crates/decide/src/scoring.rs
+++ b/crates/decide/src/scoring.rs
@@ -6,6 +6,8 @@
 
 /// Seconds that an overflow is expected to cost.
 const OVERFLOW_SECONDS: f32 = 4.0;
+/// Weight of an overflow that is far away, since generations can be moved until then.
+const LATER_WEIGHT: f32 = 0.3;
 /// Seconds that a sequence waiting in the engine is expected to cost.
 const ENGINE_WAIT_SECONDS: f32 = 0.5;
 /// Part of a step that each further sequence adds, weighed over a whole generation.
@@ -49,9 +51,11 @@
 
 /// Scores an endpoint.
 pub fn score(view: &EndpointView, load: &Load<'_>, settings: &PolicySettings) -> Score {
-    let risk = risk(view, load.forecast, settings, HORIZONS.len());
+    let near = risk(view, load.forecast, settings, settings.local_horizons);
     let weights = &settings.weights;
-    let mut seconds = risk * OVERFLOW_SECONDS * (weights.stall + weights.preemption) / 2.0;
+    let later = risk(view, load.forecast, settings, HORIZONS.len());
+    let overflow = near + LATER_WEIGHT * (later + peak_fill(view, load.forecast));
+    let mut seconds = overflow * OVERFLOW_SECONDS * (weights.stall + weights.preemption) / 2.0;
     let batch = view.running() as f32 * settings.sequence_seconds;
     seconds += batch * BATCH_STEPS * weights.gap;
     seconds += view.engine_waiting as f32 * ENGINE_WAIT_SECONDS;
@@ -63,5 +67,13 @@
         Distance::Region => REGION_SECONDS,
         Distance::Remote => REMOTE_SECONDS,
     };
-    Score { risk, seconds }
+    Score { risk: near, seconds }
+}
+
+/// Returns the largest expected share of memory in use over all horizons.
+fn peak_fill(view: &EndpointView, extra: &Forecast) -> f32 {
+    let capacity = view.capacity.max(1) as f32;
+    let means = (0..HORIZONS.len())
+        .map(|ix| view.forecast.mean[ix] + view.foreign.mean[ix] + extra.mean[ix]);
+    means.fold(0.0, f32::max) / capacity
 }
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -78,7 +78,7 @@
         Self {
             connect: Duration::from_secs(1),
             response: Duration::from_secs(3),
-            progress: Duration::from_secs(2),
+            progress: Duration::from_millis(750),
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -201,18 +201,28 @@
                     }
                 }
                 Ok(None) => return Ok(()),
-                Err(err) => stream = self.reconnect(&placement, &err)?,
+                Err(err) => {
+                    self.move_if_told(&placement)?;
+                    stream = self.reconnect(&placement, &err)?;
+                }
             }
             if reported.elapsed() >= REPORT_INTERVAL {
                 reported = Instant::now();
-                if self.report_progress() == Directive::Move && self.transcript.text().is_some() {
-                    self.cancel(placement.addr);
-                    return Err(Stop::Moved);
-                }
+                self.move_if_told(&placement)?;
             }
         }
     }
 
+    /// Reports progress and stops the attempt when the core wants it elsewhere.
+    fn move_if_told(&self, placement: &Placement) -> Result<(), Stop> {
+        let told = self.report_progress() == Directive::Move;
+        if !told || self.transcript.text().is_none() {
+            return Ok(());
+        }
+        self.cancel(placement.addr);
+        Err(Stop::Moved)
+    }
+
     /// Delivers a token if it is the next one.
     fn deliver(&mut self, endpoint: &EndpointName, chunk: &Chunk) -> Result<(), Stop> {
         let next = self.transcript.tokens();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,13 @@
-//! x
+//! The frames that hosts exchange, and how they are authenticated.
+//!
+//! - [`wire`]: the frames as protocol buffers.
+//! - [`convert`]: between frames and the messages of the protocols.
+//! - [`seal`]: authenticates frames with a shared secret, with rotation.
+//! - [`replay`]: drops frames that were seen before.
+//! - [`stream`]: length-delimited frames over TCP.
+
+pub mod convert;
+pub mod replay;
+pub mod seal;
+pub mod stream;
+pub mod wire;
--- /dev/null
+++ b/crates/peer/src/wire.rs
@@ -0,0 +1,125 @@
+//! The frames as protocol buffers.
+
+/// A member.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireMember {
+    /// Name.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Address for messages between hosts.
+    #[prost(string, tag = "2")]
+    pub addr: String,
+    /// Address for callers and operators.
+    #[prost(string, tag = "3")]
+    pub http_addr: String,
+    /// Region.
+    #[prost(string, tag = "4")]
+    pub region: String,
+    /// Availability zone.
+    #[prost(string, tag = "5")]
+    pub zone: String,
+    /// Incarnation.
+    #[prost(uint64, tag = "6")]
+    pub incarnation: u64,
+    /// 0 alive, 1 suspect, 2 dead, 3 left.
+    #[prost(uint32, tag = "7")]
+    pub state: u32,
+}
+
+/// Question or answer of a membership message.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum WireKind {
+    /// A ping with its identity.
+    #[prost(fixed64, tag = "10")]
+    Ping(u64),
+    /// The answer to a ping.
+    #[prost(fixed64, tag = "11")]
+    Ack(u64),
+    /// A request to probe a third host.
+    #[prost(message, tag = "12")]
+    PingRequest(WirePingRequest),
+    /// A request for all members, with the digest of the sender's view.
+    #[prost(fixed64, tag = "13")]
+    SyncRequest(u64),
+}
+
+/// A request to probe a third host.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WirePingRequest {
+    /// Identity of the probe.
+    #[prost(fixed64, tag = "1")]
+    pub id: u64,
+    /// Address of the third host.
+    #[prost(string, tag = "2")]
+    pub target: String,
+}
+
+/// Blame of a request that crashed endpoints.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireBlame {
+    /// Digest of the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Crashes.
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+}
+
+/// A new version of the object set.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireAnnouncement {
+    /// Version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Published delta as JSON; empty when it is too large for a datagram.
+    #[prost(bytes = "vec", tag = "2")]
+    pub delta: Vec<u8>,
+}
+
+/// A datagram.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireDatagram {
+    /// Sender, alive.
+    #[prost(message, optional, tag = "1")]
+    pub sender: Option<WireMember>,
+    /// Ascending per incarnation of the sender.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+    /// When the sender's process started, in milliseconds since the epoch.
+    #[prost(uint64, tag = "3")]
+    pub started_ms: u64,
+    /// Version of the object set that the sender has.
+    #[prost(uint64, tag = "4")]
+    pub config_version: u64,
+    /// Statements about members.
+    #[prost(message, repeated, tag = "5")]
+    pub updates: Vec<WireMember>,
+    /// Blame to spread.
+    #[prost(message, repeated, tag = "6")]
+    pub blames: Vec<WireBlame>,
+    /// A new version.
+    #[prost(message, optional, tag = "7")]
+    pub announcement: Option<WireAnnouncement>,
+    /// Question or answer.
+    #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
+    pub kind: Option<WireKind>,
+}
+
+/// A request for the object set, over TCP.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireConfigRequest {
+    /// Version that the asking host has.
+    #[prost(uint64, tag = "1")]
+    pub known: u64,
+}
+
+/// The answer to a [`WireConfigRequest`].
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireConfigReply {
+    /// Version of the answering host; 0 when it has none.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The whole set as JSON; empty when the asking host has this version or a newer one.
+    #[prost(bytes = "vec", tag = "2")]
+    pub set: Vec<u8>,
+}
