Gossip between hosts; flush event streams to the socket; tune the policy

Cause: the last kilobyte of a stream stayed in the server library's buffer, because the chunk encoder's flush does not flush the writer below it; `try` then hung until its read deadline. Ruled out: the engine (its own stream was whole) and the relay (no thread was left). Poison was never blamed: the load poller marked a crashed endpoint before its generations reported the loss, and the blame was skipped for endpoints already marked.

Change: the stream flushes encoder and writer, also after the end mark; blame is once per crash by a mark on the generations, not on the endpoint. Hosts gossip membership, versions and blame; a host without the platform fetches the set from peers. Thresholds of the policy are per objective.

--- /dev/null
+++ b/crates/daemon/src/config_exchange.rs
@@ -0,0 +1,79 @@
+//! Fetches the object set from other hosts, over TCP, for when the platform does not answer.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use camphorloft_config::RawSet;
+use camphorloft_peer::seal::FrameKeys;
+use camphorloft_peer::stream::{read_frame, write_frame};
+use camphorloft_peer::wire::{WireConfigReply, WireConfigRequest};
+use camphorloft_platform::publication::VersionedSet;
+use camphorloft_types::prelude::ConfigVersion;
+
+use crate::config_state::ConfigState;
+
+/// Time for each step of an exchange.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Time between two looks at the stop flag.
+const ACCEPT_POLL: Duration = Duration::from_millis(100);
+
+/// Answers requests of other hosts until `stop` is set.
+///
+/// # Errors
+///
+/// Returns the error of the listener.
+pub fn serve_config(
+    listener: &TcpListener,
+    keys: &FrameKeys,
+    config: &ConfigState,
+    stop: &Arc<AtomicBool>,
+) -> io::Result<()> {
+    listener.set_nonblocking(true)?;
+    while !stop.load(Ordering::Relaxed) {
+        match listener.accept() {
+            // A peer that is slow or not authentic loses its answer.
+            Ok((stream, _)) => drop(answer(stream, keys, config)),
+            Err(_) => thread::sleep(ACCEPT_POLL),
+        }
+    }
+    Ok(())
+}
+
+fn answer(mut stream: TcpStream, keys: &FrameKeys, config: &ConfigState) -> io::Result<()> {
+    stream.set_nonblocking(false)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    stream.set_write_timeout(Some(TIMEOUT))?;
+    let request: WireConfigRequest = read_frame(&mut stream, keys)?;
+    let known = config.raw();
+    let newer = known.version.0 > request.known;
+    let set = if newer { known.set.to_value().to_string().into_bytes() } else { Vec::new() };
+    write_frame(&mut stream, keys, &WireConfigReply { version: known.version.0, set })
+}
+
+/// Fetches the set of another host if it is newer than `known`.
+///
+/// # Errors
+///
+/// Returns the error of the connection, and `InvalidData` for a set that does not parse.
+pub fn fetch_from_peer(
+    peer: SocketAddr,
+    keys: &FrameKeys,
+    known: ConfigVersion,
+) -> io::Result<Option<VersionedSet>> {
+    let mut stream = TcpStream::connect_timeout(&peer, TIMEOUT)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    stream.set_write_timeout(Some(TIMEOUT))?;
+    write_frame(&mut stream, keys, &WireConfigRequest { known: known.0 })?;
+    let reply: WireConfigReply = read_frame(&mut stream, keys)?;
+    if reply.version <= known.0 {
+        return Ok(None);
+    }
+    let text = String::from_utf8_lossy(&reply.set);
+    let set = RawSet::parse(&text)
+        .map_err(|findings| io::Error::new(io::ErrorKind::InvalidData, findings))?;
+    Ok(Some(VersionedSet { version: ConfigVersion(reply.version), set }))
+}
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -3,7 +3,7 @@
 //! The actor owns the decider and the registry, answers the gateway and runs on the clock that
 //! the runtime hands to it. It does no I/O.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::mpsc::SyncSender;
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
@@ -60,6 +60,8 @@
     decider: Decider<LearnedLengths>,
     registry: Registry,
     serving: Option<Arc<ServingSet>>,
+    /// Addresses that the platform's host list shows as leaving.
+    leaving: HashSet<String>,
     waiting: HashMap<GenerationId, WaitingCaller>,
     /// Latest attempt of each generation that was placed here.
     attempts: HashMap<GenerationId, Attempt>,
@@ -102,6 +104,7 @@
             decider: Decider::new(PolicySettings::default(), lengths, seed, cx.now()),
             registry: Registry::default(),
             serving: None,
+            leaving: HashSet::new(),
             waiting: HashMap::new(),
             attempts: HashMap::new(),
             output: TickOutput::default(),
@@ -130,6 +133,11 @@
                     self.decider.learn_prefix(prefix, endpoint, now);
                 }
             }
+            CoreMessage::Blame(blame) => self.decider.learn_blame(blame, now),
+            CoreMessage::Leaving(addresses) => {
+                self.leaving = addresses;
+                self.update_leaving();
+            }
             CoreMessage::View(name, reply) => {
                 // A caller that gave up does not need the view.
                 let _ = reply.send(self.view(&name, now));
@@ -286,6 +294,7 @@
         self.setup.shared.metrics.attempts.with_label_values(&[label]).inc();
         for blame in self.decider.end(generation, kind, now) {
             self.log_blame(&blame);
+            self.setup.shared.spread_blame(blame);
         }
     }
 
@@ -337,12 +346,20 @@
         }
         let mut polled = Vec::new();
         for endpoint in &self.registry.endpoints {
-            self.decider.endpoint_mut(endpoint.ix).leaving = endpoint.removed;
             if !endpoint.removed {
                 polled.push(PolledEndpoint { ix: endpoint.ix, addr: endpoint.addr });
             }
         }
         *self.setup.polled.lock().unwrap_or_else(PoisonError::into_inner) = polled;
+        self.update_leaving();
+    }
+
+    /// Tells the decider which endpoints get no new work.
+    fn update_leaving(&mut self) {
+        for endpoint in &self.registry.endpoints {
+            let listed = self.leaving.contains(&endpoint.addr.to_string());
+            self.decider.endpoint_mut(endpoint.ix).leaving = endpoint.removed || listed;
+        }
     }
 
     fn configure_route(&mut self, serving: &ServingSet, route: &CheckedRoute) {
--- a/crates/daemon/src/core_client.rs
+++ b/crates/daemon/src/core_client.rs
@@ -3,8 +3,9 @@
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Sender, sync_channel};
-use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
 
+use camphorloft_decide::poison::Blame;
 use camphorloft_gateway::control::{
     AttemptEnd, Control, Directive, Invariant, Placement, PlacementRequest, Refusal, ServingSet,
 };
@@ -14,6 +15,7 @@
 use crate::config_state::ConfigState;
 use crate::core_thread::CoreMessage;
 use crate::metrics::Metrics;
+use crate::peer_link::{ControlListener, PeerLink};
 
 /// Sends messages to the core.
 #[derive(Clone)]
@@ -40,6 +42,8 @@
     pub moves: Mutex<HashSet<GenerationId>>,
     /// Hosts that are alive.
     pub live_hosts: RwLock<HashSet<HostName>>,
+    /// The control plane, once it runs.
+    pub link: OnceLock<PeerLink>,
     /// True once a graceful shutdown has begun.
     pub draining: AtomicBool,
     /// Metrics.
@@ -47,6 +51,13 @@
 }
 
 impl Shared {
+    /// Spreads blame to other hosts.
+    pub fn spread_blame(&self, blame: Blame) {
+        if let Some(link) = self.link.get() {
+            link.spread_blame(blame);
+        }
+    }
+
     /// Counts the breach of an invariant and logs it.
     pub fn violated(&self, log: &Logger, invariant: Invariant, detail: &str) {
         self.metrics.violated(invariant);
@@ -118,6 +129,13 @@
     }
 
     fn view(&self, name: &str) -> Option<String> {
+        if name == "members" {
+            return self
+                .shared
+                .link
+                .get()
+                .and_then(|link| serde_json::to_string(&link.rows()).ok());
+        }
         let (reply, view) = sync_channel(1);
         self.sender.send(CoreMessage::View(name.to_owned(), reply));
         view.recv().ok().flatten()
@@ -127,3 +145,29 @@
         self.shared.draining.store(true, Ordering::Relaxed);
     }
 }
+
+/// Passes what the control plane hears on to the core and the gateway.
+pub struct CoreListener {
+    /// Sends messages to the core.
+    pub sender: CoreSender,
+    /// State that the gateway reads.
+    pub shared: Arc<Shared>,
+}
+
+impl ControlListener for CoreListener {
+    fn config_in_force(&self, serving: Arc<ServingSet>, source: &str) {
+        self.sender.send(CoreMessage::Config(serving, source.to_owned()));
+    }
+
+    fn blame(&self, blame: Blame) {
+        self.sender.send(CoreMessage::Blame(blame));
+    }
+
+    fn live_hosts(&self, hosts: HashSet<HostName>) {
+        *self.shared.live_hosts.write().unwrap_or_else(PoisonError::into_inner) = hosts;
+    }
+
+    fn leaving(&self, addresses: HashSet<String>) {
+        self.sender.send(CoreMessage::Leaving(addresses));
+    }
+}
--- a/crates/daemon/src/core_thread.rs
+++ b/crates/daemon/src/core_thread.rs
@@ -1,10 +1,12 @@
 //! The thread that runs the core's actor.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender};
 use std::time::{Duration, Instant};
 
+use camphorloft_decide::poison::Blame;
 use camphorloft_engine::load_report::{CacheEvents, LoadReport};
 use camphorloft_gateway::control::{AttemptEnd, Placement, PlacementRequest, Refusal, ServingSet};
 use camphorloft_types::prelude::*;
@@ -42,6 +44,10 @@
     LoadFailed(EndpointIx),
     /// Announcements of cached prefixes arrived.
     CacheEvents(EndpointIx, CacheEvents),
+    /// Another host found blame.
+    Blame(Blame),
+    /// The platform's list shows these addresses as leaving.
+    Leaving(HashSet<String>),
     /// Asks for a view, as JSON.
     View(String, SyncSender<Option<String>>),
     /// Ends the thread.
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -1,28 +1,34 @@
 //! Starts and stops a host.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use camphorloft_engine::client::EngineDeadlines;
 use camphorloft_gateway::server::{Gateway, GatewaySettings};
 use camphorloft_http::listener::bind;
 use camphorloft_http::serve::{InFlightCount, serve};
+use camphorloft_membership::settings::MembershipSettings;
+use camphorloft_membership::{Member, MemberState};
+use camphorloft_peer::seal::FrameKeys;
 use camphorloft_platform::budget::CallBudget;
 use camphorloft_platform::claims::start_claims;
 use camphorloft_platform::http::HttpPlatform;
+use camphorloft_types::prelude::Incarnation;
+use rand::Rng;
 use slog::{Logger, info, warn};
 
 use crate::config_state::ConfigState;
-use crate::config_watch::ConfigWatch;
+use crate::control_plane::{ControlPlane, ControlSetup};
 use crate::core::CoreSetup;
-use crate::core_client::{CoreClient, CoreSender, Shared};
+use crate::core_client::{CoreClient, CoreListener, CoreSender, Shared};
 use crate::core_thread::{CoreMessage, run_core};
 use crate::load_poller::{LoadPoller, PolledEndpoints};
+use crate::peer_link::{LinkSetup, PeerLink, start_link};
 use crate::settings::Settings;
 
 /// Writes that the platform bears for all hosts, per second.
@@ -74,14 +80,9 @@
     let core_thread =
         thread::Builder::new().name("core".to_owned()).spawn(move || run_core(setup, &rx))?;
     LoadPoller { endpoints: polled, core: core.clone(), stop: stop.clone() }.start();
-    let watch = ConfigWatch {
-        platform: platform.clone(),
-        state: config.clone(),
-        core: core.clone(),
-        log: log.clone(),
-        stop: stop.clone(),
-    };
-    thread::spawn(move || watch.run());
+    let link = start_control(&settings, addr, &platform, &config, &shared, &core, &log)?;
+    // The cell was made here and is set once.
+    let _ = shared.link.set(link);
     let control = Arc::new(CoreClient {
         sender: core.clone(),
         config: config.clone(),
@@ -119,6 +120,53 @@
     })
 }
 
+/// Starts the control plane of a host.
+fn start_control(
+    settings: &Settings,
+    http_addr: SocketAddr,
+    platform: &Arc<HttpPlatform>,
+    config: &ConfigState,
+    shared: &Arc<Shared>,
+    core: &CoreSender,
+    log: &Logger,
+) -> io::Result<PeerLink> {
+    let listener = TcpListener::bind(settings.peer_listen)?;
+    let peer_addr = listener.local_addr()?;
+    let socket = UdpSocket::bind(peer_addr)?;
+    let keys = FrameKeys::derive(&settings.secrets);
+    let started_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let own = Member {
+        host: settings.host.clone(),
+        addr: peer_addr,
+        http_addr,
+        region: settings.region.clone(),
+        zone: settings.zone.clone(),
+        incarnation: Incarnation(started_ms.as_millis() as u64),
+        state: MemberState::Alive,
+    };
+    let setup = ControlSetup {
+        own,
+        membership: MembershipSettings::default(),
+        config: config.clone(),
+        keys: keys.clone(),
+        started_ms: started_ms.as_millis() as u64,
+        seed: rand::rng().random(),
+    };
+    start_link(LinkSetup {
+        plane: ControlPlane::new(setup, Instant::now()),
+        socket,
+        listener,
+        platform: platform.clone(),
+        config: config.clone(),
+        keys,
+        events: Arc::new(CoreListener { sender: core.clone(), shared: shared.clone() }),
+        seeds: settings.seeds.clone(),
+        expected_hosts: settings.expected_hosts,
+        drop_rate: 0.0,
+        log: log.clone(),
+    })
+}
+
 impl Host {
     /// Shuts down without cutting a request in flight: readiness goes off, new requests are
     /// refused, and the host stops when the last one ended or the drain time has passed. Returns
@@ -127,6 +175,9 @@
         let deadline = Instant::now() + self.settings.drain;
         self.shared.draining.store(true, Ordering::Relaxed);
         info!(self.log, "draining"; "in_flight" => self.in_flight.load(Ordering::Relaxed));
+        if let Some(link) = self.shared.link.get() {
+            link.leave();
+        }
         thread::sleep(UNREADY_TIME.min(self.settings.drain));
         while self.in_flight.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
             thread::sleep(DRAIN_POLL);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,7 +4,9 @@
 //! - [`logging`]: structured logs.
 //! - [`metrics`]: counters and gauges.
 //! - [`config_state`]: the version in force, which never decreases.
-//! - [`config_watch`]: learns of new versions from the platform.
+//! - [`control_plane`]: what hosts agree on by gossip.
+//! - [`config_exchange`]: fetches the object set from other hosts.
+//! - [`peer_link`]: the threads of the control plane.
 //! - [`registry`]: dense indices that stay the same across versions.
 //! - [`core`]: the decision core, a `stakker` actor.
 //! - [`core_thread`]: the thread that runs the actor.
@@ -13,8 +15,9 @@
 //! - [`host`]: starts and stops a host.
 //! - [`embedded`]: a host with its own stand-ins, for trying it out.
 
+pub mod config_exchange;
 pub mod config_state;
-pub mod config_watch;
+pub mod control_plane;
 pub mod core;
 pub mod core_client;
 pub mod core_thread;
@@ -23,5 +26,6 @@
 pub mod load_poller;
 pub mod logging;
 pub mod metrics;
+pub mod peer_link;
 pub mod registry;
 pub mod settings;
--- /dev/null
+++ b/crates/daemon/src/peer_link.rs
@@ -0,0 +1,493 @@
+//! The threads of the control plane: datagrams, fetches and the platform's host list.
+
+use std::collections::HashSet;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use camphorloft_decide::poison::Blame;
+use camphorloft_gateway::control::ServingSet;
+use camphorloft_membership::{Member, MemberState};
+use camphorloft_peer::seal::FrameKeys;
+use camphorloft_platform::api::PlatformApi;
+use camphorloft_platform::publication::{PublishedDelta, VersionedSet, fetch_since, read_history};
+use camphorloft_platform::wire::HostEntry;
+use camphorloft_types::prelude::*;
+use cpu_time::ThreadTime;
+use rand::Rng;
+use serde::Serialize;
+use slog::{Logger, debug, error};
+
+use crate::config_exchange::{fetch_from_peer, serve_config};
+use crate::config_state::{ConfigState, Offer};
+use crate::control_plane::{ControlCounts, ControlEvent, ControlPlane, Datagram};
+
+/// Time between two ticks of the protocols.
+const TICK: Duration = Duration::from_millis(100);
+/// Largest datagram.
+const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
+/// Reads of the newest version that all hosts together make per second.
+const CONFIG_READS_PER_SECOND: f64 = 100.0;
+/// Least time between two such reads of one host.
+const MIN_CONFIG_POLL: Duration = Duration::from_secs(1);
+/// Configuration reads between two reads of the host list.
+const POLLS_PER_HOST_LIST: u32 = 3;
+/// Time between two attempts to find hosts by the addresses of the settings.
+const SEED_RETRY: Duration = Duration::from_secs(1);
+
+/// What the rest of a host hears from its control plane.
+pub trait ControlListener: Send + Sync + 'static {
+    /// A version came into force.
+    fn config_in_force(&self, serving: Arc<ServingSet>, source: &str);
+
+    /// Another host found blame.
+    fn blame(&self, blame: Blame);
+
+    /// The set of live hosts changed.
+    fn live_hosts(&self, hosts: HashSet<HostName>);
+
+    /// The platform's list shows these addresses as leaving.
+    fn leaving(&self, addresses: HashSet<String>);
+}
+
+/// A request to the control plane's thread.
+enum LinkRequest {
+    Announce(ConfigVersion, Option<PublishedDelta>),
+    Blame(Blame),
+    Seeds(Vec<Member>),
+    Leave,
+}
+
+/// One member as operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberRow {
+    /// Name.
+    pub host: String,
+    /// Region.
+    pub region: String,
+    /// Availability zone.
+    pub zone: String,
+    /// State.
+    pub state: String,
+    /// Address for callers and operators.
+    pub http_addr: String,
+    /// Version of the object set that it last said to have.
+    pub config_version: u64,
+    /// Incarnation.
+    pub incarnation: u64,
+}
+
+/// State that the threads share.
+struct LinkState {
+    rows: Mutex<Vec<MemberRow>>,
+    counts: Mutex<ControlCounts>,
+    cpu_micros: AtomicU64,
+    evictions: AtomicU64,
+    live: AtomicU32,
+}
+
+/// What the control plane of a host is started from.
+pub struct LinkSetup<P, L>
+where
+    P: PlatformApi,
+    L: ControlListener,
+{
+    /// The protocols.
+    pub plane: ControlPlane,
+    /// Socket for datagrams.
+    pub socket: UdpSocket,
+    /// Listener for fetches, on the same port.
+    pub listener: TcpListener,
+    /// The platform.
+    pub platform: Arc<P>,
+    /// The version in force.
+    pub config: ConfigState,
+    /// Keys derived from the shared secrets.
+    pub keys: FrameKeys,
+    /// Hears events.
+    pub events: Arc<L>,
+    /// Addresses of the settings.
+    pub seeds: Vec<SocketAddr>,
+    /// Hosts to share the platform with until more are seen.
+    pub expected_hosts: u32,
+    /// Part of the datagrams that are dropped on purpose, for experiments.
+    pub drop_rate: f64,
+    /// Log.
+    pub log: Logger,
+}
+
+/// A running control plane.
+pub struct PeerLink {
+    requests: Sender<LinkRequest>,
+    state: Arc<LinkState>,
+    stop: Arc<AtomicBool>,
+}
+
+/// Starts the threads of a control plane.
+///
+/// # Errors
+///
+/// Returns the error of the sockets.
+pub fn start_link<P, L>(setup: LinkSetup<P, L>) -> io::Result<PeerLink>
+where
+    P: PlatformApi,
+    L: ControlListener,
+{
+    let (tx, rx) = channel();
+    let state = Arc::new(LinkState {
+        rows: Mutex::default(),
+        counts: Mutex::default(),
+        cpu_micros: AtomicU64::new(0),
+        evictions: AtomicU64::new(0),
+        live: AtomicU32::new(0),
+    });
+    let stop = Arc::new(AtomicBool::new(false));
+    let (fetch_tx, fetch_rx) = channel();
+    let (keys, config, stopped) = (setup.keys.clone(), setup.config.clone(), stop.clone());
+    let listener = setup.listener;
+    thread::spawn(move || serve_config(&listener, &keys, &config, &stopped));
+    let fetcher = Fetcher {
+        platform: setup.platform,
+        config: setup.config,
+        keys: setup.keys,
+        events: setup.events.clone(),
+        requests: tx.clone(),
+        state: state.clone(),
+        expected_hosts: setup.expected_hosts,
+        log: setup.log.clone(),
+        stop: stop.clone(),
+    };
+    thread::spawn(move || fetcher.run(&fetch_rx));
+    let worker = LinkWorker {
+        plane: setup.plane,
+        socket: setup.socket,
+        events: setup.events,
+        fetches: fetch_tx,
+        requests: rx,
+        seeds: setup.seeds,
+        drop_rate: setup.drop_rate,
+        state: state.clone(),
+        stop: stop.clone(),
+        live: HashSet::new(),
+        log: setup.log,
+    };
+    thread::Builder::new().name("control".to_owned()).spawn(move || worker.run())?;
+    Ok(PeerLink { requests: tx, state, stop })
+}
+
+impl PeerLink {
+    /// Spreads blame that this host found.
+    pub fn spread_blame(&self, blame: Blame) {
+        // The thread ends only when the host stops.
+        let _ = self.requests.send(LinkRequest::Blame(blame));
+    }
+
+    /// Tells other hosts that this one leaves.
+    pub fn leave(&self) {
+        let _ = self.requests.send(LinkRequest::Leave);
+    }
+
+    /// Returns every known host, this one first.
+    pub fn rows(&self) -> Vec<MemberRow> {
+        self.state.rows.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns the datagrams counted.
+    pub fn counts(&self) -> ControlCounts {
+        *self.state.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the processor time of the control plane's threads.
+    pub fn cpu_time(&self) -> Duration {
+        Duration::from_micros(self.state.cpu_micros.load(Ordering::Relaxed))
+    }
+
+    /// Returns the number of hosts that this host declared dead.
+    pub fn evictions(&self) -> u64 {
+        self.state.evictions.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for PeerLink {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// The thread that owns the protocols.
+struct LinkWorker<L>
+where
+    L: ControlListener,
+{
+    plane: ControlPlane,
+    socket: UdpSocket,
+    events: Arc<L>,
+    fetches: Sender<(SocketAddr, ConfigVersion)>,
+    requests: Receiver<LinkRequest>,
+    seeds: Vec<SocketAddr>,
+    drop_rate: f64,
+    state: Arc<LinkState>,
+    stop: Arc<AtomicBool>,
+    live: HashSet<HostName>,
+    log: Logger,
+}
+
+impl<L> LinkWorker<L>
+where
+    L: ControlListener,
+{
+    fn run(mut self) {
+        let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        let mut out = Vec::new();
+        let mut next_tick = Instant::now();
+        let mut next_seed = Instant::now();
+        let mut cpu = ThreadTime::now();
+        while !self.stop.load(Ordering::Relaxed) {
+            self.receive_until(next_tick, &mut buf, &mut out);
+            self.take_requests(&mut out);
+            let now = Instant::now();
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.plane.tick(now, &mut out);
+                if now >= next_seed && self.live.is_empty() && !self.seeds.is_empty() {
+                    next_seed = now + SEED_RETRY;
+                    self.plane.ask_addresses(&self.seeds, &mut out);
+                }
+                self.publish();
+                add_cpu_time(&self.state, &mut cpu);
+            }
+            self.send_all(&mut out);
+        }
+    }
+
+    /// Takes datagrams until the deadline.
+    fn receive_until(&mut self, deadline: Instant, buf: &mut [u8], out: &mut Vec<Datagram>) {
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            if self.socket.set_read_timeout(Some(left)).is_err() {
+                return;
+            }
+            let Ok((len, from)) = self.socket.recv_from(buf) else { return };
+            if self.is_dropped() {
+                continue;
+            }
+            self.receive(from, &buf[..len], out);
+            self.send_all(out);
+        }
+    }
+
+    fn is_dropped(&self) -> bool {
+        self.drop_rate > 0.0 && rand::rng().random_bool(self.drop_rate)
+    }
+
+    fn receive(&mut self, from: SocketAddr, frame: &[u8], out: &mut Vec<Datagram>) {
+        let mut events = Vec::new();
+        self.plane.receive(from, frame, Instant::now(), out, &mut events);
+        for event in events {
+            match event {
+                ControlEvent::InForce(serving) => self.events.config_in_force(serving, "peer"),
+                ControlEvent::Fetch(peer, version) => {
+                    // The fetcher ends only when the host stops.
+                    let _ = self.fetches.send((peer, version));
+                }
+                ControlEvent::Blame(blame) => self.events.blame(blame),
+            }
+        }
+    }
+
+    fn take_requests(&mut self, out: &mut Vec<Datagram>) {
+        while let Ok(request) = self.requests.try_recv() {
+            match request {
+                LinkRequest::Announce(version, delta) => {
+                    self.plane.announce(version, delta.as_ref(), out);
+                }
+                LinkRequest::Blame(blame) => self.plane.spread_blame(blame),
+                LinkRequest::Seeds(seeds) => {
+                    for seed in seeds {
+                        self.plane.add_seed(seed, Instant::now());
+                    }
+                }
+                LinkRequest::Leave => self.plane.leave(out),
+            }
+        }
+    }
+
+    fn send_all(&self, out: &mut Vec<Datagram>) {
+        for datagram in out.drain(..) {
+            // A datagram that cannot be sent is like one that was lost.
+            if let Err(err) = self.socket.send_to(&datagram.frame, datagram.to) {
+                debug!(self.log, "datagram not sent"; "to" => %datagram.to, "error" => %err);
+            }
+        }
+    }
+
+    /// Copies what others read out of the protocols.
+    fn publish(&mut self) {
+        let live: HashSet<HostName> = self.plane.live().map(|m| m.host.clone()).collect();
+        self.state.live.store(live.len() as u32, Ordering::Relaxed);
+        self.state.evictions.store(self.plane.evictions(), Ordering::Relaxed);
+        *self.state.counts.lock().unwrap_or_else(PoisonError::into_inner) = self.plane.counts();
+        if live != self.live {
+            self.live = live.clone();
+            self.events.live_hosts(live);
+        }
+        let rows = self.rows();
+        *self.state.rows.lock().unwrap_or_else(PoisonError::into_inner) = rows;
+    }
+
+    fn rows(&self) -> Vec<MemberRow> {
+        let own = member_row(self.plane.own(), self.plane.config_version());
+        let others = self.plane.members();
+        let others = others.map(|known| member_row(&known.member, known.config_version));
+        std::iter::once(own).chain(others).collect()
+    }
+}
+
+fn member_row(member: &Member, config_version: ConfigVersion) -> MemberRow {
+    MemberRow {
+        host: member.host.to_string(),
+        region: member.region.to_string(),
+        zone: member.zone.to_string(),
+        state: member.state.to_string(),
+        http_addr: member.http_addr.to_string(),
+        config_version: config_version.0,
+        incarnation: member.incarnation.0,
+    }
+}
+
+fn add_cpu_time(state: &LinkState, since: &mut ThreadTime) {
+    let spent = since.elapsed();
+    *since = ThreadTime::now();
+    state.cpu_micros.fetch_add(spent.as_micros() as u64, Ordering::Relaxed);
+}
+
+/// The thread that talks to the platform and fetches sets from other hosts.
+struct Fetcher<P, L>
+where
+    P: PlatformApi,
+    L: ControlListener,
+{
+    platform: Arc<P>,
+    config: ConfigState,
+    keys: FrameKeys,
+    events: Arc<L>,
+    requests: Sender<LinkRequest>,
+    state: Arc<LinkState>,
+    expected_hosts: u32,
+    log: Logger,
+    stop: Arc<AtomicBool>,
+}
+
+impl<P, L> Fetcher<P, L>
+where
+    P: PlatformApi,
+    L: ControlListener,
+{
+    fn run(&self, fetches: &Receiver<(SocketAddr, ConfigVersion)>) {
+        let mut next_poll = Instant::now();
+        let mut polls = 0;
+        let mut cpu = ThreadTime::now();
+        while !self.stop.load(Ordering::Relaxed) {
+            let wait = next_poll.saturating_duration_since(Instant::now());
+            if let Ok((peer, version)) = fetches.recv_timeout(wait.min(TICK)) {
+                self.fetch_from(peer, version);
+            }
+            if Instant::now() >= next_poll {
+                self.poll_config();
+                if polls % POLLS_PER_HOST_LIST == 0 {
+                    self.poll_hosts();
+                }
+                polls += 1;
+                next_poll = Instant::now() + self.poll_interval();
+            }
+            add_cpu_time(&self.state, &mut cpu);
+        }
+    }
+
+    /// Returns the time until the next poll: the hosts share a fixed number of reads, and jitter
+    /// keeps hosts that started together from polling together.
+    fn poll_interval(&self) -> Duration {
+        let hosts = (self.state.live.load(Ordering::Relaxed) + 1).max(self.expected_hosts);
+        let share = Duration::from_secs_f64(f64::from(hosts) / CONFIG_READS_PER_SECOND);
+        share.max(MIN_CONFIG_POLL).mul_f64(rand::rng().random_range(0.75..1.25))
+    }
+
+    fn poll_config(&self) {
+        let known = self.config.raw();
+        match fetch_since(&*self.platform, &known) {
+            Ok(Some(fetched)) => {
+                let delta = self.last_delta(&known, &fetched);
+                self.apply(fetched, delta, "platform");
+            }
+            Ok(None) => {}
+            Err(err) => debug!(self.log, "configuration not fetched"; "error" => %err),
+        }
+    }
+
+    /// Returns the published delta when exactly one version was missing.
+    fn last_delta(&self, known: &VersionedSet, fetched: &VersionedSet) -> Option<PublishedDelta> {
+        if fetched.version != known.version.next() || known.version.0 == 0 {
+            return None;
+        }
+        let delta = read_history(&*self.platform, 1).ok()?.pop()?;
+        (delta.version == fetched.version).then_some(delta)
+    }
+
+    fn fetch_from(&self, peer: SocketAddr, version: ConfigVersion) {
+        if version <= self.config.version() {
+            return;
+        }
+        match fetch_from_peer(peer, &self.keys, self.config.version()) {
+            Ok(Some(fetched)) => self.apply(fetched, None, "peer"),
+            Ok(None) => {}
+            Err(err) => {
+                debug!(self.log, "configuration not fetched"; "peer" => %peer, "error" => %err);
+            }
+        }
+    }
+
+    fn apply(&self, offered: VersionedSet, delta: Option<PublishedDelta>, source: &str) {
+        let version = offered.version;
+        match self.config.offer(offered) {
+            Offer::InForce(serving) => {
+                self.events.config_in_force(serving, source);
+                // The thread ends only when the host stops.
+                let _ = self.requests.send(LinkRequest::Announce(version, delta));
+            }
+            Offer::Stale => {}
+            Offer::Invalid(findings) => {
+                error!(self.log, "a published version has findings here; the old one stays";
+                    "version" => %version, "findings" => %findings);
+            }
+        }
+    }
+
+    fn poll_hosts(&self) {
+        let Ok(entries) = self.platform.hosts() else { return };
+        let leaving = entries.iter().filter(|entry| entry.leaving);
+        self.events.leaving(leaving.map(|entry| entry.addr.clone()).collect());
+        let seeds: Vec<Member> = entries.iter().filter_map(seed_member).collect();
+        let _ = self.requests.send(LinkRequest::Seeds(seeds));
+    }
+}
+
+/// Returns a host of this system, `None` for other entries of the list.
+fn seed_member(entry: &HostEntry) -> Option<Member> {
+    let addr = entry.addr.parse().ok()?;
+    Some(Member {
+        host: entry.name.parse().ok()?,
+        addr,
+        http_addr: entry.http_addr.as_deref()?.parse().ok()?,
+        region: entry.region.parse().ok()?,
+        zone: entry.zone.parse().ok()?,
+        incarnation: Incarnation(0),
+        state: MemberState::Alive,
+    })
+}
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -46,6 +46,9 @@
     pub listen: SocketAddr,
     /// Address for other hosts, UDP and TCP.
     pub peer_listen: SocketAddr,
+    /// Addresses of other hosts to ask when the platform's list cannot be had.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Address of the platform.
     pub platform: SocketAddr,
     /// Secrets that all hosts share: the first one signs, all of them are accepted.
@@ -79,6 +82,8 @@
     pub listen: SocketAddr,
     /// Address for other hosts.
     pub peer_listen: SocketAddr,
+    /// Addresses of other hosts to ask when the platform's list cannot be had.
+    pub seeds: Vec<SocketAddr>,
     /// Address of the platform.
     pub platform: SocketAddr,
     /// Secrets that all hosts share, the signing one first.
@@ -175,6 +180,7 @@
             zone: raw.zone,
             listen: raw.listen,
             peer_listen: raw.peer_listen,
+            seeds: raw.seeds,
             platform: raw.platform,
             secrets: raw.secrets.into_iter().map(String::into_bytes).collect(),
             operator_key: raw.operator_key,
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -14,7 +14,7 @@
 use crate::forecast::{Forecast, HORIZONS};
 use crate::lengths::{ClassIx, ClassKey, Lengths};
 use crate::poison::{Blame, PoisonTable};
-use crate::policy_settings::{ObjectiveWeights, PolicySettings};
+use crate::policy_settings::{ObjectiveWeights, PolicySettings, Thresholds};
 use crate::prefix_table::PrefixTable;
 use crate::retry_budget::RetryBudgets;
 use crate::scoring::{Load, score};
@@ -56,8 +56,10 @@
 struct RouteView {
     /// Endpoints that may serve it, ascending.
     endpoints: Vec<EndpointIx>,
-    /// Settings that follow from its objective.
-    settings: PolicySettings,
+    /// Weights of its objective.
+    weights: ObjectiveWeights,
+    /// Thresholds that follow from the weights.
+    thresholds: Thresholds,
 }
 
 /// All state of the decisions.
@@ -143,17 +145,21 @@
         weights: ObjectiveWeights,
     ) {
         endpoints.sort_unstable();
-        let settings = self.settings.for_objective(weights);
-        self.routes.insert(route, RouteView { endpoints, settings });
+        let thresholds = self.settings.thresholds(&weights);
+        self.routes.insert(route, RouteView { endpoints, weights, thresholds });
     }
 
     pub(crate) fn route_endpoints(&self, route: RouteIx) -> &[EndpointIx] {
         self.routes.get(&route).map_or(&[], |view| &view.endpoints)
     }
 
-    /// Returns the settings of a route.
-    pub(crate) fn route_settings(&self, route: RouteIx) -> PolicySettings {
-        self.routes.get(&route).map_or(self.settings, |view| view.settings)
+    /// Returns the weights and thresholds of a route.
+    pub(crate) fn route_objective(&self, route: RouteIx) -> (ObjectiveWeights, Thresholds) {
+        let default = || {
+            let weights = ObjectiveWeights::default();
+            (weights, self.settings.thresholds(&weights))
+        };
+        self.routes.get(&route).map_or_else(default, |view| (view.weights, view.thresholds))
     }
 
     /// Sets the weight of an organisation.
@@ -222,10 +228,7 @@
         Decision::Waiting
     }
 
-    fn push_waiting(&mut self, mut ask: Ask, now: Instant) {
-        if ask.delivered > 0 {
-            ask.priority = u8::MAX;
-        }
+    fn push_waiting(&mut self, ask: Ask, now: Instant) {
         let expected = self.expected_tokens(&ask) + ask.prompt_tokens;
         let ticket = self.queue.push(Waiting { ask, expected, since: now });
         self.tickets.insert(ask.generation, ticket);
@@ -292,10 +295,10 @@
     ) -> Option<(EndpointIx, Placed)> {
         self.choose_candidates(ask, now);
         let suspect = self.poison.crashes(ask.fingerprint, now) > 0;
-        let settings = self.route_settings(ask.route);
+        let (weights, thresholds) = self.route_objective(ask.route);
         let fresh = ask.delivered == 0;
-        let risk_limit = if fresh { settings.admit_risk } else { CONTINUE_RISK };
-        if fresh && self.pool_risk(forecast, &settings, now) > settings.pool_risk {
+        let risk_limit = if fresh { thresholds.admit_risk } else { CONTINUE_RISK };
+        if fresh && self.pool_risk(forecast, now) > thresholds.pool_risk {
             return None;
         }
         let mut best: Option<Placed> = None;
@@ -310,7 +313,7 @@
             let prefix_hit = self.prefixes.endpoints(ask.prefix, now).any(|e| e == *endpoint);
             let prompt_tokens = ask.prompt_tokens + ask.delivered;
             let load = Load { forecast, prompt_tokens, prefix_hit };
-            let score = score(view, &load, &settings);
+            let score = score(view, &load, &self.settings, &weights);
             let acceptable = score.risk <= risk_limit
                 && view.engine_waiting == 0
                 && view.running() < self.settings.max_batch;
@@ -322,7 +325,7 @@
                 best = Some(Placed {
                     generation: ask.generation,
                     endpoint: *endpoint,
-                    priority: i32::from(ask.priority),
+                    priority: self.engine_priority(ask),
                     risk: score.risk,
                     score: score.seconds,
                     compared: self.candidates.len() as u32,
@@ -336,11 +339,19 @@
         best.map(|best| (best.endpoint, Placed { unusable, ..best }))
     }
 
+    /// Returns the priority for the engine: a generation that was interrupted is preempted after
+    /// the others of its class.
+    fn engine_priority(&self, ask: &Ask) -> i32 {
+        const LEVELS: i32 = 8;
+        let interruptions = self.interrupted.get(&ask.generation).copied().unwrap_or(0);
+        i32::from(ask.priority) * LEVELS + i32::from(interruptions).min(LEVELS - 1)
+    }
+
     /// Returns the probability that the candidates overflow together with `forecast` added.
     ///
     /// Generations move between engines, so far ahead it is the memory of all of them that
     /// counts; its relative deviation is much smaller than that of one engine.
-    fn pool_risk(&self, forecast: &Forecast, settings: &PolicySettings, now: Instant) -> f32 {
+    fn pool_risk(&self, forecast: &Forecast, now: Instant) -> f32 {
         let mut total = Forecast::default();
         let mut capacity = 0.0;
         for endpoint in &self.candidates {
@@ -348,7 +359,7 @@
             if view.is_usable(now) {
                 total.add(&view.forecast);
                 total.add(&view.foreign);
-                capacity += view.capacity as f32 * settings.usable_memory;
+                capacity += view.capacity as f32 * self.settings.usable_memory;
             }
         }
         total.overflow(forecast, capacity, HORIZONS.len())
@@ -384,6 +395,7 @@
             forecast,
             interruptions,
             moving: false,
+            blamed: false,
         };
         let suspect = self.poison.crashes(ask.fingerprint, now) > 0;
         let ix = self.insert_sequence(sequence);
@@ -437,7 +449,7 @@
             EndKind::NotRun => self.endpoints[endpoint].failed(now),
             EndKind::Lost => {
                 self.note_interruption(&sequence);
-                return self.endpoint_lost(endpoint, sequence.ask.fingerprint, now);
+                return self.endpoint_lost(&sequence, now);
             }
             EndKind::Moved => self.note_interruption(&sequence),
             EndKind::Cancelled => {}
@@ -470,25 +482,23 @@
         Some(sequence)
     }
 
-    /// Takes the loss of an endpoint, once per crash: the other generations that ran there are
-    /// reported one by one and find the endpoint already failed.
-    fn endpoint_lost(
-        &mut self,
-        endpoint: EndpointIx,
-        fingerprint: u64,
-        now: Instant,
-    ) -> Vec<Blame> {
-        let first = self.endpoints[endpoint].is_usable(now);
-        if !first {
+    /// Takes the loss of an endpoint, once per crash: the generations that ran there together
+    /// report it one by one, and the first report blames for all of them.
+    fn endpoint_lost(&mut self, lost: &Sequence, now: Instant) -> Vec<Blame> {
+        self.endpoints[lost.endpoint].failed(now);
+        if lost.blamed {
             return Vec::new();
         }
-        let view = &self.endpoints[endpoint];
-        let mut running = vec![fingerprint];
-        for ix in &view.sequences {
-            running.extend(self.sequences[*ix].map(|sequence| sequence.ask.fingerprint));
+        let mut running = vec![lost.ask.fingerprint];
+        for position in 0..self.endpoints[lost.endpoint].sequences.len() {
+            let ix = self.endpoints[lost.endpoint].sequences[position];
+            let Some(sequence) = &mut self.sequences[ix] else { continue };
+            sequence.blamed = true;
+            running.push(sequence.ask.fingerprint);
         }
-        self.endpoints[endpoint].failed(now);
-        self.prefixes.forget(endpoint);
+        running.sort_unstable();
+        running.dedup();
+        self.prefixes.forget(lost.endpoint);
         self.poison.endpoint_crashed(&running, now)
     }
 
--- a/crates/decide/src/fair_queue.rs
+++ b/crates/decide/src/fair_queue.rs
@@ -49,8 +49,11 @@
     expected: u64,
 }
 
+/// A generation with delivered tokens goes before all that have not begun.
 fn service_key(ticket: Ticket, waiting: &Waiting) -> ServiceKey {
-    (std::cmp::Reverse(waiting.ask.priority), waiting.expected, ticket)
+    let begun = waiting.ask.delivered > 0;
+    let priority = if begun { u8::MAX } else { waiting.ask.priority };
+    (std::cmp::Reverse(priority), waiting.expected, ticket)
 }
 
 impl FairQueue {
--- a/crates/decide/src/rebalance.rs
+++ b/crates/decide/src/rebalance.rs
@@ -103,7 +103,7 @@
             let settled = now.saturating_duration_since(sequence.placed_at) >= MIN_STAY;
             let movable = sequence.interruptions < self.settings.max_moves && !sequence.moving;
             let ask = &sequence.ask;
-            if !settled || !movable || near < self.route_settings(ask.route).move_risk {
+            if !settled || !movable || near < self.route_objective(ask.route).1.move_risk {
                 continue;
             }
             let residual = self.lengths.mean_residual(ask.class, ask.hint, sequence.generated);
--- a/crates/decide/src/scoring.rs
+++ b/crates/decide/src/scoring.rs
@@ -2,7 +2,7 @@
 
 use crate::endpoint_view::{Distance, EndpointView};
 use crate::forecast::{Forecast, HORIZONS};
-use crate::policy_settings::PolicySettings;
+use crate::policy_settings::{ObjectiveWeights, PolicySettings};
 
 /// Seconds that an overflow is expected to cost.
 const OVERFLOW_SECONDS: f32 = 4.0;
@@ -50,9 +50,13 @@
 }
 
 /// Scores an endpoint.
-pub fn score(view: &EndpointView, load: &Load<'_>, settings: &PolicySettings) -> Score {
+pub fn score(
+    view: &EndpointView,
+    load: &Load<'_>,
+    settings: &PolicySettings,
+    weights: &ObjectiveWeights,
+) -> Score {
     let near = risk(view, load.forecast, settings, settings.local_horizons);
-    let weights = &settings.weights;
     let later = risk(view, load.forecast, settings, HORIZONS.len());
     let overflow = near + LATER_WEIGHT * (later + peak_fill(view, load.forecast));
     let mut seconds = overflow * OVERFLOW_SECONDS * (weights.stall + weights.preemption) / 2.0;
--- a/crates/decide/src/sequence.rs
+++ b/crates/decide/src/sequence.rs
@@ -61,6 +61,8 @@
     pub interruptions: u8,
     /// True when a move was decided and not yet carried out.
     pub moving: bool,
+    /// True when the loss of its endpoint was reported by another generation.
+    pub blamed: bool,
 }
 
 impl Sequence {
--- a/crates/http/src/event_stream.rs
+++ b/crates/http/src/event_stream.rs
@@ -1,19 +1,48 @@
 //! Server-sent events written to a caller, flushed one write at a time.
 //!
-//! `tiny_http` gathers 8 KiB of an ordinary chunked response before it writes, which would hold
-//! tokens back. This type takes the raw writer and ends each write with a flushed chunk.
+//! `tiny_http` gathers 8 KiB of an ordinary chunked response before it writes, and the raw writer
+//! buffers 1 KiB, which would hold tokens back. This type takes the raw writer, ends each write
+//! with a chunk of its own and flushes both the encoder and the writer below it.
 
 use std::io::{self, Write};
 
 use chunked_transfer::Encoder;
 use tiny_http::Request;
 
+/// Flushes its writer when dropped, after the encoder has written the end mark into it.
+struct FlushOnDrop<W>(W)
+where
+    W: Write;
+
+impl<W> Write for FlushOnDrop<W>
+where
+    W: Write,
+{
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.flush()
+    }
+}
+
+impl<W> Drop for FlushOnDrop<W>
+where
+    W: Write,
+{
+    fn drop(&mut self) {
+        // Nobody is left to hear of an error.
+        let _ = self.0.flush();
+    }
+}
+
 /// An open event stream.
 pub struct EventStream<W>
 where
     W: Write,
 {
-    encoder: Encoder<W>,
+    encoder: Encoder<FlushOnDrop<W>>,
 }
 
 /// An event stream over the connection of a `tiny_http` request.
@@ -53,7 +82,7 @@
         head.push_str("\r\n");
         writer.write_all(head.as_bytes())?;
         writer.flush()?;
-        Ok(Self { encoder: Encoder::new(writer) })
+        Ok(Self { encoder: Encoder::new(FlushOnDrop(writer)) })
     }
 
     /// Writes bytes of whole events as one chunk and flushes them.
@@ -63,7 +92,8 @@
     /// Returns the error of the connection, for example when the caller left.
     pub fn send(&mut self, events: &[u8]) -> io::Result<()> {
         self.encoder.write_all(events)?;
-        self.encoder.flush()
+        self.encoder.flush()?;
+        self.encoder.get_mut().flush()
     }
 
     /// Ends the response properly.
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -108,14 +108,25 @@
         }
     }
 
+    /// Asks a host of which only the address is known for its view.
+    pub fn ask_address(&mut self, addr: SocketAddr, out: &mut Vec<Outgoing>) {
+        let digest = self.view_digest();
+        out.push(self.message(addr, MessageKind::SyncRequest(digest), Vec::new()));
+    }
+
+    /// Returns up to `count` live hosts, drawn at random.
+    pub fn random_live(&mut self, count: usize) -> Vec<Member> {
+        let live: Vec<Member> = self.live().cloned().collect();
+        live.choose_multiple(&mut self.rng, count).cloned().collect()
+    }
+
     /// Leaves: tells a few hosts, which spread it.
     pub fn leave(&mut self, out: &mut Vec<Outgoing>) {
         const TOLD: usize = 8;
         self.own.state = MemberState::Left;
-        let targets: Vec<SocketAddr> = self.live().map(|member| member.addr).collect();
-        for to in targets.choose_multiple(&mut self.rng, TOLD).copied().collect::<Vec<_>>() {
+        for target in self.random_live(TOLD) {
             let own = self.own.clone();
-            out.push(self.message(to, MessageKind::Updates, vec![own]));
+            out.push(self.message(target.addr, MessageKind::Updates, vec![own]));
         }
     }
 
@@ -137,7 +148,10 @@
 
     fn message(&mut self, to: SocketAddr, kind: MessageKind, updates: Vec<Member>) -> Outgoing {
         let config_version = self.config_version;
-        Outgoing { to, message: Message { kind, sender: self.own.clone(), config_version, updates } }
+        Outgoing {
+            to,
+            message: Message { kind, sender: self.own.clone(), config_version, updates },
+        }
     }
 
     fn gossip(&mut self, to: SocketAddr, kind: MessageKind) -> Outgoing {
@@ -169,10 +183,8 @@
     /// the region.
     fn next_target(&mut self) -> Option<HostName> {
         let remote = self.probes.is_multiple_of(self.settings.remote_probe_every);
-        if remote {
-            if let Some(target) = self.pop_target(true) {
-                return Some(target);
-            }
+        if remote && let Some(target) = self.pop_target(true) {
+            return Some(target);
         }
         self.pop_target(false).or_else(|| self.pop_target(true))
     }
@@ -232,9 +244,8 @@
     }
 
     fn helpers(&mut self, target: &Member) -> Vec<SocketAddr> {
-        let alive = |member: &&Member| {
-            member.state == MemberState::Alive && member.host != target.host
-        };
+        let alive =
+            |member: &&Member| member.state == MemberState::Alive && member.host != target.host;
         let mut near: Vec<SocketAddr> = Vec::new();
         let mut other: Vec<SocketAddr> = Vec::new();
         for member in self.live().filter(alive) {
@@ -337,7 +348,8 @@
         self.take_update(&message.sender, &message.sender.host, now);
         if let Some(known) = self.members.get_mut(&message.sender.host) {
             known.config_version = known.config_version.max(message.config_version);
-            if known.member.state != MemberState::Alive && message.sender.state == MemberState::Alive
+            if known.member.state != MemberState::Alive
+                && message.sender.state == MemberState::Alive
             {
                 // The sender lives and must learn what is said of it to refute.
                 let statement = known.member.clone();
--- a/crates/platform/src/wire.rs
+++ b/crates/platform/src/wire.rs
@@ -48,8 +48,11 @@
 pub struct HostEntry {
     /// Name of the host.
     pub name: String,
-    /// Address for membership messages.
+    /// Address of the host: for messages between hosts of this system, or of an engine.
     pub addr: String,
+    /// Address for callers and operators; only hosts of this system have one.
+    #[serde(default)]
+    pub http_addr: Option<String>,
     /// Region.
     pub region: String,
     /// Availability zone.
