Add the randomised run with faults over real sockets

Cause: no promise was tested under failure yet. Change: bench faults runs hosts as processes and kills, pauses and drains them; engines crash, freeze, go silent, drain and are reclaimed; the platform is down, slow or loses answers; operators race; poison is sent. Callers check every token by the engines' digest chain and every effect by its key. Readiness goes off before new requests are refused.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,11 +1,13 @@
 //! Load and experiment tool.
 //!
+//! - [`faults`]: checks the promises in a randomised run with faults.
 //! - [`policy`]: compares placement policies in virtual time.
 
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
+mod faults;
 mod policy;
 
 /// Load and experiment tool of camphorloft.
@@ -18,12 +20,16 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Faults(faults::FaultsArgs),
+    Host(faults::HostArgs),
     Policy(policy::PolicyArgs),
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Faults(args) => faults::run(&args),
+        Command::Host(args) => faults::run_host(&args),
         Command::Policy(args) => policy::run(&args),
     }
 }
--- a/crates/daemon/src/control_plane.rs
+++ b/crates/daemon/src/control_plane.rs
@@ -24,7 +24,9 @@
 /// Blame in one datagram.
 const BLAMES_PER_DATAGRAM: usize = 4;
 /// Datagrams that carry a piece of blame.
-const BLAME_SENDS: u32 = 16;
+const BLAME_SENDS: u32 = 24;
+/// Hosts that are told of blame at once.
+const BLAME_FANOUT: usize = 8;
 
 /// A sealed datagram with its destination.
 #[derive(Clone, Debug)]
@@ -160,10 +162,23 @@
         self.flush(out);
     }
 
-    /// Spreads blame that this host found.
-    pub fn spread_blame(&mut self, blame: Blame) {
+    /// Spreads blame that this host found: to a few hosts at once, since the caller may send its
+    /// request again at once, and then on further datagrams.
+    pub fn spread_blame(&mut self, blame: Blame, out: &mut Vec<Datagram>) {
         self.blames.retain(|(known, _)| known.fingerprint != blame.fingerprint);
         self.blames.push((blame, BLAME_SENDS));
+        for target in self.membership.random_live(BLAME_FANOUT) {
+            let datagram = self.empty_datagram();
+            self.send(target.addr, datagram, out);
+        }
+    }
+
+    fn empty_datagram(&self) -> WireDatagram {
+        WireDatagram {
+            sender: Some(member_to_wire(self.membership.own())),
+            config_version: self.config.version().0,
+            ..WireDatagram::default()
+        }
     }
 
     /// Announces a version that came into force here, with its delta when it is small.
@@ -179,12 +194,8 @@
         let announcement =
             WireAnnouncement { version: version.0, delta: small.unwrap_or_default() };
         for target in self.membership.random_live(ANNOUNCE_FANOUT) {
-            let datagram = WireDatagram {
-                sender: Some(member_to_wire(self.membership.own())),
-                config_version: version.0,
-                announcement: Some(announcement.clone()),
-                ..WireDatagram::default()
-            };
+            let announcement = Some(announcement.clone());
+            let datagram = WireDatagram { announcement, ..self.empty_datagram() };
             self.send(target.addr, datagram, out);
         }
     }
--- a/crates/daemon/src/core_client.rs
+++ b/crates/daemon/src/core_client.rs
@@ -46,6 +46,8 @@
     pub link: OnceLock<PeerLink>,
     /// True once a graceful shutdown has begun.
     pub draining: AtomicBool,
+    /// True once new requests are refused.
+    pub refusing: AtomicBool,
     /// Metrics.
     pub metrics: Metrics,
 }
@@ -85,6 +87,10 @@
     }
 
     fn is_accepting(&self) -> bool {
+        !self.shared.refusing.load(Ordering::Relaxed)
+    }
+
+    fn is_ready(&self) -> bool {
         !self.shared.draining.load(Ordering::Relaxed)
     }
 
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -179,6 +179,7 @@
             link.leave();
         }
         thread::sleep(UNREADY_TIME.min(self.settings.drain));
+        self.shared.refusing.store(true, Ordering::Relaxed);
         while self.in_flight.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
             thread::sleep(DRAIN_POLL);
         }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`core_client`]: the gateway's way to the core.
 //! - [`load_poller`]: reads the load reports of the engines.
 //! - [`host`]: starts and stops a host.
+//! - [`process`]: runs a host as a process.
 //! - [`embedded`]: a host with its own stand-ins, for trying it out.
 
 pub mod config_exchange;
@@ -27,5 +28,6 @@
 pub mod logging;
 pub mod metrics;
 pub mod peer_link;
+pub mod process;
 pub mod registry;
 pub mod settings;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -3,24 +3,17 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread;
-use std::time::Duration;
 
 use argh::FromArgs;
 use camphorloft_daemon::embedded::start_embedded;
 use camphorloft_daemon::host::{Host, start_host};
 use camphorloft_daemon::logging::stderr_logger;
+use camphorloft_daemon::process::run_until_drained;
 use camphorloft_daemon::settings::Settings;
 use slog::Level;
 
 /// Exit code when the settings have findings.
 const EXIT_FINDINGS: u8 = 2;
-/// Exit code when a request was cut by the shutdown.
-const EXIT_CUT: u8 = 3;
-/// Time between two looks at the signals.
-const SIGNAL_POLL: Duration = Duration::from_millis(100);
 
 /// One host of camphorloft, between callers and endpoints.
 #[derive(FromArgs)]
@@ -77,16 +70,6 @@
     ExitCode::FAILURE
 }
 
-/// Waits for a signal or an operator, then shuts down gracefully.
 fn wait_and_drain(host: &Host) -> ExitCode {
-    let terminate = Arc::new(AtomicBool::new(false));
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        if let Err(err) = signal_hook::flag::register(signal, terminate.clone()) {
-            return fail(&err.to_string());
-        }
-    }
-    while !terminate.load(Ordering::Relaxed) && !host.is_draining() {
-        thread::sleep(SIGNAL_POLL);
-    }
-    if host.drain() > 0 { ExitCode::from(EXIT_CUT) } else { ExitCode::SUCCESS }
+    run_until_drained(host).unwrap_or_else(|err| fail(&err.to_string()))
 }
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -34,8 +34,6 @@
 const CONFIG_READS_PER_SECOND: f64 = 100.0;
 /// Least time between two such reads of one host.
 const MIN_CONFIG_POLL: Duration = Duration::from_secs(1);
-/// Configuration reads between two reads of the host list.
-const POLLS_PER_HOST_LIST: u32 = 3;
 /// Time between two attempts to find hosts by the addresses of the settings.
 const SEED_RETRY: Duration = Duration::from_secs(1);
 
@@ -308,7 +306,7 @@
                 LinkRequest::Announce(version, delta) => {
                     self.plane.announce(version, delta.as_ref(), out);
                 }
-                LinkRequest::Blame(blame) => self.plane.spread_blame(blame),
+                LinkRequest::Blame(blame) => self.plane.spread_blame(blame, out),
                 LinkRequest::Seeds(seeds) => {
                     for seed in seeds {
                         self.plane.add_seed(seed, Instant::now());
@@ -392,7 +390,6 @@
 {
     fn run(&self, fetches: &Receiver<(SocketAddr, ConfigVersion)>) {
         let mut next_poll = Instant::now();
-        let mut polls = 0;
         let mut cpu = ThreadTime::now();
         while !self.stop.load(Ordering::Relaxed) {
             let wait = next_poll.saturating_duration_since(Instant::now());
@@ -401,10 +398,7 @@
             }
             if Instant::now() >= next_poll {
                 self.poll_config();
-                if polls % POLLS_PER_HOST_LIST == 0 {
-                    self.poll_hosts();
-                }
-                polls += 1;
+                self.poll_hosts();
                 next_poll = Instant::now() + self.poll_interval();
             }
             add_cpu_time(&self.state, &mut cpu);
--- /dev/null
+++ b/crates/daemon/src/process.rs
@@ -0,0 +1,32 @@
+//! Runs a host as a process: signals and exit codes.
+
+use std::io;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use crate::host::Host;
+
+/// Exit code when a request was cut by the shutdown.
+pub const EXIT_CUT: u8 = 3;
+/// Time between two looks at the signals.
+const SIGNAL_POLL: Duration = Duration::from_millis(100);
+
+/// Waits for a signal or an operator, then shuts down gracefully.
+///
+/// # Errors
+///
+/// Returns the error of registering the signal handlers.
+pub fn run_until_drained(host: &Host) -> io::Result<ExitCode> {
+    let terminate = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        signal_hook::flag::register(signal, terminate.clone())?;
+    }
+    while !terminate.load(Ordering::Relaxed) && !host.is_draining() {
+        thread::sleep(SIGNAL_POLL);
+    }
+    let cut = host.drain();
+    Ok(if cut > 0 { ExitCode::from(EXIT_CUT) } else { ExitCode::SUCCESS })
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -144,6 +144,10 @@
     /// Returns true while new requests are accepted.
     fn is_accepting(&self) -> bool;
 
+    /// Returns true while a balancer should send new requests. Goes off before
+    /// [`Control::is_accepting`] does.
+    fn is_ready(&self) -> bool;
+
     /// Waits for a place to run an attempt.
     ///
     /// # Errors
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -152,7 +152,7 @@
     }
 
     fn ready(&self, req: Request) {
-        let ready = self.control.is_accepting() && self.control.serving().is_some();
+        let ready = self.control.is_ready() && self.control.serving().is_some();
         let (status, text) = if ready { (200, "ready") } else { (503, "not ready") };
         answer(req, status, "text/plain", text);
     }
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -92,6 +92,8 @@
     salt: u64,
     offset: u32,
     poison: bool,
+    /// Start of the chain of the prompt.
+    start: u64,
     truncated: bool,
 }
 
@@ -113,9 +115,23 @@
     frozen_until: Option<Instant>,
     reclaim_at: Option<Instant>,
     silenced: u64,
+    record: EngineRecord,
     rng: Pcg64Mcg,
 }
 
+/// What an experiment checks afterwards.
+#[derive(Clone, Debug, Default)]
+pub struct EngineRecord {
+    /// Attempts taken, by the chain start of their prompt.
+    pub started: HashMap<u64, u32>,
+    /// Crashes by the chain start of the prompt that caused them.
+    pub poisoned: HashMap<u64, u32>,
+    /// Instants at which work was offered after the engine began to drain.
+    pub offered_while_draining: Vec<Instant>,
+    /// When the engine began to drain.
+    pub draining_since: Option<Instant>,
+}
+
 /// A running engine stand-in.
 pub struct Engine {
     settings: EngineSettings,
@@ -184,6 +200,7 @@
             frozen_until: None,
             reclaim_at: None,
             silenced: 0,
+            record: EngineRecord::default(),
             rng: Pcg64Mcg::seed_from_u64(settings.seed),
         }
     }
@@ -196,6 +213,11 @@
         self.frozen_until.is_some_and(|until| Instant::now() < until)
     }
 
+    fn start_draining(&mut self, now: Instant) {
+        self.draining = true;
+        self.record.draining_since = Some(now);
+    }
+
     fn lose_everything(&mut self) {
         self.model.crash();
         for (_, generation) in self.generations.drain() {
@@ -261,9 +283,14 @@
                 state.frozen_until = Some(now + Duration::from_millis(ms));
             }
             EngineFault::SilenceStreams => state.silenced += 1,
-            EngineFault::Drain => state.draining = true,
+            EngineFault::Drain => state.start_draining(now),
+            EngineFault::Return => {
+                state.draining = false;
+                state.down_until = None;
+                state.record.draining_since = None;
+            }
             EngineFault::Reclaim(ms) => {
-                state.draining = true;
+                state.start_draining(now);
                 state.reclaim_at = Some(now + Duration::from_millis(ms));
             }
         }
@@ -276,6 +303,11 @@
         lock(&self.state).model.load()
     }
 
+    /// Returns what an experiment checks afterwards.
+    pub fn record(&self) -> EngineRecord {
+        lock(&self.state).record.clone()
+    }
+
     fn run_steps(&self) {
         let mut purge_at = Instant::now() + PURGE_INTERVAL;
         while !self.stop.load(Ordering::Relaxed) {
@@ -344,6 +376,9 @@
 
     fn submit(&self, key: &str, body: &CompletionBody) -> Result<Arc<Generation>, &'static str> {
         let mut state = lock(&self.state);
+        if state.draining {
+            state.record.offered_while_draining.push(Instant::now());
+        }
         if state.is_down() || state.draining {
             return Err("the engine accepts no work");
         }
@@ -353,6 +388,7 @@
         state.next_sequence += 1;
         let sequence = SequenceId(state.next_sequence);
         let start = chain_start(&body.prompt);
+        *state.record.started.entry(start).or_default() += 1;
         let delivered = body.continue_from.as_ref();
         let chain = delivered.map_or(start, |d| chain_of_text(start, &d.text));
         let offset = delivered.map_or(0, |d| d.tokens);
@@ -385,6 +421,7 @@
                 salt,
                 offset,
                 poison: body.prompt.contains(POISON),
+                start,
                 truncated: wanted > limit,
             };
             state.writing.insert(sequence, writing);
@@ -512,6 +549,7 @@
         };
         let Some(writing) = self.writing.get_mut(&id) else { return false };
         if writing.poison {
+            *self.record.poisoned.entry(writing.start).or_default() += 1;
             return true;
         }
         let event = writing.next_event(finished);
--- a/crates/standins/src/engine_http.rs
+++ b/crates/standins/src/engine_http.rs
@@ -30,6 +30,8 @@
     SilenceStreams,
     /// Reports that it is about to leave.
     Drain,
+    /// Takes work again.
+    Return,
     /// Drops every stream at short notice, in milliseconds, and refuses new work.
     Reclaim(u64),
 }
