--- /dev/null
+++ b/crates/bench/src/control/fleet.rs
@@ -0,0 +1,191 @@
+//! Many control planes in one process, each with its own sockets and threads.
+
+use std::collections::{BTreeMap, HashSet};
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use camphorloft_config::{Findings, RawSet};
+use camphorloft_daemon::config_state::ConfigState;
+use camphorloft_daemon::control_plane::{ControlPlane, ControlSetup};
+use camphorloft_daemon::peer_link::{ControlListener, LinkSetup, LossSwitch, PeerLink, start_link};
+use camphorloft_decide::poison::Blame;
+use camphorloft_gateway::control::ServingSet;
+use camphorloft_membership::settings::MembershipSettings;
+use camphorloft_membership::{Member, MemberState};
+use camphorloft_peer::seal::FrameKeys;
+use camphorloft_platform::http::HttpPlatform;
+use camphorloft_platform::publication::{Proposal, fetch_current, propose};
+use camphorloft_platform::wire::HostEntry;
+use camphorloft_standins::platform_http::{PlatformHandle, start_platform};
+use camphorloft_types::prelude::*;
+use serde_json::json;
+use slog::{Discard, Logger, o};
+
+/// Regions of the size to design for.
+const REGIONS: usize = 5;
+/// Availability zones of the size to design for.
+const ZONES: usize = 12;
+/// Organisations in the object set.
+const ORGANISATIONS: usize = 660;
+const SECRET: &[u8] = b"a-secret-that-all-hosts-share";
+
+/// Ignores events: the experiment looks at the state instead.
+struct Deaf;
+
+impl ControlListener for Deaf {
+    fn config_in_force(&self, _serving: Arc<ServingSet>, _source: &str) {}
+    fn blame(&self, _blame: Blame) {}
+    fn live_hosts(&self, _hosts: HashSet<HostName>) {}
+    fn leaving(&self, _addresses: HashSet<String>) {}
+}
+
+/// One control plane.
+pub struct FleetHost {
+    /// Name.
+    pub name: String,
+    /// Version in force.
+    pub config: ConfigState,
+    /// Its threads; `None` once it was stopped.
+    pub link: Option<PeerLink>,
+}
+
+/// Many control planes with one platform.
+pub struct Fleet {
+    /// The platform.
+    pub platform: PlatformHandle,
+    /// Hosts.
+    pub hosts: Vec<FleetHost>,
+    /// Loss of datagrams.
+    pub loss: LossSwitch,
+    proposals: u64,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Returns an object set of the size to design for.
+fn object_set(weight: u64) -> Result<RawSet, Findings> {
+    let organisation = |ix: usize| {
+        let hash = format!("{ix:064x}");
+        let weight = if ix == 0 { weight } else { 1 };
+        (format!("organisation-{ix}"), json!({ "key_hash": hash, "weight": weight }))
+    };
+    let organisations: BTreeMap<_, _> = (0..ORGANISATIONS).map(organisation).collect();
+    RawSet::parse(&json!({ "organisations": organisations }).to_string())
+}
+
+impl Fleet {
+    /// Starts a platform with a first version and `count` control planes.
+    pub fn start(count: usize) -> io::Result<Self> {
+        let platform = start_platform(loopback())?;
+        let loss = LossSwitch::default();
+        let mut fleet = Self { platform, hosts: Vec::new(), loss, proposals: 0 };
+        fleet.propose()?;
+        for ix in 0..count {
+            let host = fleet.start_host(ix, count)?;
+            fleet.hosts.push(host);
+        }
+        Ok(fleet)
+    }
+
+    fn start_host(&self, ix: usize, count: usize) -> io::Result<FleetHost> {
+        let listener = TcpListener::bind(loopback())?;
+        let addr = listener.local_addr()?;
+        let socket = UdpSocket::bind(addr)?;
+        let name = format!("host-{ix}");
+        let (region, zone) = (format!("region-{}", ix % REGIONS), format!("zone-{}", ix % ZONES));
+        let own = Member {
+            host: name.parse().map_err(io::Error::other)?,
+            addr,
+            http_addr: addr,
+            region: region.parse().map_err(io::Error::other)?,
+            zone: zone.parse().map_err(io::Error::other)?,
+            incarnation: Incarnation(1),
+            state: MemberState::Alive,
+            accuser: None,
+        };
+        let entry = HostEntry {
+            name: name.clone(),
+            addr: addr.to_string(),
+            http_addr: Some(addr.to_string()),
+            region,
+            zone,
+            leaving: false,
+        };
+        self.platform.platform.state().set_host(&name, Some(entry));
+        let config = ConfigState::default();
+        let keys = FrameKeys::derive(&[SECRET.to_vec()]);
+        let setup = ControlSetup {
+            own,
+            membership: MembershipSettings::default(),
+            config: config.clone(),
+            keys: keys.clone(),
+            started_ms: 1,
+            seed: ix as u64,
+        };
+        let link = start_link(LinkSetup {
+            plane: ControlPlane::new(setup, Instant::now()),
+            socket,
+            listener,
+            platform: Arc::new(HttpPlatform::new(self.platform.addr)),
+            config: config.clone(),
+            keys,
+            events: Arc::new(Deaf),
+            seeds: Vec::new(),
+            expected_hosts: count as u32,
+            loss: self.loss.clone(),
+            log: Logger::root(Discard, o!()),
+        })?;
+        Ok(FleetHost { name, config, link: Some(link) })
+    }
+
+    /// Publishes the next version and returns it.
+    pub fn propose(&mut self) -> io::Result<ConfigVersion> {
+        let platform = HttpPlatform::new(self.platform.addr);
+        let base = fetch_current(&platform).map_err(io::Error::other)?.version;
+        self.proposals += 1;
+        let set = object_set(self.proposals).map_err(io::Error::other)?;
+        let proposal = Proposal {
+            id: format!("proposal-{}", self.proposals),
+            author: "bench".to_owned(),
+            base,
+            set,
+        };
+        propose(&platform, &proposal).map_err(io::Error::other)
+    }
+
+    /// Returns the hosts that run.
+    pub fn running(&self) -> impl Iterator<Item = (&FleetHost, &PeerLink)> {
+        self.hosts.iter().filter_map(|host| host.link.as_ref().map(|link| (host, link)))
+    }
+
+    /// Stops hosts at once, without a goodbye.
+    pub fn stop(&mut self, hosts: &[usize]) {
+        for ix in hosts {
+            self.hosts[*ix].link = None;
+        }
+    }
+
+    /// Waits until `holds` is true for every running host. Returns the time that each took.
+    pub fn wait_each<Holds>(&self, timeout: Duration, holds: Holds) -> Vec<Option<Duration>>
+    where
+        Holds: Fn(&FleetHost, &PeerLink) -> bool,
+    {
+        const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+        let started = Instant::now();
+        let running: Vec<(&FleetHost, &PeerLink)> = self.running().collect();
+        let mut times = vec![None; running.len()];
+        while started.elapsed() < timeout && times.iter().any(Option::is_none) {
+            for (ix, (host, link)) in running.iter().enumerate() {
+                if times[ix].is_none() && holds(host, link) {
+                    times[ix] = Some(started.elapsed());
+                }
+            }
+            std::thread::sleep(LOOK_INTERVAL);
+        }
+        times
+    }
+}
--- a/crates/bench/src/faults/callers.rs
+++ b/crates/bench/src/faults/callers.rs
@@ -52,8 +52,10 @@
     text: String,
     tokens: u32,
     last_id: Option<String>,
-    /// True once a try was sent whose fate the caller does not know.
+    /// True once a try was sent whose fate the caller does not know, or was told is unknown.
     ambiguous: bool,
+    /// What became of each try, to explain a violation.
+    history: Vec<String>,
 }
 
 /// How one try ended.
@@ -87,8 +89,15 @@
     fn ask(&self, agent: &Agent, rng: &mut Pcg64Mcg, prompt: String) -> Ended {
         let chain = chain_start(&prompt);
         let text = String::new();
-        let mut received =
-            Received { prompt, chain, text, tokens: 0, last_id: None, ambiguous: false };
+        let mut received = Received {
+            prompt,
+            chain,
+            text,
+            tokens: 0,
+            last_id: None,
+            ambiguous: false,
+            history: Vec::new(),
+        };
         let organisation = ORGANISATIONS[rng.random_range(0..ORGANISATIONS.len())];
         let output_tokens = rng.random_range(3..MAX_OUTPUT_TOKENS);
         for _ in 0..MAX_TRIES {
@@ -107,8 +116,8 @@
                     return Ended::NotRun;
                 }
                 Try::Refused { final_answer: true, .. } => return Ended::Unknown,
-                Try::Refused { .. } | Try::NotSent => {}
-                Try::Broken => received.ambiguous = true,
+                Try::Refused { not_run: true, .. } | Try::NotSent => {}
+                Try::Refused { not_run: false, .. } | Try::Broken => received.ambiguous = true,
             }
             thread::sleep(RETRY_WAIT);
         }
@@ -117,11 +126,13 @@
 
     fn check_not_run(&self, received: &Received) {
         let start = chain_start(&received.prompt);
-        let ran = self.cluster.engines.iter().any(|handle| {
-            handle.engine.record().started.contains_key(&start)
-        });
+        let ran = self
+            .cluster
+            .engines
+            .iter()
+            .any(|handle| handle.engine.record().started.contains_key(&start));
         self.ledger.check(Promise::NotRunWasNotRun, !ran, || {
-            format!("an engine ran {}", received.prompt)
+            format!("an engine ran {}: {:?}", received.prompt, received.history)
         });
     }
 
@@ -152,12 +163,18 @@
         let mut response = match call.send_json(&body) {
             Ok(response) => response,
             Err(err) if is_not_sent(&err) => return Try::NotSent,
-            Err(_) => return Try::Broken,
+            Err(err) => {
+                received.history.push(format!("{host}: {err}"));
+                return Try::Broken;
+            }
         };
         if response.status() != 200 {
             let status = response.status().as_u16();
             return match response.body_mut().read_to_string() {
-                Ok(text) => self.refusal(status, &text),
+                Ok(text) => {
+                    received.history.push(format!("{host}: {status} {text}"));
+                    self.refusal(status, &text)
+                }
                 Err(_) => Try::Broken,
             };
         }
--- a/crates/bench/src/faults/injector.rs
+++ b/crates/bench/src/faults/injector.rs
@@ -163,9 +163,8 @@
             }),
             Fault::HostDrain => self.with_host(rng, |ix, _| {
                 let clean = self.cluster.drain_host(ix);
-                self.ledger.check(Promise::DrainCutsNothing, clean, || {
-                    format!("host {ix} cut requests")
-                });
+                self.ledger
+                    .check(Promise::DrainCutsNothing, clean, || format!("host {ix} cut requests"));
                 self.restart(ix);
             }),
             Fault::PlatformOutage => {
@@ -196,8 +195,7 @@
         let chosen = {
             let mut hosts = self.cluster.hosts();
             let disturbed = hosts.iter().filter(|slot| slot.disturbed).count();
-            let steady: Vec<usize> =
-                (0..hosts.len()).filter(|ix| !hosts[*ix].disturbed).collect();
+            let steady: Vec<usize> = (0..hosts.len()).filter(|ix| !hosts[*ix].disturbed).collect();
             let chosen = steady.choose(rng).copied().filter(|_| disturbed < MAX_DISTURBED);
             if let Some(ix) = chosen {
                 hosts[ix].disturbed = true;
--- a/crates/bench/src/faults/ledger.rs
+++ b/crates/bench/src/faults/ledger.rs
@@ -7,8 +7,7 @@
 use serde::Serialize;
 
 /// A promise that is checked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Promise {
     /// Every token reaches its caller once, in order, from one generation.
@@ -34,8 +33,7 @@
 }
 
 /// Trials and violations of one promise.
-#[derive(Clone, Debug, Default)]
-#[derive(Serialize)]
+#[derive(Clone, Debug, Default, Serialize)]
 pub struct PromiseRow {
     /// Name.
     pub name: String,
--- a/crates/bench/src/faults/mod.rs
+++ b/crates/bench/src/faults/mod.rs
@@ -209,7 +209,10 @@
         result.availability, result.longest_time_without_completion_ms
     );
     for promise in &result.promises {
-        println!("{:<24} {:>8} trials {:>4} violations", promise.name, promise.trials, promise.violations);
+        println!(
+            "{:<24} {:>8} trials {:>4} violations",
+            promise.name, promise.trials, promise.violations
+        );
         for detail in &promise.details {
             println!("    {detail}");
         }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,14 +1,18 @@
 //! Load and experiment tool.
 //!
+//! - [`control`]: what many control planes cost and how fast they agree.
 //! - [`faults`]: checks the promises in a randomised run with faults.
 //! - [`policy`]: compares placement policies in virtual time.
+//! - [`relay`]: what the relay adds to a stream.
 
 use std::process::ExitCode;
 
 use argh::FromArgs;
 
+mod control;
 mod faults;
 mod policy;
+mod relay;
 
 /// Load and experiment tool of camphorloft.
 #[derive(FromArgs)]
@@ -20,16 +24,22 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Control(control::ControlArgs),
     Faults(faults::FaultsArgs),
     Host(faults::HostArgs),
     Policy(policy::PolicyArgs),
+    Relay(relay::RelayArgs),
+    RelayEngines(relay::RelayEnginesArgs),
 }
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Control(args) => control::run(&args),
         Command::Faults(args) => faults::run(&args),
         Command::Host(args) => faults::run_host(&args),
         Command::Policy(args) => policy::run(&args),
+        Command::Relay(args) => relay::run(&args),
+        Command::RelayEngines(args) => relay::run_engines(&args),
     }
 }
--- /dev/null
+++ b/crates/bench/src/relay/client.rs
@@ -0,0 +1,160 @@
+//! Clients of a relay measurement, the same for both targets.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Barrier};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use camphorloft_http::client::{Deadlines, single_use_agent};
+use camphorloft_http::event_reader::{EventReader, event_data};
+use hdrhistogram::Histogram;
+use serde_json::json;
+use ureq::Agent;
+
+use super::{Shared, merge};
+
+/// Stack of a client thread.
+const STACK_BYTES: usize = 256 * 1024;
+/// Time over which the streams start.
+const START_SPREAD: Duration = Duration::from_secs(2);
+const MAX_MICROS: u64 = 60_000_000;
+
+/// Streams to run.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamPlan {
+    /// Concurrent streams.
+    pub streams: usize,
+    /// Tokens of each.
+    pub tokens: u32,
+}
+
+/// Where streams are asked for.
+#[derive(Clone, Debug)]
+pub enum Target {
+    /// An engine.
+    Engine(SocketAddr),
+    /// A host.
+    Host {
+        /// Address.
+        addr: SocketAddr,
+        /// Key of the organisation.
+        key: String,
+        /// Route.
+        route: String,
+    },
+}
+
+/// What clients measured.
+pub struct Measured {
+    /// Time to the first token, in microseconds.
+    pub first_tokens: Histogram<u64>,
+    /// Time between tokens, in microseconds.
+    pub gaps: Histogram<u64>,
+    /// Tokens received.
+    pub tokens: u64,
+    /// Streams that ended properly.
+    pub completed: usize,
+    /// Streams that did not.
+    pub failed: usize,
+}
+
+impl Default for Measured {
+    fn default() -> Self {
+        let histogram = || Histogram::new_with_max(MAX_MICROS, 3).expect("the bounds are valid");
+        Self { first_tokens: histogram(), gaps: histogram(), tokens: 0, completed: 0, failed: 0 }
+    }
+}
+
+impl Measured {
+    /// Adds what another thread measured.
+    pub fn add(&mut self, other: &Self) {
+        // Histograms of equal bounds always add.
+        let _ = self.first_tokens.add(&other.first_tokens);
+        let _ = self.gaps.add(&other.gaps);
+        self.tokens += other.tokens;
+        self.completed += other.completed;
+        self.failed += other.failed;
+    }
+}
+
+/// Runs all streams at once, spread over the targets.
+pub fn run_streams(plan: &StreamPlan, targets: &[Target]) -> Measured {
+    let barrier = Shared::new(Barrier::new(plan.streams));
+    let mut threads = Vec::new();
+    for ix in 0..plan.streams {
+        let target = targets[ix % targets.len()].clone();
+        let plan = *plan;
+        let barrier = Arc::clone(&barrier);
+        let run = move || {
+            let mut measured = Measured::default();
+            let agent = agent();
+            barrier.wait();
+            thread::sleep(START_SPREAD.mul_f64(ix as f64 / plan.streams as f64));
+            match run_stream(&agent, &target, ix, plan.tokens, &mut measured) {
+                Ok(()) => measured.completed += 1,
+                Err(_) => measured.failed += 1,
+            }
+            measured
+        };
+        let spawned = thread::Builder::new().stack_size(STACK_BYTES).spawn(run);
+        threads.extend(spawned.ok());
+    }
+    merge(threads.into_iter().filter_map(|thread| thread.join().ok()).collect())
+}
+
+fn agent() -> Agent {
+    single_use_agent(Deadlines {
+        connect: Duration::from_secs(5),
+        response: Duration::from_secs(30),
+        progress: Duration::from_secs(30),
+    })
+}
+
+/// Reads one stream and measures its tokens.
+fn run_stream(
+    agent: &Agent,
+    target: &Target,
+    ix: usize,
+    tokens: u32,
+    measured: &mut Measured,
+) -> Result<(), String> {
+    let mut body = json!({
+        "prompt": format!("stream {ix}"), "stream": true, "max_tokens": tokens,
+        "standin": { "output_tokens": tokens }
+    });
+    let started = Instant::now();
+    let call = match target {
+        Target::Engine(addr) => agent
+            .post(format!("http://{addr}/v1/completions"))
+            .header("x-generation", format!("{ix}"))
+            .header("x-attempt", "0"),
+        Target::Host { addr, key, route } => {
+            body["model"] = json!(route);
+            agent
+                .post(format!("http://{addr}/v1/completions"))
+                .header("authorization", format!("Bearer {key}"))
+        }
+    };
+    let call = call.header("connection", "close");
+    let response = call.send_json(&body).map_err(|err| err.to_string())?;
+    if response.status() != 200 {
+        return Err(format!("status {}", response.status()));
+    }
+    let mut events = EventReader::new(response.into_body().into_reader());
+    let mut last: Option<Instant> = None;
+    loop {
+        let event = events.next_event().map_err(|err| err.to_string())?;
+        let Some(event) = event else { return Err("the stream ended early".to_owned()) };
+        let now = Instant::now();
+        if event_data(&event) == Some("[DONE]") {
+            return Ok(());
+        }
+        let since = last.unwrap_or(started);
+        let micros = (now - since).as_micros() as u64;
+        let histogram =
+            if last.is_none() { &mut measured.first_tokens } else { &mut measured.gaps };
+        histogram.saturating_record(micros);
+        measured.tokens += 1;
+        last = Some(now);
+    }
+}
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -253,6 +253,7 @@
             endpoint: endpoint.name.clone(),
             addr: endpoint.addr,
             priority: placed.priority,
+            decided_at: now,
         };
         self.count("place");
         self.set_move(placed.generation, false);
@@ -288,6 +289,7 @@
             AttemptEnd::Finished => (EndKind::Finished, "finished"),
             AttemptEnd::NotRun => (EndKind::NotRun, "not_run"),
             AttemptEnd::EngineLost => (EndKind::Lost, "engine_lost"),
+            AttemptEnd::Expired => (EndKind::Cancelled, "expired"),
             AttemptEnd::Moved => (EndKind::Moved, "moved"),
             AttemptEnd::CallerLeft => (EndKind::Cancelled, "caller_left"),
         };
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -28,7 +28,7 @@
 use crate::core_client::{CoreClient, CoreListener, CoreSender, Shared};
 use crate::core_thread::{CoreMessage, run_core};
 use crate::load_poller::{LoadPoller, PolledEndpoints};
-use crate::peer_link::{LinkSetup, PeerLink, start_link};
+use crate::peer_link::{LinkSetup, LossSwitch, PeerLink, start_link};
 use crate::settings::Settings;
 
 /// Writes that the platform bears for all hosts, per second.
@@ -143,6 +143,7 @@
         zone: settings.zone.clone(),
         incarnation: Incarnation(started_ms.as_millis() as u64),
         state: MemberState::Alive,
+        accuser: None,
     };
     let setup = ControlSetup {
         own,
@@ -162,7 +163,7 @@
         events: Arc::new(CoreListener { sender: core.clone(), shared: shared.clone() }),
         seeds: settings.seeds.clone(),
         expected_hosts: settings.expected_hosts,
-        drop_rate: 0.0,
+        loss: LossSwitch::default(),
         log: log.clone(),
     })
 }
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -52,6 +52,24 @@
     fn leaving(&self, addresses: HashSet<String>);
 }
 
+/// Drops a part of the received datagrams on purpose, for experiments. Drops none by default.
+#[derive(Clone, Debug, Default)]
+pub struct LossSwitch {
+    per_million: Arc<AtomicU32>,
+}
+
+impl LossSwitch {
+    /// Sets the part of the datagrams that are dropped.
+    pub fn set(&self, part: f64) {
+        self.per_million.store((part * 1e6) as u32, Ordering::Relaxed);
+    }
+
+    fn drops(&self) -> bool {
+        let per_million = self.per_million.load(Ordering::Relaxed);
+        per_million > 0 && rand::rng().random_ratio(per_million.min(1_000_000), 1_000_000)
+    }
+}
+
 /// A request to the control plane's thread.
 enum LinkRequest {
     Announce(ConfigVersion, Option<PublishedDelta>),
@@ -112,8 +130,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Hosts to share the platform with until more are seen.
     pub expected_hosts: u32,
-    /// Part of the datagrams that are dropped on purpose, for experiments.
-    pub drop_rate: f64,
+    /// Datagrams that are dropped on purpose, for experiments.
+    pub loss: LossSwitch,
     /// Log.
     pub log: Logger,
 }
@@ -167,7 +185,7 @@
         fetches: fetch_tx,
         requests: rx,
         seeds: setup.seeds,
-        drop_rate: setup.drop_rate,
+        loss: setup.loss,
         state: state.clone(),
         stop: stop.clone(),
         live: HashSet::new(),
@@ -227,7 +245,7 @@
     fetches: Sender<(SocketAddr, ConfigVersion)>,
     requests: Receiver<LinkRequest>,
     seeds: Vec<SocketAddr>,
-    drop_rate: f64,
+    loss: LossSwitch,
     state: Arc<LinkState>,
     stop: Arc<AtomicBool>,
     live: HashSet<HostName>,
@@ -273,7 +291,7 @@
                 return;
             }
             let Ok((len, from)) = self.socket.recv_from(buf) else { return };
-            if self.is_dropped() {
+            if self.loss.drops() {
                 continue;
             }
             self.receive(from, &buf[..len], out);
@@ -281,10 +299,6 @@
         }
     }
 
-    fn is_dropped(&self) -> bool {
-        self.drop_rate > 0.0 && rand::rng().random_bool(self.drop_rate)
-    }
-
     fn receive(&mut self, from: SocketAddr, frame: &[u8], out: &mut Vec<Datagram>) {
         let mut events = Vec::new();
         self.plane.receive(from, frame, Instant::now(), out, &mut events);
@@ -483,5 +497,6 @@
         zone: entry.zone.parse().ok()?,
         incarnation: Incarnation(0),
         state: MemberState::Alive,
+        accuser: None,
     })
 }
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -202,7 +202,7 @@
             self.queue.charge(ask.organisation, placed.expected_tokens);
             return Decision::Placed(placed);
         }
-        if !self.has_usable_endpoint(&ask, now) {
+        if !self.has_hopeful_endpoint(&ask, now) {
             return refused(ask.generation, RefuseReason::NoEndpoint(NO_ENDPOINT_RETRY));
         }
         self.enqueue(ask, now)
@@ -214,9 +214,9 @@
         ask.delivered > 0 || self.retries.try_spend(ask.organisation, ask.route)
     }
 
-    fn has_usable_endpoint(&self, ask: &Ask, now: Instant) -> bool {
+    fn has_hopeful_endpoint(&self, ask: &Ask, now: Instant) -> bool {
         let candidates = self.route_endpoints(ask.route);
-        candidates.iter().any(|endpoint| self.endpoints[*endpoint].is_usable(now))
+        candidates.iter().any(|endpoint| self.endpoints[*endpoint].is_hopeful(now))
     }
 
     fn enqueue(&mut self, ask: Ask, now: Instant) -> Decision {
@@ -584,7 +584,7 @@
                 let ask = &waiting.ask;
                 let reason = if self.poison.is_refused(ask.fingerprint, now) {
                     RefuseReason::Poison
-                } else if !self.has_usable_endpoint(ask, now) {
+                } else if !self.has_hopeful_endpoint(ask, now) {
                     no_endpoint
                 } else {
                     return None;
--- a/crates/decide/src/endpoint_view.rs
+++ b/crates/decide/src/endpoint_view.rs
@@ -6,7 +6,7 @@
 use crate::sequence::SequenceIx;
 
 /// Age at which a load report no longer counts.
-const MAX_REPORT_AGE: Duration = Duration::from_secs(5);
+const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 /// Time for which an endpoint that failed is not chosen.
 const SUSPECT_TIME: Duration = Duration::from_secs(2);
 /// Longest such time after repeated failures.
@@ -94,8 +94,15 @@
         }
     }
 
-    /// Returns true when new work may be sent to the endpoint.
+    /// Returns true when new work may be sent to the endpoint: nothing says that it leaves, and a
+    /// report fresh enough to know. After a pause of this host every report is old.
     pub fn is_usable(&self, now: Instant) -> bool {
+        let fresh = self.report_age(now).is_some_and(|age| age <= MAX_REPORT_AGE);
+        fresh && self.is_hopeful(now)
+    }
+
+    /// Returns true when the endpoint is usable or becomes so with its next report.
+    pub fn is_hopeful(&self, now: Instant) -> bool {
         !self.leaving && !self.draining && self.suspect_until.is_none_or(|until| now >= until)
     }
 
--- /dev/null
+++ b/crates/decide/tests/decider.rs
@@ -0,0 +1,281 @@
+//! The decider under overload, failures and hostile requests.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use camphorloft_decide::decider::{Decider, EndKind};
+use camphorloft_decide::decision::{Decision, RefuseReason, TickOutput};
+use camphorloft_decide::endpoint_view::{Distance, Report};
+use camphorloft_decide::lengths::{ClassKey, LearnedLengths, Lengths};
+use camphorloft_decide::policy_settings::{ObjectiveWeights, PolicySettings};
+use camphorloft_decide::sequence::Ask;
+use camphorloft_types::prelude::*;
+use proptest::prelude::*;
+
+const CAPACITY: u32 = 10_000;
+
+/// A decider with its clock.
+struct Bench {
+    decider: Decider<LearnedLengths>,
+    now: Instant,
+    endpoints: Vec<EndpointIx>,
+    next: u128,
+}
+
+impl Bench {
+    fn new(endpoints: usize, settings: PolicySettings) -> Self {
+        let now = Instant::now();
+        let mut decider = Decider::new(settings, LearnedLengths::default(), 7, now);
+        let endpoints: Vec<EndpointIx> =
+            (0..endpoints).map(|_| decider.add_endpoint(CAPACITY, Distance::Zone)).collect();
+        decider.set_route(RouteIx::from_u32(0), endpoints.clone(), ObjectiveWeights::default());
+        let mut bench = Self { decider, now, endpoints, next: 0 };
+        bench.report_all();
+        bench
+    }
+
+    fn report_all(&mut self) {
+        for endpoint in self.endpoints.clone() {
+            let report = Report { kv_tokens: CAPACITY, ..Report::default() };
+            self.decider.report(endpoint, &report, self.now, self.now);
+        }
+    }
+
+    fn ask(&mut self, organisation: u32, fingerprint: u64) -> Ask {
+        self.next += 1;
+        let class = self.decider.class(ClassKey { fine: u64::from(organisation), route: 1 });
+        Ask {
+            generation: GenerationId(self.next),
+            organisation: OrganisationIx::from_u32(organisation),
+            route: RouteIx::from_u32(0),
+            class,
+            hint: 0,
+            prompt_tokens: 500,
+            delivered: 0,
+            max_tokens: 4000,
+            prefix: 0,
+            fingerprint,
+            priority: 1,
+            avoid: None,
+        }
+    }
+
+    fn pass(&mut self, time: Duration) -> TickOutput {
+        self.now += time;
+        self.report_all();
+        let mut out = TickOutput::default();
+        self.decider.tick(self.now, &mut out);
+        out
+    }
+}
+
+#[test]
+fn a_leaving_endpoint_gets_no_new_work() {
+    let mut bench = Bench::new(2, PolicySettings::default());
+    let (first, second) = (bench.endpoints[0], bench.endpoints[1]);
+    bench.decider.endpoint_mut(first).leaving = true;
+    for ix in 0..10 {
+        let ask = bench.ask(0, ix);
+        match bench.decider.place(ask, bench.now) {
+            Decision::Placed(placed) => assert_eq!(placed.endpoint, second),
+            Decision::Waiting => {}
+            Decision::Refused(refused) => panic!("{refused:?}"),
+        }
+    }
+}
+
+#[test]
+fn old_reports_place_nothing_after_a_pause() {
+    let mut bench = Bench::new(2, PolicySettings::default());
+    bench.now += Duration::from_secs(10);
+    let ask = bench.ask(0, 1);
+    assert_eq!(bench.decider.place(ask, bench.now), Decision::Waiting);
+    let out = bench.pass(Duration::from_millis(20));
+    assert_eq!(out.placed.len(), 1);
+}
+
+#[test]
+fn a_full_pool_makes_new_work_wait_and_then_serves_it() {
+    let mut bench = Bench::new(2, PolicySettings::default());
+    let mut placed = Vec::new();
+    let mut waiting = 0;
+    for ix in 0..200 {
+        let ask = bench.ask(0, ix);
+        match bench.decider.place(ask, bench.now) {
+            Decision::Placed(p) => placed.push(p.generation),
+            Decision::Waiting => waiting += 1,
+            Decision::Refused(refused) => panic!("{refused:?}"),
+        }
+    }
+    assert!(waiting > 100, "{waiting} wait");
+    assert!(placed.len() * 500 <= 2 * CAPACITY as usize);
+    for generation in placed {
+        bench.decider.progress(generation, 20, bench.now);
+        bench.decider.end(generation, EndKind::Finished, bench.now);
+    }
+    let out = bench.pass(Duration::from_millis(20));
+    assert!(!out.placed.is_empty());
+}
+
+#[test]
+fn overload_sheds_from_the_organisation_that_waits_for_most() {
+    let settings = PolicySettings { max_waiting: 50, ..PolicySettings::default() };
+    let mut bench = Bench::new(1, settings);
+    let mut owners = BTreeMap::new();
+    let mut refused: BTreeMap<u32, u32> = BTreeMap::new();
+    for ix in 0..400 {
+        // Organisation 0 sends nineteen of twenty.
+        let organisation = u32::from(ix % 20 == 0);
+        let ask = bench.ask(organisation, ix);
+        owners.insert(ask.generation, organisation);
+        if let Decision::Refused(_) = bench.decider.place(ask, bench.now) {
+            *refused.entry(organisation).or_default() += 1;
+        }
+        for shed in bench.pass(Duration::from_millis(1)).refused {
+            *refused.entry(owners[&shed.generation]).or_default() += 1;
+        }
+    }
+    assert!(refused[&0] > 100);
+    assert_eq!(refused.get(&1), None, "the small organisation lost work: {refused:?}");
+}
+
+#[test]
+fn waiting_organisations_are_served_by_weight() {
+    let mut bench = Bench::new(1, PolicySettings::default());
+    bench.decider.set_weight(OrganisationIx::from_u32(0), Weight(3));
+    bench.decider.set_weight(OrganisationIx::from_u32(1), Weight(1));
+    let mut owners = BTreeMap::new();
+    let mut running = Vec::new();
+    for ix in 0..400 {
+        let ask = bench.ask((ix % 2) as u32, ix);
+        owners.insert(ask.generation, ask.organisation.as_u32());
+        if let Decision::Placed(placed) = bench.decider.place(ask, bench.now) {
+            running.push(placed.generation);
+        }
+    }
+    let mut served = [0_u32; 2];
+    while served.iter().sum::<u32>() < 120 {
+        for generation in running.drain(..) {
+            bench.decider.progress(generation, 20, bench.now);
+            bench.decider.end(generation, EndKind::Finished, bench.now);
+        }
+        for placed in bench.pass(Duration::from_millis(20)).placed {
+            served[owners[&placed.generation] as usize] += 1;
+            running.push(placed.generation);
+        }
+    }
+    let share = f64::from(served[0]) / f64::from(served[0] + served[1]);
+    assert!((0.65..0.85).contains(&share), "weight 3 of 4 got {share}");
+}
+
+#[test]
+fn retries_are_a_share_of_requests() {
+    let mut bench = Bench::new(4, PolicySettings::default());
+    let mut retries = 0;
+    for ix in 0..1000 {
+        let ask = bench.ask(0, ix);
+        let _ = bench.decider.place(ask, bench.now);
+        bench.decider.end(ask.generation, EndKind::Cancelled, bench.now);
+        while bench.decider.may_retry(&ask) {
+            retries += 1;
+        }
+    }
+    assert!(retries <= 210, "{retries} retries for 1000 requests");
+}
+
+#[test]
+fn calibration_of_the_length_estimates() {
+    let mut lengths = LearnedLengths::default();
+    let class = lengths.class(ClassKey { fine: 1, route: 1 });
+    let mut draws = (0_u64..).map(|n| {
+        // A mixture with a heavy tail, from a fixed sequence.
+        let u = (n.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 11) as f64 / (1_u64 << 53) as f64;
+        let scale = if n % 4 == 0 { 1500.0 } else { 400.0 };
+        (scale * (1.0 / (1.0 - u)).powf(0.4)) as u32 + 1
+    });
+    for length in draws.by_ref().take(2000) {
+        lengths.advance(class, 0, length);
+        lengths.end(class, length);
+    }
+    for quantile in [0.5_f32, 0.9, 0.99] {
+        let bound = lengths.quantile(class, 0, 0, quantile);
+        let covered = draws.by_ref().take(4000).filter(|length| *length <= bound).count();
+        let share = covered as f32 / 4000.0;
+        assert!((share - quantile).abs() < 0.06, "the {quantile} quantile covers {share}");
+    }
+}
+
+proptest! {
+    /// Crashes by poison never refuse a request that is not poison.
+    #[test]
+    fn innocent_requests_are_not_refused(
+        arrivals in proptest::collection::vec((0_u64..12, any::<bool>()), 1..120),
+    ) {
+        const POISON: u64 = 99;
+        let mut bench = Bench::new(6, PolicySettings::default());
+        let mut running: BTreeMap<EndpointIx, BTreeSet<(GenerationId, u64)>> = BTreeMap::new();
+        let mut crashes = 0;
+        for (fingerprint, poison) in arrivals {
+            let ask = bench.ask(0, if poison { POISON } else { fingerprint });
+            bench.pass(Duration::from_secs(3));
+            match bench.decider.place(ask, bench.now) {
+                Decision::Placed(placed) => {
+                    running.entry(placed.endpoint).or_default().insert((ask.generation, ask.fingerprint));
+                    if poison {
+                        crashes += 1;
+                        for (generation, _) in running.remove(&placed.endpoint).unwrap_or_default() {
+                            bench.decider.end(generation, EndKind::Lost, bench.now);
+                        }
+                    }
+                }
+                Decision::Waiting => {
+                    bench.decider.end(ask.generation, EndKind::Cancelled, bench.now);
+                }
+                Decision::Refused(refused) => {
+                    let innocent = ask.fingerprint != POISON;
+                    prop_assert!(!(innocent && refused.reason == RefuseReason::Poison));
+                }
+            }
+        }
+        prop_assert!(crashes <= 3, "{crashes} crashes by one request");
+    }
+
+    /// Whatever is asked, ended and reported, the forecasts stay finite and the counts agree.
+    #[test]
+    fn accounts_agree(
+        steps in proptest::collection::vec((0_u8..5, 0_u32..3, 0_u32..500), 1..200),
+    ) {
+        let mut bench = Bench::new(3, PolicySettings::default());
+        let mut alive: Vec<(GenerationId, u32)> = Vec::new();
+        for (action, organisation, tokens) in steps {
+            match action {
+                0 | 1 => {
+                    let ask = bench.ask(organisation, u64::from(tokens));
+                    if let Decision::Placed(_) = bench.decider.place(ask, bench.now) {
+                        alive.push((ask.generation, 0));
+                    }
+                }
+                2 => {
+                    if let Some((generation, done)) = alive.last_mut() {
+                        *done += tokens;
+                        bench.decider.progress(*generation, *done, bench.now);
+                    }
+                }
+                3 => {
+                    if let Some((generation, _)) = alive.pop() {
+                        bench.decider.end(generation, EndKind::Finished, bench.now);
+                    }
+                }
+                _ => {
+                    let out = bench.pass(Duration::from_millis(u64::from(tokens)));
+                    alive.extend(out.placed.iter().map(|placed| (placed.generation, 0)));
+                }
+            }
+            prop_assert_eq!(bench.decider.running(), alive.len());
+            for endpoint in &bench.endpoints {
+                let view = bench.decider.endpoint(*endpoint);
+                prop_assert!(view.forecast.mean.iter().all(|mean| mean.is_finite() && *mean >= 0.0));
+            }
+        }
+    }
+}
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use camphorloft_config::CheckedSet;
 use camphorloft_types::prelude::*;
@@ -56,6 +56,8 @@
     pub addr: SocketAddr,
     /// Priority to give to the engine.
     pub priority: i32,
+    /// When it was decided.
+    pub decided_at: Instant,
 }
 
 /// Refusal of a request that was not run.
@@ -89,6 +91,8 @@
     NotRun,
     /// The engine lost the attempt, as after a crash.
     EngineLost,
+    /// The attempt was not started because too much time passed since it was placed.
+    Expired,
     /// The attempt was stopped to be moved.
     Moved,
     /// The caller left.
--- a/crates/gateway/src/generations.rs
+++ b/crates/gateway/src/generations.rs
@@ -1,6 +1,7 @@
 //! Serves generation requests.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use camphorloft_engine::client::EngineClient;
 use camphorloft_engine::completion::CompletionBody;
@@ -129,7 +130,10 @@
     let running = match stream {
         Some(Ok((addr, stream))) => {
             let endpoint = event.endpoint.clone();
-            Some(Running { placement: Placement { endpoint, addr, priority: 0 }, stream })
+            Some(Running {
+                placement: Placement { endpoint, addr, priority: 0, decided_at: Instant::now() },
+                stream,
+            })
         }
         _ if relay.transcript.text().is_some() => {
             relay.request.attempt = event.attempt.next();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,8 @@
 const MAX_RECONNECTS: u32 = 3;
 /// Wait between two of them.
 const RECONNECT_WAIT: Duration = Duration::from_millis(100);
+/// Time after its decision in which a placement may be used.
+const PLACEMENT_VALIDITY: Duration = Duration::from_secs(1);
 /// Time between progress reports.
 const REPORT_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -151,7 +153,7 @@
     }
 
     fn start_attempt(&mut self) -> Result<Running, Start> {
-        let placement = self.control.place(self.request.clone()).map_err(Start::Refused)?;
+        let placement = self.place()?;
         self.request.avoid = Some(placement.endpoint.clone());
         self.body.priority = placement.priority;
         self.body.continue_from = self.delivered_prefix();
@@ -170,6 +172,19 @@
         }
     }
 
+    /// Asks for a place until one is given that is still valid. Between the decision and this
+    /// point the process may have been paused, and the endpoint may have left meanwhile.
+    fn place(&mut self) -> Result<Placement, Start> {
+        loop {
+            let placement = self.control.place(self.request.clone()).map_err(Start::Refused)?;
+            if placement.decided_at.elapsed() <= PLACEMENT_VALIDITY {
+                return Ok(placement);
+            }
+            let PlacementRequest { generation, attempt, .. } = self.request;
+            self.control.end_attempt(generation, attempt, AttemptEnd::Expired);
+        }
+    }
+
     /// Looks for an attempt whose start was sent but not answered.
     fn reconnect_start(
         &mut self,
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -47,6 +47,9 @@
     pub incarnation: Incarnation,
     /// State.
     pub state: MemberState,
+    /// The host whose own probe failed, with [`MemberState::Suspect`] only. Hosts that merely pass
+    /// the suspicion on do not count as suspecting.
+    pub accuser: Option<HostName>,
 }
 
 impl Member {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -137,6 +137,7 @@
         self.relayed.retain(|relayed| now < relayed.deadline);
         if now >= self.next_probe_at && self.probe.is_none() {
             self.next_probe_at = now + self.settings.probe_interval;
+            self.warn_suspects(out);
             self.start_probe(now, out);
         }
         if now >= self.next_sync_at {
@@ -146,6 +147,19 @@
         }
     }
 
+    /// Tells the hosts that this one suspects of it, so that they can refute even when the gossip
+    /// about them is lost.
+    fn warn_suspects(&mut self, out: &mut Vec<Outgoing>) {
+        let own = &self.own.host;
+        let suspected = self.members.values().filter(|known| {
+            known.member.state == MemberState::Suspect && known.suspected_by.contains(own)
+        });
+        let statements: Vec<Member> = suspected.map(|known| known.member.clone()).collect();
+        for statement in statements {
+            out.push(self.message(statement.addr, MessageKind::Updates, vec![statement]));
+        }
+    }
+
     fn message(&mut self, to: SocketAddr, kind: MessageKind, updates: Vec<Member>) -> Outgoing {
         let config_version = self.config_version;
         Outgoing {
@@ -257,23 +271,30 @@
         near.into_iter().chain(other).take(self.settings.indirect_probes).collect()
     }
 
+    /// Suspects a host after an own probe failed.
     fn suspect(&mut self, host: &HostName, now: Instant) {
         let Some(known) = self.members.get(host) else { return };
-        if known.member.state != MemberState::Alive {
-            self.confirm(host, &self.own.host.clone());
-            return;
+        let accuser = Some(self.own.host.clone());
+        let update = Member { state: MemberState::Suspect, accuser, ..known.member.clone() };
+        match known.member.state {
+            MemberState::Alive => self.insert(update, now),
+            MemberState::Suspect => self.confirm(update),
+            MemberState::Dead | MemberState::Left => {}
         }
-        let update = Member { state: MemberState::Suspect, ..known.member.clone() };
-        let own = self.own.host.clone();
-        self.insert(update, now);
-        self.confirm(host, &own);
     }
 
-    fn confirm(&mut self, host: &HostName, by: &HostName) {
-        let Some(known) = self.members.get_mut(host) else { return };
-        if known.member.state == MemberState::Suspect && !known.suspected_by.contains(by) {
-            known.suspected_by.push(by.clone());
+    /// Counts one more host that suspects independently, and spreads it.
+    fn confirm(&mut self, update: Member) {
+        let Some(known) = self.members.get_mut(&update.host) else { return };
+        let Some(accuser) = &update.accuser else { return };
+        let enough = known.suspected_by.len() > self.settings.confirmations;
+        let same = known.member.state == MemberState::Suspect
+            && known.member.incarnation == update.incarnation;
+        if !same || enough || known.suspected_by.contains(accuser) {
+            return;
         }
+        known.suspected_by.push(accuser.clone());
+        self.rumors.push(update);
     }
 
     /// Declares suspects dead that did not refute in time. The time shrinks as more hosts suspect
@@ -287,7 +308,7 @@
                 let allowed = self.suspicion_time(known.suspected_by.len());
                 now.saturating_duration_since(known.changed_at) >= allowed
             })
-            .map(|known| Member { state: MemberState::Dead, ..known.member.clone() })
+            .map(|known| Member { state: MemberState::Dead, accuser: None, ..known.member.clone() })
             .collect();
         for dead in expired {
             self.evictions += 1;
@@ -345,7 +366,7 @@
         now: Instant,
         out: &mut Vec<Outgoing>,
     ) {
-        self.take_update(&message.sender, &message.sender.host, now);
+        self.take_update(&message.sender, now);
         if let Some(known) = self.members.get_mut(&message.sender.host) {
             known.config_version = known.config_version.max(message.config_version);
             if known.member.state != MemberState::Alive
@@ -357,7 +378,7 @@
             }
         }
         for update in &message.updates {
-            self.take_update(update, &message.sender.host, now);
+            self.take_update(update, now);
         }
         match message.kind {
             MessageKind::Ping(id) => out.push(self.gossip(from, MessageKind::Ack(id))),
@@ -407,7 +428,7 @@
     }
 
     /// Takes a statement about a host, said by another.
-    fn take_update(&mut self, update: &Member, by: &HostName, now: Instant) {
+    fn take_update(&mut self, update: &Member, now: Instant) {
         if update.host == self.own.host {
             return self.refute(update);
         }
@@ -419,9 +440,8 @@
         };
         if update.supersedes(&known.member) {
             self.insert(update.clone(), now);
-        }
-        if update.state == MemberState::Suspect {
-            self.confirm(&update.host.clone(), by);
+        } else if update.state == MemberState::Suspect {
+            self.confirm(update.clone());
         }
     }
 
@@ -442,8 +462,8 @@
         let known = self.members.get(&member.host);
         let config_version = known.map_or(ConfigVersion(0), |known| known.config_version);
         let host = member.host.clone();
-        let known =
-            KnownMember { member, changed_at: now, suspected_by: Vec::new(), config_version };
+        let suspected_by = member.accuser.iter().cloned().collect();
+        let known = KnownMember { member, changed_at: now, suspected_by, config_version };
         self.members.insert(host, known);
     }
 }
--- /dev/null
+++ b/crates/membership/tests/network.rs
@@ -0,0 +1,222 @@
+//! Many views over a simulated network in virtual time: loss, broken links, partitions, restarts.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use camphorloft_membership::settings::MembershipSettings;
+use camphorloft_membership::{Member, MemberState, Membership, Outgoing};
+use camphorloft_types::prelude::*;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const TICK: Duration = Duration::from_millis(100);
+const REGIONS: usize = 3;
+
+/// A network of views.
+struct Network {
+    now: Instant,
+    views: Vec<Option<Membership>>,
+    loss: f64,
+    /// Pairs of hosts between which nothing arrives, in this direction.
+    cut: BTreeSet<(usize, usize)>,
+    rng: Pcg64Mcg,
+}
+
+fn addr(ix: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (ix / 250) as u8, (ix % 250) as u8], 7000))
+}
+
+fn host_of(addr: SocketAddr) -> usize {
+    match addr {
+        SocketAddr::V4(v4) => {
+            usize::from(v4.ip().octets()[2]) * 250 + usize::from(v4.ip().octets()[3])
+        }
+        SocketAddr::V6(_) => panic!("only IPv4 here"),
+    }
+}
+
+fn member(ix: usize, incarnation: u64) -> Member {
+    Member {
+        host: format!("host-{ix}").parse().unwrap(),
+        addr: addr(ix),
+        http_addr: addr(ix),
+        region: format!("region-{}", ix % REGIONS).parse().unwrap(),
+        zone: format!("zone-{}", ix % REGIONS).parse().unwrap(),
+        incarnation: Incarnation(incarnation),
+        state: MemberState::Alive,
+        accuser: None,
+    }
+}
+
+impl Network {
+    fn start(count: usize, seed: u64) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut network =
+            Self { now: Instant::now(), views: Vec::new(), loss: 0.0, cut: BTreeSet::new(), rng };
+        for ix in 0..count {
+            let view = network.new_view(ix, 1, count);
+            network.views.push(Some(view));
+        }
+        network
+    }
+
+    fn new_view(&self, ix: usize, incarnation: u64, count: usize) -> Membership {
+        let own = member(ix, incarnation);
+        let seed = incarnation * 1000 + ix as u64;
+        let mut view = Membership::new(own, MembershipSettings::default(), seed, self.now);
+        for other in 0..count {
+            view.add_seed(member(other, 0), self.now);
+        }
+        view
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            let mut out: Vec<(usize, Outgoing)> = Vec::new();
+            for ix in 0..self.views.len() {
+                let mut sent = Vec::new();
+                if let Some(view) = &mut self.views[ix] {
+                    view.tick(self.now, &mut sent);
+                }
+                out.extend(sent.into_iter().map(|outgoing| (ix, outgoing)));
+            }
+            while let Some((from, outgoing)) = out.pop() {
+                let to = host_of(outgoing.to);
+                if self.cut.contains(&(from, to)) || self.rng.random_bool(self.loss) {
+                    continue;
+                }
+                let Some(Some(view)) = self.views.get_mut(to) else { continue };
+                let mut replies = Vec::new();
+                view.receive(addr(from), &outgoing.message, self.now, &mut replies);
+                out.extend(replies.into_iter().map(|reply| (to, reply)));
+            }
+        }
+    }
+
+    /// Returns the hosts that each running host sees in a state.
+    fn seen_as(&self, state: MemberState) -> BTreeMap<usize, BTreeSet<usize>> {
+        let running = self.views.iter().enumerate();
+        let running = running.filter_map(|(ix, view)| view.as_ref().map(|view| (ix, view)));
+        running
+            .map(|(ix, view)| {
+                let seen = view.members().filter(|known| known.member.state == state);
+                (ix, seen.map(|known| host_of(known.member.addr)).collect())
+            })
+            .collect()
+    }
+
+    fn evictions(&self) -> u64 {
+        self.views.iter().flatten().map(Membership::evictions).sum()
+    }
+
+    fn all_see_all_alive(&self) -> bool {
+        let count = self.views.len() - 1;
+        self.seen_as(MemberState::Alive).values().all(|seen| seen.len() == count)
+    }
+}
+
+#[test]
+fn a_stopped_host_is_found_dead_by_all() {
+    let mut network = Network::start(24, 1);
+    network.run(Duration::from_secs(10));
+    assert!(network.all_see_all_alive());
+    network.views[5] = None;
+    network.run(Duration::from_secs(20));
+    let dead = network.seen_as(MemberState::Dead);
+    assert!(dead.values().all(|seen| *seen == BTreeSet::from([5])), "{dead:?}");
+}
+
+#[test]
+fn loss_evicts_nobody() {
+    for (seed, loss) in [(1, 0.01), (2, 0.05), (3, 0.05), (4, 0.10)] {
+        let mut network = Network::start(32, seed);
+        network.loss = loss;
+        network.run(Duration::from_secs(120));
+        assert_eq!(network.evictions(), 0, "seed {seed} loss {loss}");
+    }
+}
+
+#[test]
+fn one_broken_link_evicts_nobody() {
+    let mut network = Network::start(12, 7);
+    network.run(Duration::from_secs(5));
+    // Host 0 hears nothing from host 3, while 3 hears 0.
+    network.cut.insert((3, 0));
+    network.run(Duration::from_secs(120));
+    assert_eq!(network.evictions(), 0);
+    // Both directions.
+    network.cut.insert((0, 3));
+    network.run(Duration::from_secs(120));
+    assert_eq!(network.evictions(), 0);
+}
+
+#[test]
+fn a_third_of_the_hosts_goes_at_once() {
+    let mut network = Network::start(30, 11);
+    network.run(Duration::from_secs(5));
+    for ix in 0..10 {
+        network.views[ix] = None;
+    }
+    network.run(Duration::from_secs(40));
+    let gone: BTreeSet<usize> = (0..10).collect();
+    let dead = network.seen_as(MemberState::Dead);
+    assert!(dead.values().all(|seen| *seen == gone), "{dead:?}");
+}
+
+#[test]
+fn regions_join_again_after_minutes_apart() {
+    let mut network = Network::start(18, 13);
+    network.run(Duration::from_secs(5));
+    for a in 0..18 {
+        for b in 0..18 {
+            if (a % REGIONS == 0) != (b % REGIONS == 0) {
+                network.cut.insert((a, b));
+            }
+        }
+    }
+    network.run(Duration::from_secs(300));
+    assert!(!network.all_see_all_alive());
+    network.cut.clear();
+    network.run(Duration::from_secs(240));
+    assert!(network.all_see_all_alive(), "{:?}", network.seen_as(MemberState::Dead));
+}
+
+#[test]
+fn a_restarted_host_replaces_its_old_self() {
+    let mut network = Network::start(10, 17);
+    network.run(Duration::from_secs(5));
+    for round in 2..6 {
+        for ix in 0..10 {
+            network.views[ix] = Some(network.new_view(ix, round, 10));
+            network.run(Duration::from_millis(500));
+        }
+    }
+    network.run(Duration::from_secs(60));
+    assert!(network.all_see_all_alive());
+}
+
+#[test]
+fn a_host_that_says_goodbye_is_not_suspected() {
+    let mut network = Network::start(8, 19);
+    network.run(Duration::from_secs(5));
+    let mut out = Vec::new();
+    if let Some(view) = &mut network.views[2] {
+        view.leave(&mut out);
+    }
+    for outgoing in out {
+        let to = host_of(outgoing.to);
+        let now = network.now;
+        let mut replies = Vec::new();
+        if let Some(view) = &mut network.views[to] {
+            view.receive(addr(2), &outgoing.message, now, &mut replies);
+        }
+    }
+    network.views[2] = None;
+    network.run(Duration::from_secs(20));
+    assert_eq!(network.evictions(), 0);
+    let left = network.seen_as(MemberState::Left);
+    assert!(left.values().all(|seen| *seen == BTreeSet::from([2])), "{left:?}");
+}
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -24,6 +24,9 @@
     /// 0 alive, 1 suspect, 2 dead, 3 left.
     #[prost(uint32, tag = "7")]
     pub state: u32,
+    /// The host whose own probe failed; empty unless suspect.
+    #[prost(string, tag = "8")]
+    pub accuser: String,
 }
 
 /// Question or answer of a membership message.
--- /dev/null
+++ b/crates/platform/tests/claims.rs
@@ -0,0 +1,208 @@
+//! A claim is granted at most once, whatever answers are lost.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use camphorloft_platform::api::{PlatformApi, Table};
+use camphorloft_platform::budget::{CallBudget, CallClass};
+use camphorloft_platform::claim::{ClaimDecision, ClaimKey, ClaimRecord, ClaimState, KeptAnswer};
+use camphorloft_platform::claim_batch::{ClaimBatch, ClaimRequest};
+use camphorloft_platform::claims::start_claims;
+use camphorloft_platform::wire::{Conflict, Row};
+use camphorloft_standins::platform_fake::{FakePlatform, Fate};
+use proptest::prelude::*;
+
+fn key(name: &str) -> ClaimKey {
+    ClaimKey::new(&"org".parse().unwrap(), &"booking".parse().unwrap(), name)
+}
+
+fn request(name: &str, nonce: &str) -> ClaimRequest {
+    let record = ClaimRecord {
+        nonce: nonce.to_owned(),
+        host: "h".parse().unwrap(),
+        fingerprint: "f".to_owned(),
+        state: ClaimState::Claimed,
+    };
+    ClaimRequest { key: key(name), record }
+}
+
+fn budget() -> CallBudget {
+    CallBudget::new(100_000.0, 1000.0, Instant::now())
+}
+
+/// A shared fake, since the service takes its platform by value.
+struct Shared(Arc<FakePlatform>);
+
+impl PlatformApi for Shared {
+    fn read(
+        &self,
+        table: Table,
+        key: &str,
+    ) -> Result<Option<Row>, camphorloft_platform::api::PlatformError> {
+        self.0.read(table, key)
+    }
+    fn scan(
+        &self,
+        table: Table,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<(String, Row)>, camphorloft_platform::api::PlatformError> {
+        self.0.scan(table, prefix, after, limit)
+    }
+    fn transact(
+        &self,
+        table: Table,
+        writes: &[camphorloft_platform::wire::Write],
+    ) -> Result<camphorloft_platform::api::Transacted, camphorloft_platform::api::PlatformError>
+    {
+        self.0.transact(table, writes)
+    }
+    fn put_object(
+        &self,
+        name: &str,
+        bytes: &[u8],
+    ) -> Result<(), camphorloft_platform::api::PlatformError> {
+        self.0.put_object(name, bytes)
+    }
+    fn get_object(
+        &self,
+        name: &str,
+    ) -> Result<Option<Vec<u8>>, camphorloft_platform::api::PlatformError> {
+        self.0.get_object(name)
+    }
+    fn hosts(
+        &self,
+    ) -> Result<Vec<camphorloft_platform::wire::HostEntry>, camphorloft_platform::api::PlatformError>
+    {
+        self.0.hosts()
+    }
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_the_nonce() {
+    let platform = Arc::new(FakePlatform::default());
+    platform.script([Fate::AnswerLost]);
+    let client = start_claims(Shared(platform.clone()), budget());
+    assert_eq!(client.claim(request("k", "n1")), ClaimDecision::Granted);
+    assert!(matches!(client.claim(request("k", "n2")), ClaimDecision::Existing(_)));
+}
+
+#[test]
+fn an_outage_refuses_and_later_releases() {
+    let platform = Arc::new(FakePlatform::default());
+    // The first transaction lands without an answer; then nothing answers until the deadline.
+    platform.script(std::iter::once(Fate::AnswerLost).chain([Fate::Refused; 200]));
+    let client = start_claims(Shared(platform.clone()), budget());
+    assert_eq!(client.claim(request("k", "n1")), ClaimDecision::Unconfirmed);
+    // The release is written as soon as the platform answers, so a repetition gets the claim.
+    let decision = loop {
+        match client.claim(request("k", "n2")) {
+            ClaimDecision::Unconfirmed | ClaimDecision::Existing(_) => {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            decision => break decision,
+        }
+    };
+    assert_eq!(decision, ClaimDecision::Granted);
+}
+
+#[test]
+fn a_recorded_answer_is_returned_to_a_repetition() {
+    let platform = Arc::new(FakePlatform::default());
+    let client = start_claims(Shared(platform), budget());
+    let first = request("k", "n1");
+    assert_eq!(client.claim(first.clone()), ClaimDecision::Granted);
+    let answer = KeptAnswer {
+        status: 200,
+        content_type: "text/plain".to_owned(),
+        body: Some("a".to_owned()),
+    };
+    let state = ClaimState::Done(answer);
+    client.record(first.key.clone(), ClaimRecord { state: state.clone(), ..first.record });
+    let stored = loop {
+        match client.claim(request("k", "n2")) {
+            ClaimDecision::Existing(record) if record.state == state => break record,
+            ClaimDecision::Existing(_) => std::thread::sleep(Duration::from_millis(5)),
+            other => panic!("{other:?}"),
+        }
+    };
+    assert_eq!(stored.nonce, "n1");
+}
+
+#[test]
+fn a_class_leaves_room_for_those_before_it() {
+    let now = Instant::now();
+    let mut budget = CallBudget::new(10.0, 5.0, now);
+    let mut taken = 0;
+    while budget.try_take(CallClass::Statistics, now) {
+        taken += 1;
+    }
+    assert_eq!(taken, 1);
+    assert!(budget.try_take(CallClass::Config, now));
+    assert!(budget.try_take(CallClass::Lease, now));
+    assert!(budget.try_take(CallClass::Claim, now));
+}
+
+fn any_fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        3 => Just(Fate::Answered),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::RequestLost),
+        1 => Just(Fate::Refused)
+    ]
+}
+
+proptest! {
+    /// Hosts decide batches of claims on few keys, with lost answers; a key is granted once.
+    #[test]
+    fn a_key_is_granted_once(
+        batches in proptest::collection::vec(
+            (proptest::collection::btree_set(0_u8..5, 1..5), proptest::collection::vec(any_fate(), 0..4)),
+            1..12,
+        ),
+    ) {
+        let platform = FakePlatform::default();
+        let mut granted: BTreeMap<u8, u32> = BTreeMap::new();
+        for (number, (keys, fates)) in batches.iter().enumerate() {
+            let requests =
+                keys.iter().map(|k| request(&k.to_string(), &format!("{number}-{k}"))).collect();
+            let mut batch = ClaimBatch::new(requests);
+            platform.script(fates.iter().copied());
+            for _ in 0..fates.len() + 1 {
+                let writes = batch.writes();
+                if writes.is_empty() {
+                    break;
+                }
+                match platform.transact(Table::Claims, &writes) {
+                    Ok(camphorloft_platform::api::Transacted::Applied) => batch.applied(),
+                    Ok(camphorloft_platform::api::Transacted::Conflicts(conflicts)) => {
+                        batch.conflicts(&conflicts);
+                    }
+                    Err(_) => batch.answer_lost(),
+                }
+            }
+            // Fates that were not used belong to this batch only.
+            while platform.transact(Table::Leases, &[]).is_err() {}
+            let (decided, _) = batch.finish();
+            for ((_, decision), key) in decided.iter().zip(keys) {
+                if *decision == ClaimDecision::Granted {
+                    *granted.entry(*key).or_default() += 1;
+                }
+            }
+        }
+        prop_assert!(granted.values().all(|count| *count <= 1), "{granted:?}");
+    }
+}
+
+#[test]
+fn a_released_claim_is_taken_over_by_its_version() {
+    let released = ClaimRecord { state: ClaimState::Released, ..request("k", "old").record };
+    let row = Row { version: 3, value: serde_json::to_string(&released).unwrap() };
+    let mut batch = ClaimBatch::new(vec![request("k", "new")]);
+    assert_eq!(batch.writes().len(), 1);
+    batch.conflicts(&[Conflict { index: 0, row: Some(row) }]);
+    let writes = batch.writes();
+    assert_eq!(writes[0].expect, camphorloft_platform::wire::Expect::Version(3));
+}
--- /dev/null
+++ b/crates/platform/tests/lease.rs
@@ -0,0 +1,96 @@
+//! Two hosts never hold one lease at the same time, whatever pauses and losses there are.
+
+use std::time::{Duration, Instant};
+
+use camphorloft_platform::api::{PlatformApi, Table, Transacted};
+use camphorloft_platform::lease::{Lease, LeaseAction};
+use camphorloft_standins::platform_fake::{FakePlatform, Fate};
+use proptest::prelude::*;
+
+/// What happens to a host in one step.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    host: usize,
+    elapsed_ms: u64,
+    fate: Fate,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    let fate = prop_oneof![
+        4 => Just(Fate::Answered),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::RequestLost),
+        1 => Just(Fate::Refused)
+    ];
+    (0_usize..3, 0_u64..6000, fate).prop_map(|(host, elapsed_ms, fate)| Step {
+        host,
+        elapsed_ms,
+        fate,
+    })
+}
+
+/// Runs one poll of a host against the platform.
+fn drive(lease: &mut Lease, platform: &FakePlatform, now: Instant, fate: Fate) {
+    match lease.poll(now, true) {
+        LeaseAction::Wait => {}
+        LeaseAction::Read => {
+            let row = platform.read(Table::Leases, lease.key()).unwrap();
+            lease.observe(now, row.as_ref());
+        }
+        LeaseAction::Write(write) => {
+            platform.script([fate]);
+            match platform.transact(Table::Leases, &[write]) {
+                Ok(Transacted::Applied) => lease.written(),
+                Ok(Transacted::Conflicts(conflicts)) => {
+                    lease.conflicted(now, conflicts[0].row.as_ref());
+                }
+                Err(_) => {}
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(512))]
+
+    #[test]
+    fn at_most_one_holder_and_growing_fencing(
+        steps in proptest::collection::vec(any_step(), 1..80),
+    ) {
+        let platform = FakePlatform::default();
+        let mut leases: Vec<Lease> = (0..3)
+            .map(|ix| Lease::new("zone-a", format!("h{ix}").parse().unwrap(), ix))
+            .collect();
+        let mut now = Instant::now();
+        let mut highest = 0;
+        for step in steps {
+            now += Duration::from_millis(step.elapsed_ms);
+            drive(&mut leases[step.host], &platform, now, step.fate);
+            let held: Vec<u64> =
+                leases.iter().filter_map(|lease| lease.fencing(now)).map(|f| f.0).collect();
+            prop_assert!(held.len() <= 1, "held by {held:?}");
+            if let Some(fencing) = held.first() {
+                prop_assert!(*fencing >= highest, "fencing went from {highest} to {fencing}");
+                highest = *fencing;
+            }
+        }
+    }
+}
+
+#[test]
+fn a_lease_is_taken_over_after_its_holder_stops() {
+    let platform = FakePlatform::default();
+    let mut holder = Lease::new("k", "h0".parse().unwrap(), 0);
+    let mut other = Lease::new("k", "h1".parse().unwrap(), 1);
+    let mut now = Instant::now();
+    for _ in 0..3 {
+        drive(&mut holder, &platform, now, Fate::Answered);
+    }
+    let first = holder.fencing(now).unwrap();
+    for _ in 0..20 {
+        now += Duration::from_secs(1);
+        drive(&mut other, &platform, now, Fate::Answered);
+    }
+    assert!(other.fencing(now).unwrap() > first);
+    assert_eq!(holder.fencing(now), None);
+}
--- /dev/null
+++ b/crates/platform/tests/publication.rs
@@ -0,0 +1,114 @@
+//! Proposals race, answers are lost, and one version wins.
+
+use std::sync::Arc;
+
+use camphorloft_config::RawSet;
+use camphorloft_platform::publication::{
+    Proposal, ProposeError, VersionedSet, fetch_current, fetch_since, propose, read_proposal,
+};
+use camphorloft_standins::platform_fake::{FakePlatform, Fate};
+use camphorloft_types::prelude::ConfigVersion;
+use proptest::prelude::*;
+
+fn set(tokens: u32) -> RawSet {
+    let text = format!(r#"{{"models": {{"m": {{"max_output_tokens": {tokens}}}}}}}"#);
+    RawSet::parse(&text).unwrap()
+}
+
+fn proposal(id: &str, base: u64, tokens: u32) -> Proposal {
+    let (id, author) = (id.to_owned(), "test".to_owned());
+    Proposal { id, author, base: ConfigVersion(base), set: set(tokens) }
+}
+
+#[test]
+fn a_proposal_whose_answer_is_lost_is_accepted_once() {
+    let platform = FakePlatform::default();
+    platform.script([Fate::AnswerLost]);
+    assert_eq!(propose(&platform, &proposal("a", 0, 1)).unwrap(), ConfigVersion(1));
+    assert_eq!(fetch_current(&platform).unwrap().version, ConfigVersion(1));
+    // The operator repeats the command with the same identity.
+    assert_eq!(propose(&platform, &proposal("a", 0, 1)).unwrap(), ConfigVersion(1));
+    assert_eq!(fetch_current(&platform).unwrap().version, ConfigVersion(1));
+}
+
+#[test]
+fn a_proposal_on_an_old_base_names_the_clash() {
+    let platform = FakePlatform::default();
+    propose(&platform, &proposal("a", 0, 1)).unwrap();
+    propose(&platform, &proposal("b", 1, 2)).unwrap();
+    match propose(&platform, &proposal("c", 1, 3)) {
+        Err(ProposeError::Superseded(version, clashes)) => {
+            assert_eq!(version, ConfigVersion(2));
+            assert_eq!(clashes.iter().map(ToString::to_string).collect::<Vec<_>>(), ["models/m"]);
+        }
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(read_proposal(&platform, "c").unwrap(), None);
+}
+
+#[test]
+fn an_undetermined_proposal_can_be_looked_up() {
+    let platform = FakePlatform::default();
+    platform.script([Fate::RequestLost; 8]);
+    let result = propose(&platform, &proposal("a", 0, 1));
+    assert!(matches!(result, Err(ProposeError::Undetermined(..))));
+    assert_eq!(read_proposal(&platform, "a").unwrap(), None);
+    assert_eq!(propose(&platform, &proposal("a", 0, 1)).unwrap(), ConfigVersion(1));
+}
+
+#[test]
+fn racing_proposals_have_one_winner() {
+    const RACERS: u32 = 8;
+    let platform = Arc::new(FakePlatform::default());
+    propose(&*platform, &proposal("first", 0, 1)).unwrap();
+    let racer = |ix: u32| {
+        let platform = platform.clone();
+        std::thread::spawn(move || propose(&*platform, &proposal(&format!("r{ix}"), 1, ix + 2)))
+    };
+    let threads: Vec<_> = (0..RACERS).map(racer).collect();
+    let results: Vec<_> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
+    let winners = results.iter().filter(|result| result.is_ok()).count();
+    assert_eq!(winners, 1);
+    assert_eq!(fetch_current(&*platform).unwrap().version, ConfigVersion(2));
+}
+
+fn any_fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        Just(Fate::Answered),
+        Just(Fate::AnswerLost),
+        Just(Fate::RequestLost),
+        Just(Fate::Refused)
+    ]
+}
+
+proptest! {
+    #[test]
+    fn versions_only_grow_and_deltas_lead_to_them(
+        fates in proptest::collection::vec(any_fate(), 0..60),
+        bases in proptest::collection::vec(0_u64..12, 1..12),
+    ) {
+        let platform = FakePlatform::default();
+        platform.script(fates);
+        let mut accepted = 0;
+        let mut follower = VersionedSet::default();
+        for (ix, base) in bases.iter().enumerate() {
+            let result = propose(&platform, &proposal(&format!("p{ix}"), *base, ix as u32 + 1));
+            let current = fetch_current(&platform).unwrap();
+            if let Ok(version) = result {
+                prop_assert_eq!(version, current.version);
+                prop_assert_eq!(version.0, base + 1);
+                accepted += 1;
+            }
+            // A proposal that was refused for sure must not have been published.
+            if matches!(result, Err(ProposeError::Superseded(..) | ProposeError::Platform(_))) {
+                prop_assert_eq!(read_proposal(&platform, &format!("p{ix}")).unwrap(), None);
+            }
+            if let Some(next) = fetch_since(&platform, &follower).unwrap() {
+                prop_assert!(next.version > follower.version);
+                prop_assert_eq!(&next, &current);
+                follower = next;
+            }
+        }
+        prop_assert!(fetch_current(&platform).unwrap().version.0 >= accepted);
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`engine`]: the engine model behind HTTP.
 //! - [`engine_http`]: requests and events of the engine's protocol.
 //! - [`platform`]: a transactional table, an object store and a lagging host list.
+//! - [`platform_fake`]: the platform without a network, with scripted failures.
 //! - [`platform_http`]: the platform's protocol over HTTP.
 //! - [`service`]: a plain service that counts its effects by key.
 //!
@@ -14,6 +15,7 @@
 pub mod engine_http;
 pub mod engine_model;
 pub mod platform;
+pub mod platform_fake;
 pub mod platform_http;
 pub mod service;
 pub mod text_model;
