Place with several hosts on the same engines; test hosts on real sockets

Cause: today's users run 7 to 8 hosts before the same 9 to 12 engines, and the policy was measured with one. The length prior had a mean of 10,000 tokens, so cold hosts refused work.

Change: reports are compared with what this host had when they were made; hosts that share an endpoint compare a random half of them, expect the others to admit as they did, and each acts on an overflow once per report with probability one over their number. The wait is predicted from the rate at which the engines decode, not from past admissions.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,5 +1,7 @@
 //! Load and experiment tool.
 //!
+//! - [`capacity`]: rebuilds the tables of docs/CAPACITY.md.
+//! - [`claims`]: what claims cost.
 //! - [`control`]: what many control planes cost and how fast they agree.
 //! - [`faults`]: checks the promises in a randomised run with faults.
 //! - [`policy`]: compares placement policies in virtual time.
@@ -9,6 +11,8 @@
 
 use argh::FromArgs;
 
+mod capacity;
+mod claims;
 mod control;
 mod faults;
 mod policy;
@@ -24,6 +28,8 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Capacity(capacity::CapacityArgs),
+    Claims(claims::ClaimsArgs),
     Control(control::ControlArgs),
     Faults(faults::FaultsArgs),
     Host(faults::HostArgs),
@@ -35,6 +41,8 @@
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
     match args.command {
+        Command::Capacity(args) => capacity::run(&args),
+        Command::Claims(args) => claims::run(&args),
         Command::Control(args) => control::run(&args),
         Command::Faults(args) => faults::run(&args),
         Command::Host(args) => faults::run_host(&args),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 //! - [`ask`]: sends a prompt and prints the answer as it arrives.
 //! - [`config`]: checks, proposes and watches object sets.
 //! - [`exit`]: exit codes and errors.
+//! - [`explain`]: shows the decisions about one request from decision logs.
 //! - [`hosts`]: shows hosts and endpoints, drains a host.
 //! - [`key`]: hashes the key of an organisation.
 //! - [`operator`]: calls the operator interface of a host.
@@ -15,6 +16,7 @@
 mod ask;
 mod config;
 mod exit;
+mod explain;
 mod hosts;
 mod key;
 mod operator;
@@ -35,6 +37,7 @@
     Try(trial::TryArgs),
     Ask(ask::AskArgs),
     Config(config::ConfigArgs),
+    Explain(explain::ExplainArgs),
     Hosts(hosts::HostsArgs),
     Endpoints(hosts::EndpointsArgs),
     Drain(hosts::DrainArgs),
@@ -47,6 +50,7 @@
         Command::Try(args) => trial::run(&args),
         Command::Ask(args) => ask::run(&args),
         Command::Config(args) => config::run(&args),
+        Command::Explain(args) => explain::run(&args),
         Command::Hosts(args) => hosts::run_hosts(&args),
         Command::Endpoints(args) => hosts::run_endpoints(&args),
         Command::Drain(args) => hosts::run_drain(&args),
--- a/crates/config/src/object.rs
+++ b/crates/config/src/object.rs
@@ -23,6 +23,13 @@
     pub model: ModelName,
 }
 
+/// Sequences that an engine runs at a time when its object does not say.
+const DEFAULT_MAX_SEQUENCES: u32 = 96;
+
+fn default_max_sequences() -> u32 {
+    DEFAULT_MAX_SEQUENCES
+}
+
 /// One endpoint of a pool.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -35,6 +42,9 @@
     pub zone: AvailabilityZone,
     /// Capacity of the KV cache, in tokens.
     pub kv_tokens: TokenCount,
+    /// Sequences that the engine runs at a time.
+    #[serde(default = "default_max_sequences")]
+    pub max_sequences: u32,
     /// Models that the engine serves.
     pub models: Vec<ModelName>,
     /// True when the engine refuses an order with an old fencing number.
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -101,7 +101,7 @@
         let lengths = LearnedLengths::default();
         Some(Self {
             setup,
-            decider: Decider::new(PolicySettings::default(), lengths, seed, cx.now()),
+            decider: Decider::new(PolicySettings::default(), lengths, seed),
             registry: Registry::default(),
             serving: None,
             leaving: HashSet::new(),
@@ -134,6 +134,7 @@
                 }
             }
             CoreMessage::Blame(blame) => self.decider.learn_blame(blame, now),
+            CoreMessage::Sharers(sharers) => self.decider.set_sharers(sharers),
             CoreMessage::Leaving(addresses) => {
                 self.leaving = addresses;
                 self.update_leaving();
@@ -337,7 +338,9 @@
                 Some(ix) => ix,
                 None => {
                     let distance = self.distance(&endpoint.object.region, &endpoint.object.zone);
-                    let ix = self.decider.add_endpoint(endpoint.object.kv_tokens.0, distance);
+                    let object = &endpoint.object;
+                    let (kv, sequences) = (object.kv_tokens.0, object.max_sequences);
+                    let ix = self.decider.add_endpoint(kv, sequences, distance);
                     self.registry.add_endpoint(ix, &endpoint.name, endpoint.object.address);
                     ix
                 }
@@ -396,6 +399,7 @@
             kv_tokens: report.kv_tokens,
             running: report.running,
             waiting: report.waiting,
+            waiting_tokens: report.waiting_tokens,
             draining: report.draining,
         };
         self.decider.report(endpoint, &report, made_at, now);
--- a/crates/daemon/src/core_client.rs
+++ b/crates/daemon/src/core_client.rs
@@ -170,6 +170,7 @@
     }
 
     fn live_hosts(&self, hosts: HashSet<HostName>) {
+        self.sender.send(CoreMessage::Sharers(hosts.len() as u32 + 1));
         *self.shared.live_hosts.write().unwrap_or_else(PoisonError::into_inner) = hosts;
     }
 
--- a/crates/daemon/src/core_thread.rs
+++ b/crates/daemon/src/core_thread.rs
@@ -46,6 +46,8 @@
     CacheEvents(EndpointIx, CacheEvents),
     /// Another host found blame.
     Blame(Blame),
+    /// This many hosts, this one included, place on the same endpoints.
+    Sharers(u32),
     /// The platform's list shows these addresses as leaving.
     Leaving(HashSet<String>),
     /// Asks for a view, as JSON.
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -44,6 +44,8 @@
 pub struct Host {
     /// Address for callers and operators.
     pub addr: SocketAddr,
+    /// Address for other hosts.
+    pub peer_addr: SocketAddr,
     /// State that the core writes.
     pub shared: Arc<Shared>,
     /// The version in force.
@@ -80,7 +82,18 @@
     let core_thread =
         thread::Builder::new().name("core".to_owned()).spawn(move || run_core(setup, &rx))?;
     LoadPoller { endpoints: polled, core: core.clone(), stop: stop.clone() }.start();
-    let link = start_control(&settings, addr, &platform, &config, &shared, &core, &log)?;
+    let listener = TcpListener::bind(settings.peer_listen)?;
+    let peer_addr = listener.local_addr()?;
+    let parts = ControlParts {
+        settings: &settings,
+        http_addr: addr,
+        platform: &platform,
+        config: &config,
+        shared: &shared,
+        core: &core,
+        log: &log,
+    };
+    let link = start_control(&parts, listener)?;
     // The cell was made here and is set once.
     let _ = shared.link.set(link);
     let control = Arc::new(CoreClient {
@@ -108,6 +121,7 @@
     info!(log, "host started"; "address" => %addr);
     Ok(Host {
         addr,
+        peer_addr,
         shared,
         config,
         settings,
@@ -120,17 +134,20 @@
     })
 }
 
-/// Starts the control plane of a host.
-fn start_control(
-    settings: &Settings,
+/// What the control plane of a host is started from.
+struct ControlParts<'a> {
+    settings: &'a Settings,
     http_addr: SocketAddr,
-    platform: &Arc<HttpPlatform>,
-    config: &ConfigState,
-    shared: &Arc<Shared>,
-    core: &CoreSender,
-    log: &Logger,
-) -> io::Result<PeerLink> {
-    let listener = TcpListener::bind(settings.peer_listen)?;
+    platform: &'a Arc<HttpPlatform>,
+    config: &'a ConfigState,
+    shared: &'a Arc<Shared>,
+    core: &'a CoreSender,
+    log: &'a Logger,
+}
+
+/// Starts the control plane of a host.
+fn start_control(parts: &ControlParts<'_>, listener: TcpListener) -> io::Result<PeerLink> {
+    let ControlParts { settings, http_addr, platform, config, shared, core, log } = *parts;
     let peer_addr = listener.local_addr()?;
     let socket = UdpSocket::bind(peer_addr)?;
     let keys = FrameKeys::derive(&settings.secrets);
--- /dev/null
+++ b/crates/daemon/tests/effects.rs
@@ -0,0 +1,87 @@
+//! A call with an effect has it at most once.
+
+mod common;
+
+use camphorloft_standins::platform::PlatformFault;
+use camphorloft_standins::service::ServiceFault;
+use common::{TestCluster, problem, reserve, wait_until};
+
+fn total_effects(cluster: &TestCluster) -> u64 {
+    cluster.service.service.effects().values().sum()
+}
+
+#[test]
+fn a_repetition_gets_the_first_answer() {
+    let cluster = TestCluster::start(2, 1);
+    let mut first = reserve(cluster.hosts[0].addr, "k", "roller");
+    assert_eq!(first.status(), 200);
+    let first_body = first.body_mut().read_to_string().unwrap();
+    // The other host answers from the claim as soon as the outcome is recorded.
+    wait_until("the outcome is recorded", || {
+        let mut again = reserve(cluster.hosts[1].addr, "k", "roller");
+        let replayed = again.headers().contains_key("camphorloft-replayed");
+        replayed && again.body_mut().read_to_string().unwrap() == first_body
+    });
+    assert_eq!(total_effects(&cluster), 1);
+}
+
+#[test]
+fn a_key_of_another_call_is_refused() {
+    let cluster = TestCluster::start(1, 1);
+    assert_eq!(reserve(cluster.host(), "k", "roller").status(), 200);
+    let mut other = reserve(cluster.host(), "k", "excavator");
+    assert_eq!(other.status(), 422);
+    assert_eq!(problem(&mut other)["outcome"], "not_run");
+    assert_eq!(total_effects(&cluster), 1);
+}
+
+#[test]
+fn a_lost_answer_is_unknown_and_never_repeated() {
+    let cluster = TestCluster::start(1, 1);
+    cluster.service.service.inject(ServiceFault::LoseAnswers(1));
+    let mut lost = reserve(cluster.host(), "k", "roller");
+    assert_eq!(problem(&mut lost)["outcome"], "unknown");
+    for _ in 0..5 {
+        let mut again = reserve(cluster.host(), "k", "roller");
+        assert_eq!(problem(&mut again)["outcome"], "unknown");
+    }
+    assert_eq!(total_effects(&cluster), 1);
+}
+
+#[test]
+fn an_outage_of_the_platform_refuses_without_running() {
+    let cluster = TestCluster::start(1, 1);
+    cluster.platform.platform.state().inject(PlatformFault::Outage(60_000));
+    let mut refused = reserve(cluster.host(), "k", "roller");
+    assert_eq!(refused.status(), 503);
+    assert_eq!(problem(&mut refused)["outcome"], "not_run");
+    assert_eq!(total_effects(&cluster), 0);
+}
+
+#[test]
+fn a_lost_answer_of_the_platform_does_not_lose_the_call() {
+    let cluster = TestCluster::start(1, 1);
+    cluster.platform.platform.state().inject(PlatformFault::LoseAnswers(1));
+    assert_eq!(reserve(cluster.host(), "k", "roller").status(), 200);
+    assert_eq!(total_effects(&cluster), 1);
+}
+
+#[test]
+fn concurrent_repetitions_have_one_effect() {
+    let cluster = TestCluster::start(2, 1);
+    let addresses = [cluster.hosts[0].addr, cluster.hosts[1].addr];
+    std::thread::scope(|scope| {
+        for ix in 0..16 {
+            scope.spawn(move || reserve(addresses[ix % 2], "k", "roller"));
+        }
+    });
+    assert_eq!(total_effects(&cluster), 1);
+}
+
+#[test]
+fn a_call_without_a_key_is_refused() {
+    let cluster = TestCluster::start(1, 1);
+    let mut refused = reserve(cluster.host(), "", "roller");
+    assert_eq!(problem(&mut refused)["code"], "missing_idempotency_key");
+    assert_eq!(total_effects(&cluster), 0);
+}
--- /dev/null
+++ b/crates/daemon/tests/hosts.rs
@@ -0,0 +1,139 @@
+//! Hosts start, stop and learn the configuration under failures.
+
+mod common;
+
+use std::thread;
+
+use camphorloft_platform::wire::HostEntry;
+use camphorloft_standins::platform::PlatformFault;
+use camphorloft_types::prelude::ConfigVersion;
+use common::{KEYS, TestCluster, ask, client, problem, wait_until};
+
+#[test]
+fn a_drained_host_ends_its_streams_and_takes_no_more() {
+    const TOKENS: u32 = 400;
+    let cluster = TestCluster::start(1, 1);
+    let mut reading = ask(cluster.host(), KEYS[0], "drain", TOKENS, None).ok().unwrap();
+    reading.read(5);
+    thread::scope(|scope| {
+        let drained = scope.spawn(|| cluster.hosts[0].drain());
+        let ready = || client().get(format!("http://{}/readyz", cluster.host())).call().unwrap();
+        wait_until("readiness goes off", || ready().status() == 503);
+        wait_until("new requests are refused", || {
+            match ask(cluster.host(), KEYS[0], "late", 1, None) {
+                Ok(_) => false,
+                Err(mut refused) => problem(&mut refused)["outcome"] == "not_run",
+            }
+        });
+        reading.read_whole(TOKENS);
+        assert_eq!(drained.join().unwrap(), 0);
+    });
+}
+
+#[test]
+fn a_host_that_starts_in_an_outage_gets_the_set_from_its_peers() {
+    let cluster = TestCluster::start(1, 1);
+    cluster.publish(1);
+    wait_until("the second version", || cluster.hosts[0].config.version() == ConfigVersion(2));
+    cluster.platform.platform.state().inject(PlatformFault::Outage(300_000));
+    let seeds = [cluster.hosts[0].peer_addr.to_string()];
+    let late = cluster.start_host("host-late", &seeds);
+    wait_until("the late host has the set", || late.config.version() == ConfigVersion(2));
+    ask(late.addr, KEYS[0], "late", 10, None).ok().unwrap().read_whole(10);
+}
+
+#[test]
+fn a_host_without_a_configuration_serves_nothing() {
+    let cluster = TestCluster::start(1, 1);
+    cluster.platform.platform.state().inject(PlatformFault::Outage(300_000));
+    let alone = cluster.start_host("host-alone", &[]);
+    let mut refused = ask(alone.addr, KEYS[0], "alone", 1, None).err().unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(problem(&mut refused)["code"], "no_configuration");
+    let ready = client().get(format!("http://{}/readyz", alone.addr)).call().unwrap();
+    assert_eq!(ready.status(), 503);
+}
+
+#[test]
+fn an_endpoint_that_the_host_list_shows_as_leaving_gets_no_work() {
+    let cluster = TestCluster::start(1, 1);
+    let addr = cluster.engines[0].addr.to_string();
+    let entry = HostEntry {
+        name: "engine-0".to_owned(),
+        addr,
+        http_addr: None,
+        region: "r".to_owned(),
+        zone: "z".to_owned(),
+        leaving: true,
+    };
+    cluster.platform.platform.state().set_host("engine-0", Some(entry));
+    wait_until("work is refused", || match ask(cluster.host(), KEYS[0], "leaving", 1, None) {
+        Ok(reading) => {
+            reading.read_whole(1);
+            false
+        }
+        Err(mut refused) => problem(&mut refused)["code"] == "no_endpoint",
+    });
+}
+
+#[test]
+fn bad_input_gets_an_error_with_its_place_and_the_host_stays_up() {
+    let cluster = TestCluster::start(1, 1);
+    let host = cluster.host();
+    let post = |path: &str, key: &str, body: &[u8]| {
+        let call = client().post(format!("http://{host}{path}"));
+        call.header("authorization", format!("Bearer {key}")).send(body).unwrap()
+    };
+    let completions = "/v1/completions";
+    let large = vec![b' '; 200_000];
+    let cases: [(&str, &str, &[u8], u16, &str); 9] = [
+        (completions, KEYS[0], b"{", 400, "bad_request"),
+        (completions, KEYS[0], b"[1]", 400, "bad_request"),
+        (completions, KEYS[0], br#"{"model": "verdict"}"#, 400, "bad_request"),
+        (completions, KEYS[0], br#"{"model": "x", "prompt": "p"}"#, 404, "unknown_route"),
+        (completions, "wrong", br#"{"model": "verdict", "prompt": "p"}"#, 401, "unauthorized"),
+        (completions, KEYS[0], &large, 413, "body_too_large"),
+        (
+            "/v1/chat/completions",
+            KEYS[0],
+            br#"{"model": "verdict", "messages": []}"#,
+            400,
+            "bad_request",
+        ),
+        ("/services/none/x", KEYS[0], b"", 404, "unknown_service"),
+        ("/nowhere", KEYS[0], b"", 404, "unknown_path"),
+    ];
+    for (path, key, body, status, code) in cases {
+        let mut response = post(path, key, body);
+        assert_eq!(response.status(), status, "{path} {code}");
+        let problem = problem(&mut response);
+        assert_eq!(problem["code"], code);
+        assert_eq!(problem["outcome"], "not_run");
+        assert!(problem["detail"].as_str().is_some_and(|detail| !detail.is_empty()));
+    }
+    // Torn requests on the raw socket.
+    for bytes in
+        [&b"GET"[..], b"\r\n\r\n", b"POST /v1/completions HTTP/1.1\r\ncontent-length: 50\r\n\r\n{"]
+    {
+        let mut stream = std::net::TcpStream::connect(host).unwrap();
+        std::io::Write::write_all(&mut stream, bytes).unwrap();
+    }
+    ask(host, KEYS[0], "still up", 3, None).ok().unwrap().read_whole(3);
+    assert_eq!(cluster.violations(), 0);
+}
+
+#[test]
+fn an_answer_that_is_not_streamed_is_whole() {
+    let cluster = TestCluster::start(1, 1);
+    let body = serde_json::json!({
+        "model": "verdict", "messages": [{ "role": "user", "content": "safe?" }],
+        "standin": { "output_tokens": 12 }
+    });
+    let call = client().post(format!("http://{}/v1/chat/completions", cluster.host()));
+    let mut response =
+        call.header("authorization", format!("Bearer {}", KEYS[0])).send_json(&body).unwrap();
+    let answer: serde_json::Value = response.body_mut().read_json().unwrap();
+    let content = answer["choices"][0]["message"]["content"].as_str().unwrap();
+    assert_eq!(content.split_whitespace().count(), 12);
+    assert_eq!(answer["choices"][0]["finish_reason"], "stop");
+}
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -9,7 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::decision::{Decision, Placed, RefuseReason, Refused, TickOutput};
-use crate::endpoint_view::{Distance, EndpointView, Report};
+use crate::endpoint_view::{Distance, EndedSequence, EndpointView, ForeignLoad, Report};
 use crate::fair_queue::{FairQueue, Ticket, Waiting};
 use crate::forecast::{Forecast, HORIZONS};
 use crate::lengths::{ClassIx, ClassKey, Lengths};
@@ -28,13 +28,15 @@
 const SHORT_TOKENS: u32 = 96;
 /// Wait told to a caller when no endpoint is usable.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(2);
+/// Endpoints that are compared at least.
+const MIN_CANDIDATES: usize = 3;
+/// Mean memory of a sequence before one was seen, in tokens.
+const INITIAL_SEQUENCE_TOKENS: f32 = 800.0;
 /// Generations between two attempts that are remembered.
 const MAX_INTERRUPTED: usize = 10_000;
 /// Probability of overflow up to which a generation with delivered tokens is placed: it must not
 /// stall behind ones that have not begun.
 const CONTINUE_RISK: f32 = 0.6;
-/// Time constant of the served rate.
-const RATE_SECONDS: f64 = 10.0;
 
 /// How a placed generation ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,17 +81,16 @@
     /// Interruptions of generations that are between two attempts.
     interrupted: HashMap<GenerationId, u8>,
     prefixes: PrefixTable,
+    /// Hosts that place on the same endpoints.
+    pub(crate) sharers: u32,
+    /// Mean memory of a sequence, in tokens.
+    pub(crate) mean_kv: f32,
     poison: PoisonTable,
     retries: RetryBudgets,
-    rng: Pcg64Mcg,
+    pub(crate) rng: Pcg64Mcg,
     shed: Vec<Refused>,
     heads: Vec<Ticket>,
     candidates: Vec<EndpointIx>,
-    /// Tokens admitted per second, averaged.
-    served_rate: f64,
-    /// Expected tokens admitted since the last average.
-    admitted: u64,
-    rate_at: Instant,
 }
 
 impl<L> Decider<L>
@@ -97,7 +98,7 @@
     L: Lengths,
 {
     /// Builds a decider without endpoints.
-    pub fn new(settings: PolicySettings, lengths: L, seed: u64, now: Instant) -> Self {
+    pub fn new(settings: PolicySettings, lengths: L, seed: u64) -> Self {
         Self {
             settings,
             lengths,
@@ -110,21 +111,25 @@
             tickets: HashMap::new(),
             interrupted: HashMap::new(),
             prefixes: PrefixTable::default(),
+            sharers: 1,
+            mean_kv: INITIAL_SEQUENCE_TOKENS,
             poison: PoisonTable::default(),
             retries: RetryBudgets::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             shed: Vec::new(),
             heads: Vec::with_capacity(HEADS_PER_ROUND),
             candidates: Vec::with_capacity(256),
-            served_rate: 0.0,
-            admitted: 0,
-            rate_at: now,
         }
     }
 
     /// Adds an endpoint.
-    pub fn add_endpoint(&mut self, capacity: u32, distance: Distance) -> EndpointIx {
-        self.endpoints.push(EndpointView::new(capacity, distance))
+    pub fn add_endpoint(
+        &mut self,
+        capacity: u32,
+        max_sequences: u32,
+        distance: Distance,
+    ) -> EndpointIx {
+        self.endpoints.push(EndpointView::new(capacity, max_sequences, distance))
     }
 
     /// Returns the view of an endpoint.
@@ -162,6 +167,11 @@
         self.routes.get(&route).map_or_else(default, |view| (view.weights, view.thresholds))
     }
 
+    /// Sets the number of hosts that place on the same endpoints, this one included.
+    pub fn set_sharers(&mut self, sharers: u32) {
+        self.sharers = sharers.max(1);
+    }
+
     /// Sets the weight of an organisation.
     pub fn set_weight(&mut self, organisation: OrganisationIx, weight: Weight) {
         self.queue.set_weight(organisation, weight);
@@ -220,7 +230,7 @@
     }
 
     fn enqueue(&mut self, ask: Ask, now: Instant) -> Decision {
-        let wait = self.expected_wait();
+        let wait = self.expected_wait(now);
         if wait > self.settings.max_wait || self.queue.len() >= self.settings.max_waiting {
             return self.shed_for(ask, now, wait);
         }
@@ -249,12 +259,19 @@
         Decision::Waiting
     }
 
-    /// Returns the time in which the waiting work is served at the present rate.
-    pub fn expected_wait(&self) -> Duration {
-        if self.queue.is_empty() || self.served_rate < 1.0 {
+    /// Returns the time in which the waiting work is served, at the rate at which the engines
+    /// decode now and with this host's share of it.
+    pub fn expected_wait(&self, now: Instant) -> Duration {
+        if self.queue.is_empty() {
+            return Duration::ZERO;
+        }
+        let usable = self.endpoints.values().filter(|view| view.is_usable(now));
+        let rates = usable.map(|view| view.running() as f32 / view.step_seconds);
+        let share = rates.sum::<f32>() / self.sharers as f32;
+        if share < 1.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64(self.queue.expected_tokens() as f64 / self.served_rate)
+        Duration::from_secs_f64(self.queue.expected_tokens() as f64 / f64::from(share))
     }
 
     fn expected_tokens(&self, ask: &Ask) -> u32 {
@@ -281,7 +298,6 @@
         let (endpoint, mut placed) = self.best_endpoint(ask, &forecast, now)?;
         placed.expected_tokens = self.expected_tokens(ask);
         placed.waited = now.saturating_duration_since(since);
-        self.admitted += u64::from(placed.expected_tokens + ask.prompt_tokens);
         self.start(ask, endpoint, forecast, now);
         Some(placed)
     }
@@ -316,7 +332,7 @@
             let score = score(view, &load, &self.settings, &weights);
             let acceptable = score.risk <= risk_limit
                 && view.engine_waiting == 0
-                && view.running() < self.settings.max_batch;
+                && view.running() < view.max_sequences;
             let alone = view.running() == 0;
             if !acceptable && !alone {
                 continue;
@@ -354,11 +370,13 @@
     fn pool_risk(&self, forecast: &Forecast, now: Instant) -> f32 {
         let mut total = Forecast::default();
         let mut capacity = 0.0;
+        let others = (self.sharers - 1) as f32;
         for endpoint in &self.candidates {
             let view = &self.endpoints[*endpoint];
             if view.is_usable(now) {
                 total.add(&view.forecast);
                 total.add(&view.foreign);
+                total.add_scaled(&view.unreported, others);
                 capacity += view.capacity as f32 * self.settings.usable_memory;
             }
         }
@@ -372,7 +390,7 @@
         let Some(RouteView { endpoints: all, .. }) = self.routes.get(&ask.route) else { return };
         if all.len() <= self.settings.candidates {
             self.candidates.extend_from_slice(all);
-            return;
+            return self.thin_candidates();
         }
         for _ in 0..self.settings.candidates {
             self.candidates.push(all[self.rng.random_range(0..all.len())]);
@@ -384,6 +402,19 @@
         }
     }
 
+    /// Keeps a random half of the candidates when other hosts place on them too: hosts that all
+    /// compare the same endpoints by the same reports would all choose the same one.
+    fn thin_candidates(&mut self) {
+        if self.sharers <= 1 {
+            return;
+        }
+        let keep = (self.candidates.len().div_ceil(2)).max(MIN_CANDIDATES);
+        while self.candidates.len() > keep {
+            let ix = self.rng.random_range(0..self.candidates.len());
+            self.candidates.swap_remove(ix);
+        }
+    }
+
     fn start(&mut self, ask: &Ask, endpoint: EndpointIx, forecast: Forecast, now: Instant) {
         let interruptions = self.interrupted.remove(&ask.generation).unwrap_or(0);
         let sequence = Sequence {
@@ -402,6 +433,7 @@
         let view = &mut self.endpoints[endpoint];
         view.sequences.push(ix);
         view.forecast.add(&forecast);
+        view.unreported.add(&forecast);
         view.suspects += u32::from(suspect);
         self.prefixes.insert(ask.prefix, endpoint, now);
         self.by_generation.insert(ask.generation, ix);
@@ -474,6 +506,11 @@
         let view = &mut self.endpoints[sequence.endpoint];
         view.sequences.retain(|other| *other != ix);
         view.forecast.subtract(&sequence.forecast);
+        view.note_ended(EndedSequence {
+            placed_at: sequence.placed_at,
+            ended_at: now,
+            kv: sequence.kv(),
+        });
         view.suspects = view.suspects.saturating_sub(u32::from(suspect));
         if view.sequences.is_empty() {
             view.forecast = Forecast::default();
@@ -522,14 +559,45 @@
     ) {
         let mut own_running = 0;
         let mut own_kv = 0;
+        let mut unreported = Forecast::default();
         for ix in &self.endpoints[endpoint].sequences {
             let Some(sequence) = &self.sequences[*ix] else { continue };
             if sequence.placed_at <= made_at {
                 own_running += 1;
                 own_kv += sequence.kv();
+            } else {
+                unreported.add(&sequence.forecast);
             }
         }
-        self.endpoints[endpoint].take_report(report, own_running, own_kv, now);
+        for ended in &self.endpoints[endpoint].ended {
+            if ended.placed_at <= made_at && ended.ended_at > made_at {
+                own_running += 1;
+                own_kv += ended.kv;
+            }
+        }
+        let running = (report.running + report.waiting).saturating_sub(own_running);
+        let kv = (report.kv_used + report.waiting_tokens).saturating_sub(own_kv);
+        let forecast = self.foreign_forecast(running, kv);
+        let foreign = ForeignLoad { running, forecast };
+        self.endpoints[endpoint].take_report(report, &foreign, now);
+        self.endpoints[endpoint].unreported = unreported;
+    }
+
+    /// Forecasts sequences of other hosts, of which only number and memory are known: they are
+    /// taken for halfway through what the sequences of this host use on average.
+    fn foreign_forecast(&self, running: u32, kv: u32) -> Forecast {
+        let mut forecast = Forecast::default();
+        if running == 0 {
+            return forecast;
+        }
+        let each = kv / running;
+        let generated = (self.mean_kv / 2.0).min(each as f32) as u32;
+        let root = self.lengths.root();
+        let one = Forecast::of_sequence(each, |horizon| {
+            self.lengths.continues(root, 0, generated, generated + horizon)
+        });
+        forecast.add_scaled(&one, running as f32);
+        forecast
     }
 
     /// Places, refuses and moves generations. To be called every 20 to 100 milliseconds.
@@ -540,7 +608,6 @@
         self.place_waiting(now, out);
         self.refuse_hopeless(now, out);
         out.refused.append(&mut self.shed);
-        self.update_rate(now);
     }
 
     fn place_waiting(&mut self, now: Instant, out: &mut TickOutput) {
@@ -598,19 +665,6 @@
             out.refused.push(Refused { generation, reason });
         }
     }
-
-    /// Averages the expected tokens admitted per second.
-    fn update_rate(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.rate_at).as_secs_f64();
-        if elapsed <= 0.0 {
-            return;
-        }
-        let gain = 1.0 - (-elapsed / RATE_SECONDS).exp();
-        let rate = self.admitted as f64 / elapsed;
-        self.served_rate += (rate - self.served_rate) * gain;
-        self.admitted = 0;
-        self.rate_at = now;
-    }
 }
 
 fn refused(generation: GenerationId, reason: RefuseReason) -> Decision {
--- a/crates/decide/src/endpoint_view.rs
+++ b/crates/decide/src/endpoint_view.rs
@@ -1,8 +1,9 @@
 //! What is known of one endpoint.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use crate::forecast::{Forecast, HORIZONS};
+use crate::forecast::Forecast;
 use crate::sequence::SequenceIx;
 
 /// Age at which a load report no longer counts.
@@ -27,10 +28,32 @@
     pub running: u32,
     /// Sequences that wait in the engine.
     pub waiting: u32,
+    /// Prompt tokens of the waiting sequences.
+    pub waiting_tokens: u32,
     /// True when the engine is about to leave.
     pub draining: bool,
 }
 
+/// A sequence that ended lately.
+#[derive(Clone, Copy, Debug)]
+pub struct EndedSequence {
+    /// When it was placed.
+    pub placed_at: Instant,
+    /// When it ended.
+    pub ended_at: Instant,
+    /// Memory that it held, in tokens.
+    pub kv: u32,
+}
+
+/// What other hosts have on an endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ForeignLoad {
+    /// Sequences.
+    pub running: u32,
+    /// Their forecast.
+    pub forecast: Forecast,
+}
+
 /// Where an endpoint is, relative to this host.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
@@ -48,6 +71,8 @@
 pub struct EndpointView {
     /// KV memory, in tokens.
     pub capacity: u32,
+    /// Sequences that it runs at a time.
+    pub max_sequences: u32,
     /// Where it is.
     pub distance: Distance,
     /// True when the configuration or the host list says that it leaves.
@@ -58,8 +83,14 @@
     pub forecast: Forecast,
     /// Forecast of what other hosts placed.
     pub foreign: Forecast,
+    /// Part of the own forecast that no load report covers yet.
+    pub unreported: Forecast,
     /// Sequences placed from here.
     pub sequences: Vec<SequenceIx>,
+    /// Sequences that ended lately, which a lagging report may still count.
+    pub ended: VecDeque<EndedSequence>,
+    /// True when a report arrived since moves were last weighed.
+    pub has_new_report: bool,
     /// Sequences among them that are suspected to crash endpoints.
     pub suspects: u32,
     /// Sequences that wait in the engine, as last reported.
@@ -75,15 +106,19 @@
 
 impl EndpointView {
     /// Builds the view of an endpoint of which nothing was reported.
-    pub fn new(capacity: u32, distance: Distance) -> Self {
+    pub fn new(capacity: u32, max_sequences: u32, distance: Distance) -> Self {
         Self {
             capacity,
+            max_sequences,
             distance,
             leaving: false,
             draining: false,
             forecast: Forecast::default(),
             foreign: Forecast::default(),
+            unreported: Forecast::default(),
             sequences: Vec::with_capacity(128),
+            ended: VecDeque::new(),
+            has_new_report: false,
             suspects: 0,
             engine_waiting: 0,
             foreign_running: 0,
@@ -116,18 +151,28 @@
         self.reported_at.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Takes a report. `own_running` and `own_kv` are what this host had there when it was made.
-    pub fn take_report(&mut self, report: &Report, own_running: u32, own_kv: u32, now: Instant) {
+    /// Takes a report, with what other hosts have there according to it.
+    pub fn take_report(&mut self, report: &Report, foreign: &ForeignLoad, now: Instant) {
         self.reported_at = Some(now);
+        self.has_new_report = true;
         self.draining = report.draining;
         self.engine_waiting = report.waiting;
         if report.kv_tokens > 0 {
             self.capacity = report.kv_tokens;
         }
-        let foreign_running = (report.running + report.waiting).saturating_sub(own_running);
-        let foreign_kv = report.kv_used.saturating_sub(own_kv);
-        self.foreign_running = foreign_running;
-        self.foreign = foreign_forecast(foreign_running, foreign_kv);
+        self.foreign_running = foreign.running;
+        self.foreign = foreign.forecast;
+    }
+
+    /// Remembers a sequence that ended.
+    pub fn note_ended(&mut self, ended: EndedSequence) {
+        let old = |front: &EndedSequence| {
+            ended.ended_at.saturating_duration_since(front.ended_at) > MAX_REPORT_AGE
+        };
+        while self.ended.front().is_some_and(old) {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(ended);
     }
 
     /// Forgets a report that is too old to count.
@@ -157,20 +202,3 @@
         self.suspect_until = None;
     }
 }
-
-/// Forecasts what other hosts placed: half of it is assumed to end by each further horizon.
-fn foreign_forecast(running: u32, kv: u32) -> Forecast {
-    let mut forecast = Forecast::default();
-    if running == 0 {
-        return forecast;
-    }
-    let mut alive = 1.0_f32;
-    let each = kv as f32 / running as f32;
-    for (ix, horizon) in HORIZONS.iter().enumerate() {
-        let size = each + *horizon as f32;
-        forecast.mean[ix] = alive * size * running as f32;
-        forecast.variance[ix] = alive * (1.0 - alive) * size * size * running as f32;
-        alive /= 1.5;
-    }
-    forecast
-}
--- a/crates/decide/src/forecast.rs
+++ b/crates/decide/src/forecast.rs
@@ -46,6 +46,14 @@
         }
     }
 
+    /// Adds another forecast several times, as of independent sequences like it.
+    pub fn add_scaled(&mut self, other: &Self, times: f32) {
+        for ix in 0..HORIZONS.len() {
+            self.mean[ix] += other.mean[ix] * times;
+            self.variance[ix] += other.variance[ix] * times;
+        }
+    }
+
     /// Subtracts a forecast that was added before.
     pub fn subtract(&mut self, other: &Self) {
         for ix in 0..HORIZONS.len() {
--- a/crates/decide/src/hazard.rs
+++ b/crates/decide/src/hazard.rs
@@ -92,7 +92,7 @@
 /// Weight of a coarser distribution, in samples per bucket.
 const PRIOR_WEIGHT: f32 = 6.0;
 /// Hazard of a bucket when nothing is known: a heavy tail whose median is a few hundred tokens.
-const UNKNOWN_HAZARD: f32 = 0.06;
+const UNKNOWN_HAZARD: f32 = 0.15;
 /// Survival below which a ratio is not computed.
 const MIN_SURVIVAL: f32 = 1e-6;
 
--- a/crates/decide/src/lengths.rs
+++ b/crates/decide/src/lengths.rs
@@ -37,6 +37,9 @@
     /// Returns the class of a generation, created when new.
     fn class(&mut self, key: ClassKey) -> ClassIx;
 
+    /// Returns the class of all generations together.
+    fn root(&self) -> ClassIx;
+
     /// Counts progress from one number of tokens to another.
     fn advance(&mut self, class: ClassIx, from: u32, to: u32);
 
@@ -138,6 +141,10 @@
         class
     }
 
+    fn root(&self) -> ClassIx {
+        self.root
+    }
+
     fn advance(&mut self, class: ClassIx, from: u32, to: u32) {
         self.update(class, |table| table.advance(from, to));
     }
@@ -173,6 +180,10 @@
         ClassIx::from_u32(0)
     }
 
+    fn root(&self) -> ClassIx {
+        ClassIx::from_u32(0)
+    }
+
     fn advance(&mut self, _class: ClassIx, _from: u32, _to: u32) {}
 
     fn end(&mut self, _class: ClassIx, _length: u32) {}
--- a/crates/decide/src/policy_settings.rs
+++ b/crates/decide/src/policy_settings.rs
@@ -75,8 +75,6 @@
     pub prefill_seconds: f32,
     /// Time that a running sequence adds to a step, in seconds.
     pub sequence_seconds: f32,
-    /// Sequences that an engine may run.
-    pub max_batch: u32,
 }
 
 impl Default for PolicySettings {
@@ -95,7 +93,6 @@
             overtake_limit: Duration::from_secs(16),
             prefill_seconds: 40e-6,
             sequence_seconds: 180e-6,
-            max_batch: 96,
         }
     }
 }
--- a/crates/decide/src/rebalance.rs
+++ b/crates/decide/src/rebalance.rs
@@ -8,6 +8,8 @@
 
 use camphorloft_types::prelude::EndpointIx;
 
+use rand::Rng;
+
 use crate::decider::Decider;
 use crate::decision::{Move, TickOutput};
 use crate::forecast::Forecast;
@@ -21,6 +23,8 @@
 const MIN_STAY: Duration = Duration::from_millis(800);
 /// Time without progress after which a generation is taken for preempted.
 const STALL_LIMIT: Duration = Duration::from_millis(500);
+/// Weight of a new observation of the mean size of a sequence.
+const MEAN_GAIN: f32 = 0.01;
 /// Expected tokens below which a generation is left to finish.
 const MIN_RESIDUAL: f32 = 48.0;
 
@@ -40,6 +44,8 @@
                 let ix = self.endpoints[endpoint].sequences[position];
                 total.add(&self.refresh_sequence(ix, now));
             }
+            let own = self.endpoints[endpoint].sequences.len() as f32;
+            self.mean_kv += (total.mean[0] / own.max(1.0) - self.mean_kv) * MEAN_GAIN;
             self.endpoints[endpoint].forecast = total;
             self.endpoints[endpoint].expire_report(now);
         }
@@ -65,7 +71,7 @@
     /// Decides moves for every endpoint whose memory is about to run out.
     pub(crate) fn rebalance(&mut self, now: Instant, out: &mut TickOutput) {
         for endpoint in self.endpoints.keys() {
-            for _ in 0..MOVES_PER_ENDPOINT {
+            for _ in 0..self.moves_allowed(endpoint) {
                 let near = self.near_risk(endpoint);
                 let Some(ix) = self.move_candidate(endpoint, near, now) else { break };
                 self.decide_move(ix, near, out);
@@ -77,6 +83,22 @@
         }
     }
 
+    /// Returns the number of moves that may be decided for an endpoint now.
+    ///
+    /// Hosts that share an endpoint see the same overflow. Each of them acts once per report, with
+    /// a probability such that one of them does on average.
+    fn moves_allowed(&mut self, endpoint: EndpointIx) -> usize {
+        if self.sharers <= 1 {
+            return MOVES_PER_ENDPOINT;
+        }
+        let view = &mut self.endpoints[endpoint];
+        if view.sequences.is_empty() || !view.has_new_report {
+            return 0;
+        }
+        view.has_new_report = false;
+        usize::from(self.rng.random_ratio(1, self.sharers))
+    }
+
     /// Returns a sequence that makes no progress, as after a preemption, if another endpoint has
     /// room for it.
     fn stalled_sequence(&self, endpoint: EndpointIx, now: Instant) -> Option<SequenceIx> {
@@ -127,9 +149,10 @@
         let Some(sequence) = &self.sequences[ix] else { return false };
         let candidates = self.route_endpoints(sequence.ask.route);
         let sample = candidates.iter().take(self.settings.candidates);
+        let horizons = self.settings.local_horizons;
         sample.filter(|endpoint| **endpoint != sequence.endpoint).any(|endpoint| {
             let view = &self.endpoints[*endpoint];
-            let room = risk(view, &sequence.forecast, &self.settings, self.settings.local_horizons);
+            let room = risk(view, &sequence.forecast, &self.settings, horizons);
             view.is_usable(now)
                 && view.engine_waiting == 0
                 && room <= self.settings.move_target_risk
--- a/crates/standins/src/bin/standin-engine.rs
+++ b/crates/standins/src/bin/standin-engine.rs
@@ -34,6 +34,7 @@
         models: args.model,
         checks_fencing: args.checks_fencing,
         exit_on_crash: true,
+        paced: None,
         seed: args.seed,
     };
     let handle = start_engine(settings)?;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -63,6 +63,9 @@
     pub checks_fencing: bool,
     /// True when a crash ends the process.
     pub exit_on_crash: bool,
+    /// Time between tokens when every stream is paced by itself instead of by the model, so that
+    /// a measurement of the relay is not blurred by the phase of the engine's steps.
+    pub paced: Option<Duration>,
     /// Seed of the samplings.
     pub seed: u64,
 }
@@ -477,6 +480,9 @@
         let Some(body) = parse_body::<CompletionBody>(&mut req) else {
             return answer_text(req, 400, "the body is not a completion request");
         };
+        if let Some(interval) = self.settings.paced {
+            return stream_paced(req, &body, interval, &self.stop);
+        }
         let generation = header(&req, "x-generation").unwrap_or("none").to_owned();
         let attempt = header(&req, "x-attempt").unwrap_or("0").to_owned();
         match self.submit(&format!("{generation}/{attempt}"), &body) {
@@ -566,7 +572,45 @@
     }
 }
 
+/// Streams tokens at a fixed interval, the first at once.
+fn stream_paced(req: Request, body: &CompletionBody, interval: Duration, stop: &AtomicBool) {
+    let tokens = StandinHints::of(body).output_tokens.unwrap_or(1);
+    let Ok(mut stream) = EventStream::start(req, &[]) else { return };
+    let mut writing = Writing::paced(&body.prompt);
+    let mut due = Instant::now();
+    for ordinal in 1..=tokens {
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        due += interval;
+        let event = writing.next_event(ordinal == tokens);
+        if stop.load(Ordering::Relaxed) || stream.send(event.as_bytes()).is_err() {
+            return;
+        }
+    }
+    // A reader that left does not need the end mark.
+    let _ = stream.send(format!("data: {DONE}\n\n").as_bytes());
+    stream.finish();
+}
+
 impl Writing {
+    fn paced(prompt: &str) -> Self {
+        let start = chain_start(prompt);
+        let generation = Arc::new(Generation {
+            sequence: SequenceId(0),
+            base: 0,
+            progress: Mutex::default(),
+            changed: Condvar::new(),
+        });
+        Self {
+            generation,
+            chain: start,
+            salt: 0,
+            offset: 0,
+            poison: false,
+            start,
+            truncated: false,
+        }
+    }
+
     fn next_event(&mut self, finished: bool) -> String {
         let text = sample(self.chain, self.salt);
         self.chain = chain_next(self.chain, &text);
