Load models by demand, under a lease with fencing numbers

Cause: the lease was tested and used by nothing, and an engine that cannot hold all of its models never changed what it had loaded. Change: `max_models` of an endpoint; a planner with hysteresis and a bound on loads under way; a keeper that holds one lease per region and gives orders, with its own rules for engines that ignore fencing numbers. Routes use only engines that report the model as loaded. A decision at 5,400 replicas has a criterion bench and a test that it does not allocate.

--- a/crates/config/src/object.rs
+++ b/crates/config/src/object.rs
@@ -45,8 +45,11 @@
     /// Sequences that the engine runs at a time.
     #[serde(default = "default_max_sequences")]
     pub max_sequences: u32,
-    /// Models that the engine serves.
+    /// Models that the engine serves or may load.
     pub models: Vec<ModelName>,
+    /// Models that the engine holds at a time; all of them when absent.
+    #[serde(default)]
+    pub max_models: Option<usize>,
     /// True when the engine refuses an order with an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
--- a/crates/config/src/verify.rs
+++ b/crates/config/src/verify.rs
@@ -132,6 +132,10 @@
                     let place = format!("{path}/kv_tokens");
                     self.findings.push(place, "the capacity is 0", "give the capacity in tokens");
                 }
+                if endpoint.max_models == Some(0) {
+                    let place = format!("{path}/max_models");
+                    self.findings.push(place, "the engine holds no model", "allow at least 1");
+                }
                 for model in endpoint.models.iter().filter(|m| !self.models.contains_key(*m)) {
                     missing(&mut self.findings, format!("{path}/models"), "model", model);
                 }
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -14,6 +14,7 @@
 use camphorloft_decide::decision::{Decision, Placed, RefuseReason, Refused, TickOutput};
 use camphorloft_decide::endpoint_view::{Distance, Report};
 use camphorloft_decide::lengths::{ClassKey, LearnedLengths};
+use camphorloft_decide::model_placement::{ModelPlanner, ModelSwitch, Replica};
 use camphorloft_decide::poison::Blame;
 use camphorloft_decide::policy_settings::{ObjectiveWeights, PolicySettings};
 use camphorloft_decide::sequence::Ask;
@@ -28,7 +29,7 @@
 use stakker::{CX, after};
 
 use crate::core_client::Shared;
-use crate::core_thread::{CoreMessage, PolledEndpoint};
+use crate::core_thread::{CoreMessage, PlannedSwitch, PolledEndpoint};
 use crate::load_poller::PolledEndpoints;
 use crate::registry::Registry;
 use crate::settings::Settings;
@@ -36,6 +37,9 @@
 /// Time between two ticks of the decider.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Tokens for which a generation counts as demand for its model at most.
+const DEMAND_TOKENS: u32 = 1000;
+
 /// What the core is built from.
 pub struct CoreSetup {
     /// Settings of the host.
@@ -58,6 +62,7 @@
 pub struct Core {
     setup: CoreSetup,
     decider: Decider<LearnedLengths>,
+    planner: ModelPlanner,
     registry: Registry,
     serving: Option<Arc<ServingSet>>,
     /// Addresses that the platform's host list shows as leaving.
@@ -102,6 +107,7 @@
         Some(Self {
             setup,
             decider: Decider::new(PolicySettings::default(), lengths, seed),
+            planner: ModelPlanner::new(cx.now()),
             registry: Registry::default(),
             serving: None,
             leaving: HashSet::new(),
@@ -134,6 +140,10 @@
                 }
             }
             CoreMessage::Blame(blame) => self.decider.learn_blame(blame, now),
+            CoreMessage::PlanModels(reply) => {
+                // A keeper that stopped does not need the plan.
+                let _ = reply.send(self.plan_models(now));
+            }
             CoreMessage::Sharers(sharers) => self.decider.set_sharers(sharers),
             CoreMessage::Leaving(addresses) => {
                 self.leaving = addresses;
@@ -193,6 +203,8 @@
         now: Instant,
     ) {
         let ask = self.ask(request);
+        let model = &request.serving.set.routes[request.route].model;
+        self.planner.note_demand(model, request.max_tokens.0.min(DEMAND_TOKENS), now);
         let generation = request.generation;
         let is_retry = request.attempt > Attempt(0);
         self.waiting.insert(generation, WaitingCaller { attempt: request.attempt, reply });
@@ -341,13 +353,17 @@
                     let object = &endpoint.object;
                     let (kv, sequences) = (object.kv_tokens.0, object.max_sequences);
                     let ix = self.decider.add_endpoint(kv, sequences, distance);
-                    self.registry.add_endpoint(ix, &endpoint.name, endpoint.object.address);
+                    self.registry.add_endpoint(ix, &endpoint.name, object);
                     ix
                 }
             };
             let registered = &mut self.registry.endpoints[ix.as_u32() as usize];
             registered.removed = false;
             registered.addr = endpoint.object.address;
+            registered.checks_fencing = endpoint.object.checks_fencing;
+            registered.allowed = endpoint.object.models.clone();
+            let all = endpoint.object.models.len();
+            registered.max_models = endpoint.object.max_models.unwrap_or(all);
         }
         let mut polled = Vec::new();
         for endpoint in &self.registry.endpoints {
@@ -369,7 +385,9 @@
 
     fn configure_route(&mut self, serving: &ServingSet, route: &CheckedRoute) {
         let names = route.endpoints.iter().map(|ix| &serving.set.endpoints[*ix].name);
-        let endpoints = names.filter_map(|name| self.registry.endpoint_ix(name)).collect();
+        let known = names.filter_map(|name| self.registry.endpoint_ix(name));
+        let serves = |ix: &EndpointIx| self.registry.endpoint(*ix).serves(&route.model);
+        let endpoints = known.filter(serves).collect();
         let weights = ObjectiveWeights {
             stall: route.objective.stall as f32,
             preemption: route.objective.preemption as f32,
@@ -394,6 +412,7 @@
         now: Instant,
     ) {
         self.setup.shared.metrics.load_reports.inc();
+        self.take_loaded(endpoint, &report.models);
         let report = Report {
             kv_used: report.kv_used,
             kv_tokens: report.kv_tokens,
@@ -405,6 +424,58 @@
         self.decider.report(endpoint, &report, made_at, now);
     }
 
+    /// Takes the models that an endpoint has loaded. A change changes who serves which route.
+    fn take_loaded(&mut self, endpoint: EndpointIx, models: &[String]) {
+        let loaded: Vec<ModelName> = models.iter().filter_map(|name| name.parse().ok()).collect();
+        let registered = &mut self.registry.endpoints[endpoint.as_u32() as usize];
+        if registered.loaded.as_ref() == Some(&loaded) {
+            return;
+        }
+        registered.loaded = Some(loaded);
+        let Some(serving) = self.serving.clone() else { return };
+        for (_, route) in serving.set.routes.iter() {
+            self.configure_route(&serving, route);
+        }
+    }
+
+    /// Plans switches of models on the engines of this region that cannot hold all of theirs.
+    fn plan_models(&mut self, now: Instant) -> Vec<PlannedSwitch> {
+        let mut replicas = Vec::new();
+        for endpoint in &self.registry.endpoints {
+            let view = self.decider.endpoint(endpoint.ix);
+            let local = view.distance < Distance::Remote;
+            let partial = endpoint.max_models < endpoint.allowed.len();
+            let Some(loaded) = endpoint.loaded.clone().filter(|_| local && partial) else {
+                continue;
+            };
+            if view.is_usable(now) {
+                replicas.push(Replica {
+                    endpoint: endpoint.ix,
+                    allowed: endpoint.allowed.clone(),
+                    loaded,
+                    max_models: endpoint.max_models,
+                    running: view.running(),
+                });
+            }
+        }
+        if replicas.is_empty() {
+            return Vec::new();
+        }
+        let switches = self.planner.plan(&replicas, now);
+        switches.into_iter().map(|switch| self.planned_switch(switch)).collect()
+    }
+
+    fn planned_switch(&self, switch: ModelSwitch) -> PlannedSwitch {
+        let endpoint = self.registry.endpoint(switch.endpoint);
+        PlannedSwitch {
+            endpoint: endpoint.name.clone(),
+            addr: endpoint.addr,
+            checks_fencing: endpoint.checks_fencing,
+            unload: switch.unload,
+            load: switch.load,
+        }
+    }
+
     fn view(&self, name: &str, now: Instant) -> Option<String> {
         match name {
             "status" => serde_json::to_string(&self.status_view()).ok(),
--- a/crates/daemon/src/core_thread.rs
+++ b/crates/daemon/src/core_thread.rs
@@ -28,6 +28,21 @@
     pub addr: SocketAddr,
 }
 
+/// A switch of models that the core would make.
+#[derive(Clone, Debug)]
+pub struct PlannedSwitch {
+    /// Endpoint.
+    pub endpoint: EndpointName,
+    /// Address of the engine.
+    pub addr: SocketAddr,
+    /// True when the engine checks fencing numbers.
+    pub checks_fencing: bool,
+    /// Model to unload first.
+    pub unload: Option<ModelName>,
+    /// Model to load.
+    pub load: ModelName,
+}
+
 /// A message to the core.
 pub enum CoreMessage {
     /// Asks for a place.
@@ -46,6 +61,8 @@
     CacheEvents(EndpointIx, CacheEvents),
     /// Another host found blame.
     Blame(Blame),
+    /// Asks for the switches of models that are due.
+    PlanModels(SyncSender<Vec<PlannedSwitch>>),
     /// This many hosts, this one included, place on the same endpoints.
     Sharers(u32),
     /// The platform's list shows these addresses as leaving.
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -28,6 +28,7 @@
 use crate::core_client::{CoreClient, CoreListener, CoreSender, Shared};
 use crate::core_thread::{CoreMessage, run_core};
 use crate::load_poller::{LoadPoller, PolledEndpoints};
+use crate::model_keeper::ModelKeeper;
 use crate::peer_link::{LinkSetup, LossSwitch, PeerLink, start_link};
 use crate::settings::Settings;
 
@@ -96,6 +97,17 @@
     let link = start_control(&parts, listener)?;
     // The cell was made here and is set once.
     let _ = shared.link.set(link);
+    let keeper = ModelKeeper {
+        platform: platform.clone(),
+        settings: settings.clone(),
+        config: config.clone(),
+        core: core.clone(),
+        shared: shared.clone(),
+        nonce: rand::rng().random(),
+        log: log.clone(),
+        stop: stop.clone(),
+    };
+    thread::spawn(move || keeper.run());
     let control = Arc::new(CoreClient {
         sender: core.clone(),
         config: config.clone(),
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`config_state`]: the version in force, which never decreases.
 //! - [`control_plane`]: what hosts agree on by gossip.
 //! - [`config_exchange`]: fetches the object set from other hosts.
+//! - [`model_keeper`]: gives orders to load models, under a lease.
 //! - [`peer_link`]: the threads of the control plane.
 //! - [`registry`]: dense indices that stay the same across versions.
 //! - [`core`]: the decision core, a `stakker` actor.
@@ -27,6 +28,7 @@
 pub mod load_poller;
 pub mod logging;
 pub mod metrics;
+pub mod model_keeper;
 pub mod peer_link;
 pub mod process;
 pub mod registry;
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -4,6 +4,7 @@
 use std::hash::Hash;
 use std::net::SocketAddr;
 
+use camphorloft_config::object::Endpoint;
 use camphorloft_types::prelude::*;
 use cranelift_entity::EntityRef;
 
@@ -57,6 +58,21 @@
     pub addr: SocketAddr,
     /// True when the configuration no longer has it.
     pub removed: bool,
+    /// True when the engine checks fencing numbers.
+    pub checks_fencing: bool,
+    /// Models that it may load.
+    pub allowed: Vec<ModelName>,
+    /// Models that it may hold at a time.
+    pub max_models: usize,
+    /// Models that it has loaded, once reported.
+    pub loaded: Option<Vec<ModelName>>,
+}
+
+impl RegisteredEndpoint {
+    /// Returns true when it can serve a model now. Before a report it is believed to.
+    pub fn serves(&self, model: &ModelName) -> bool {
+        self.loaded.as_ref().unwrap_or(&self.allowed).contains(model)
+    }
 }
 
 /// Stable indices of endpoints, routes and organisations.
@@ -83,9 +99,18 @@
     }
 
     /// Adds an endpoint, whose index must be the next one.
-    pub fn add_endpoint(&mut self, ix: EndpointIx, name: &EndpointName, addr: SocketAddr) {
+    pub fn add_endpoint(&mut self, ix: EndpointIx, name: &EndpointName, object: &Endpoint) {
         debug_assert_eq!(ix.index(), self.endpoints.len());
         self.by_name.insert(name.clone(), ix);
-        self.endpoints.push(RegisteredEndpoint { ix, name: name.clone(), addr, removed: false });
+        self.endpoints.push(RegisteredEndpoint {
+            ix,
+            name: name.clone(),
+            addr: object.address,
+            removed: false,
+            checks_fencing: object.checks_fencing,
+            allowed: object.models.clone(),
+            max_models: object.max_models.unwrap_or(object.models.len()),
+            loaded: None,
+        });
     }
 }
--- /dev/null
+++ b/crates/decide/benches/decision.rs
@@ -0,0 +1,81 @@
+//! Time of one decision at 5,400 replicas.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use camphorloft_decide::decider::{Decider, EndKind};
+use camphorloft_decide::decision::Decision;
+use camphorloft_decide::endpoint_view::{Distance, Report};
+use camphorloft_decide::lengths::{ClassKey, LearnedLengths};
+use camphorloft_decide::policy_settings::{ObjectiveWeights, PolicySettings};
+use camphorloft_decide::sequence::Ask;
+use camphorloft_types::prelude::*;
+use criterion::{Criterion, criterion_group, criterion_main};
+
+const REPLICAS: usize = 5400;
+const RUNNING: u128 = 2750;
+
+/// Builds a decider with all replicas and a host's share of running generations.
+fn loaded_decider(now: Instant) -> (Decider<LearnedLengths>, Ask) {
+    let mut decider = Decider::new(PolicySettings::default(), LearnedLengths::default(), 1);
+    let route = RouteIx::from_u32(0);
+    let endpoints: Vec<EndpointIx> =
+        (0..REPLICAS).map(|_| decider.add_endpoint(24_000, 96, Distance::Zone)).collect();
+    decider.set_route(route, endpoints.clone(), ObjectiveWeights::default());
+    let report = Report { kv_tokens: 24_000, ..Report::default() };
+    for endpoint in endpoints {
+        decider.report(endpoint, &report, now, now);
+    }
+    let ask = Ask {
+        generation: GenerationId(0),
+        organisation: OrganisationIx::from_u32(0),
+        route,
+        class: decider.class(ClassKey { fine: 1, route: 1 }),
+        hint: 0,
+        prompt_tokens: 400,
+        delivered: 0,
+        max_tokens: 8000,
+        prefix: 77,
+        fingerprint: 5,
+        priority: 1,
+        avoid: None,
+    };
+    for generation in 1..=RUNNING {
+        let _ = decider.place(Ask { generation: GenerationId(generation), ..ask }, now);
+    }
+    (decider, ask)
+}
+
+fn place_and_end(decider: &mut Decider<LearnedLengths>, ask: Ask, now: Instant) -> bool {
+    let decision = decider.place(black_box(ask), now);
+    decider.end(ask.generation, EndKind::Cancelled, now);
+    matches!(decision, Decision::Placed(_))
+}
+
+fn decision(c: &mut Criterion) {
+    let now = Instant::now();
+    let (mut decider, ask) = loaded_decider(now);
+    c.bench_function("place at 5400 replicas", |b| {
+        b.iter(|| assert!(place_and_end(&mut decider, ask, now)));
+    });
+    print_percentiles(&mut decider, ask, now);
+}
+
+/// Prints percentiles, which criterion does not.
+fn print_percentiles(decider: &mut Decider<LearnedLengths>, ask: Ask, now: Instant) {
+    const SAMPLES: usize = 100_000;
+    let mut times: Vec<Duration> = Vec::with_capacity(SAMPLES);
+    for _ in 0..SAMPLES {
+        let started = Instant::now();
+        let decision = decider.place(black_box(ask), now);
+        times.push(started.elapsed());
+        black_box(decision);
+        decider.end(ask.generation, EndKind::Cancelled, now);
+    }
+    times.sort_unstable();
+    let at = |quantile: f64| times[(SAMPLES as f64 * quantile) as usize];
+    println!("place alone: p50 {:?}, p99 {:?}, p99.9 {:?}", at(0.50), at(0.99), at(0.999));
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`sequence`]: a generation that was placed.
 //! - [`prefix_table`]: which endpoints recently cached a prompt prefix.
 //! - [`fair_queue`]: generations that wait, by priority, organisation and length.
+//! - [`model_placement`]: which models engines should load.
 //! - [`poison`]: requests that crash endpoints.
 //! - [`retry_budget`]: retries as a share of requests.
 //! - [`policy_settings`]: the constants of the policy, checked.
@@ -23,6 +24,7 @@
 pub mod forecast;
 pub mod hazard;
 pub mod lengths;
+pub mod model_placement;
 pub mod poison;
 pub mod policy_settings;
 pub mod prefix_table;
--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -53,6 +53,7 @@
 #[derive(Clone, Debug)]
 struct Held {
     fencing: FencingNumber,
+    since: Instant,
     valid_until: Instant,
     renew_at: Instant,
 }
@@ -88,6 +89,12 @@
         held.map_or(Duration::ZERO, |held| held.valid_until.saturating_duration_since(now))
     }
 
+    /// Returns the time for which this host has held the lease without a break.
+    pub fn held_for(&self, now: Instant) -> Duration {
+        let held = self.held.as_ref().filter(|held| now < held.valid_until);
+        held.map_or(Duration::ZERO, |held| now.saturating_duration_since(held.since))
+    }
+
     /// Returns the row's key.
     pub fn key(&self) -> &str {
         &self.key
@@ -150,8 +157,11 @@
         let record = LeaseRecord { host: self.host.clone(), nonce: self.nonce, fencing };
         self.observed =
             Some(Observed { row_version: version, record: Some(record), since: sent_at });
+        let since = self.held.as_ref().filter(|held| held.fencing == fencing);
+        let since = since.map_or(sent_at, |held| held.since);
         self.held = Some(Held {
             fencing,
+            since,
             valid_until: sent_at + LEASE_DURATION - RATE_MARGIN,
             renew_at: sent_at + RENEW_INTERVAL,
         });
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -109,7 +109,6 @@
     known_prefixes: BTreeSet<u64>,
     models: Vec<String>,
     fencing: FencingNumber,
-    orders: Vec<Order>,
     next_sequence: u64,
     incarnation: u64,
     preemptions: u64,
@@ -133,6 +132,8 @@
     pub offered_while_draining: Vec<Instant>,
     /// When the engine began to drain.
     pub draining_since: Option<Instant>,
+    /// Orders that were carried out.
+    pub orders: Vec<Order>,
 }
 
 /// A running engine stand-in.
@@ -194,7 +195,6 @@
             known_prefixes: BTreeSet::new(),
             models: settings.models.clone(),
             fencing: FencingNumber(0),
-            orders: Vec::new(),
             next_sequence: 0,
             incarnation: 1,
             preemptions: 0,
@@ -528,7 +528,7 @@
         if order.action == OrderAction::Load {
             state.models.push(order.model.to_string());
         }
-        state.orders.push(order);
+        state.record.orders.push(order);
         drop(state);
         answer_text(req, 200, "done");
     }
