Tell the hosts that share endpoints of placements; suspect on time

Cause 1: with 8 hosts, none sees what the others place until a report arrives, 0.3 to 0.55 s later.

Change: hosts tell each other of placements while at most 16 share the endpoints; beyond that they guess as before. Memory of other hosts is expected to develop as the own does. The health factor is at most 2 and stretches probe timeouts only.

--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -15,6 +15,7 @@
 use camphorloft_membership::settings::MembershipSettings;
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::seal::FrameKeys;
+use camphorloft_peer::wire::WirePlacement;
 use camphorloft_platform::http::HttpPlatform;
 use camphorloft_platform::publication::{Proposal, fetch_current, propose};
 use camphorloft_platform::wire::HostEntry;
@@ -37,6 +38,7 @@
 impl ControlListener for Deaf {
     fn config_in_force(&self, _serving: Arc<ServingSet>, _source: &str) {}
     fn blame(&self, _blame: Blame) {}
+    fn placements(&self, _placements: Vec<WirePlacement>) {}
     fn live_hosts(&self, _hosts: HashSet<HostName>) {}
     fn leaving(&self, _addresses: HashSet<String>) {}
 }
--- a/crates/bench/src/policy/baselines.rs
+++ b/crates/bench/src/policy/baselines.rs
@@ -69,7 +69,12 @@
     fn arrive(&mut self, request: &Request, engines: &[EngineState]) -> Vec<Start> {
         let engine = self.choose(engines);
         self.outstanding[engine] += 1;
-        vec![Start { request: request.ix, engine, priority: i32::from(request.priority) }]
+        vec![Start {
+            request: request.ix,
+            engine,
+            priority: i32::from(request.priority),
+            kv: request.prompt_tokens + request.delivered,
+        }]
     }
 
     fn ended(&mut self, _request: &Request, engine: usize) {
--- a/crates/bench/src/policy/decided.rs
+++ b/crates/bench/src/policy/decided.rs
@@ -61,8 +61,9 @@
     }
 
     /// Tells the policy that several hosts place on the same engines.
-    pub fn with_sharers(mut self, sharers: u32) -> Self {
+    pub fn with_sharers(mut self, sharers: u32, announces: bool) -> Self {
         self.decider.set_sharers(sharers);
+        self.decider.set_hears_placements(announces);
         self
     }
 
@@ -97,6 +98,7 @@
         request: placed.generation.0 as usize,
         engine: placed.endpoint.as_u32() as usize,
         priority: placed.priority,
+        kv: placed.kv,
     }
 }
 
@@ -147,6 +149,10 @@
         self.decider.report(endpoint, &report, made_at, self.now);
     }
 
+    fn hear_placement(&mut self, engine: usize, kv: u32) {
+        self.decider.hear_placement(EndpointIx::from_u32(engine as u32), kv, self.now);
+    }
+
     fn tick(&mut self, out: &mut Decisions) {
         let refused = std::mem::take(&mut self.output.refused);
         out.refused.extend(refused.iter().map(|r| r.generation.0 as usize));
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -73,6 +73,9 @@
     /// hosts that place on the same engines, each on its own (default 1); the oracle is one host
     #[argh(option, default = "1")]
     hosts: u32,
+    /// hosts do not tell each other of their placements
+    #[argh(switch)]
+    silent: bool,
     /// file with constants of the policy, to try others than the default ones
     #[argh(option)]
     settings: Option<PathBuf>,
@@ -134,7 +137,12 @@
             return ExitCode::from(2);
         }
     };
-    let experiment = Experiment { workload: &workload, settings, hosts: args.hosts.max(1) };
+    let experiment = Experiment {
+        workload: &workload,
+        settings,
+        hosts: args.hosts.max(1),
+        announces: !args.silent,
+    };
     let names: Vec<&str> = if args.policy == "all" {
         POLICIES.to_vec()
     } else {
@@ -169,6 +177,8 @@
     workload: &'a Workload,
     settings: PolicySettings,
     hosts: u32,
+    /// True when hosts tell each other of their placements.
+    announces: bool,
 }
 
 fn read_settings(path: Option<&Path>) -> Result<PolicySettings, String> {
@@ -217,11 +227,11 @@
 }
 
 fn run_policy(experiment: &Experiment<'_>, arrivals: &[Arrival], name: &str, seed: u64) -> Metrics {
-    let Experiment { workload, settings, hosts } = *experiment;
+    let Experiment { workload, settings, hosts, announces } = *experiment;
     let baseline = |rule| {
         let engines = workload.engine_count() as usize;
         let host = |ix| Baseline::new(rule, engines, seed + u64::from(ix) * HOST_SEED_STEP);
-        let placer = ManyHosts::new((0..hosts).map(host).collect(), seed);
+        let placer = ManyHosts::new((0..hosts).map(host).collect(), announces, seed);
         Simulation::new(workload, arrivals, placer).run()
     };
     match name {
@@ -237,9 +247,9 @@
             let host = |ix| {
                 let seed = seed + u64::from(ix) * HOST_SEED_STEP;
                 Decided::new(workload, settings, LearnedLengths::default(), seed)
-                    .with_sharers(hosts)
+                    .with_sharers(hosts, announces)
             };
-            let placer = ManyHosts::new((0..hosts).map(host).collect(), seed);
+            let placer = ManyHosts::new((0..hosts).map(host).collect(), announces, seed);
             Simulation::new(workload, arrivals, placer).run()
         }
     }
--- a/crates/bench/src/policy/simulation.rs
+++ b/crates/bench/src/policy/simulation.rs
@@ -60,6 +60,8 @@
     pub engine: usize,
     /// Priority for the engine.
     pub priority: i32,
+    /// Tokens of the prompt and of the delivered prefix.
+    pub kv: u32,
 }
 
 /// Decisions of a tick.
@@ -97,6 +99,9 @@
     /// Takes a report.
     fn report(&mut self, _engine: usize, _load: &Load, _age: Duration) {}
 
+    /// Takes a placement of another host.
+    fn hear_placement(&mut self, _engine: usize, _kv: u32) {}
+
     /// Lets the policy act on the passage of time.
     fn tick(&mut self, _out: &mut Decisions) {}
 
--- a/crates/daemon/src/control_plane.rs
+++ b/crates/daemon/src/control_plane.rs
@@ -10,7 +10,7 @@
 use camphorloft_peer::convert::{member_to_wire, message_from_wire, message_to_wire};
 use camphorloft_peer::replay::ReplayGuard;
 use camphorloft_peer::seal::{FrameError, FrameKeys};
-use camphorloft_peer::wire::{WireAnnouncement, WireBlame, WireDatagram};
+use camphorloft_peer::wire::{WireAnnouncement, WireBlame, WireDatagram, WirePlacement};
 use camphorloft_platform::publication::{PublishedDelta, VersionedSet};
 use camphorloft_types::prelude::*;
 use prost::Message as _;
@@ -25,6 +25,10 @@
 const BLAMES_PER_DATAGRAM: usize = 4;
 /// Datagrams that carry a piece of blame.
 const BLAME_SENDS: u32 = 24;
+/// Other hosts up to which placements are told.
+pub const MAX_TOLD_HOSTS: usize = 15;
+/// Placements in one datagram.
+const PLACEMENTS_PER_DATAGRAM: usize = 64;
 /// Hosts that are told of blame at once.
 const BLAME_FANOUT: usize = 8;
 
@@ -46,6 +50,8 @@
     Fetch(SocketAddr, ConfigVersion),
     /// Another host found blame.
     Blame(Blame),
+    /// Another host made placements.
+    Placements(Vec<WirePlacement>),
 }
 
 /// Datagrams counted since the start.
@@ -162,6 +168,21 @@
         self.flush(out);
     }
 
+    /// Tells the other hosts of placements, while they are few. In a larger system each host would
+    /// spend more on this than it may on control, and guesses instead.
+    pub fn announce_placements(&mut self, placements: &[WirePlacement], out: &mut Vec<Datagram>) {
+        let live: Vec<SocketAddr> = self.membership.live().map(|member| member.addr).collect();
+        if live.len() > MAX_TOLD_HOSTS {
+            return;
+        }
+        for to in live {
+            for part in placements.chunks(PLACEMENTS_PER_DATAGRAM) {
+                let datagram = WireDatagram { placements: part.to_vec(), ..self.empty_datagram() };
+                self.send(to, datagram, out);
+            }
+        }
+    }
+
     /// Spreads blame that this host found: to a few hosts at once, since the caller may send its
     /// request again at once, and then on further datagrams.
     pub fn spread_blame(&mut self, blame: Blame, out: &mut Vec<Datagram>) {
@@ -268,6 +289,9 @@
         for blame in &datagram.blames {
             self.take_blame(*blame, events);
         }
+        if !datagram.placements.is_empty() {
+            events.push(ControlEvent::Placements(datagram.placements.clone()));
+        }
         match &datagram.announcement {
             Some(announcement) => self.take_announcement(from, announcement, out, events),
             None if message.config_version > self.config.version() => {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -22,16 +22,18 @@
 use camphorloft_gateway::control::{
     AttemptEnd, Invariant, Placement, PlacementRequest, Refusal, ServingSet,
 };
+use camphorloft_peer::wire::WirePlacement;
 use camphorloft_types::prelude::*;
 use camphorloft_types::rendezvous;
 use serde::Serialize;
 use slog::{Logger, info, warn};
 use stakker::{CX, after};
 
+use crate::control_plane::MAX_TOLD_HOSTS;
 use crate::core_client::Shared;
 use crate::core_thread::{CoreMessage, PlannedSwitch, PolledEndpoint};
 use crate::load_poller::PolledEndpoints;
-use crate::registry::Registry;
+use crate::registry::{ENDPOINT_DIGEST, Registry};
 use crate::settings::Settings;
 
 /// Time between two ticks of the decider.
@@ -144,7 +146,18 @@
                 // A keeper that stopped does not need the plan.
                 let _ = reply.send(self.plan_models(now));
             }
-            CoreMessage::Sharers(sharers) => self.decider.set_sharers(sharers),
+            CoreMessage::Sharers(sharers) => {
+                self.decider.set_sharers(sharers);
+                self.decider.set_hears_placements(sharers as usize <= MAX_TOLD_HOSTS + 1);
+            }
+            CoreMessage::Placements(placements) => {
+                for placement in placements {
+                    // An endpoint that is not known here is of another version.
+                    if let Some(endpoint) = self.registry.endpoint_by_digest(placement.endpoint) {
+                        self.decider.hear_placement(endpoint, placement.kv, now);
+                    }
+                }
+            }
             CoreMessage::Leaving(addresses) => {
                 self.leaving = addresses;
                 self.update_leaving();
@@ -262,6 +275,8 @@
             let detail = format!("endpoint {} is leaving", endpoint.name);
             self.setup.shared.violated(&self.setup.log, Invariant::NoWorkToLeaving, &detail);
         }
+        let digest = rendezvous::score(ENDPOINT_DIGEST, endpoint.name.as_str());
+        self.setup.shared.announce_placement(WirePlacement { endpoint: digest, kv: placed.kv });
         let placement = Placement {
             endpoint: endpoint.name.clone(),
             addr: endpoint.addr,
--- a/crates/daemon/src/core_client.rs
+++ b/crates/daemon/src/core_client.rs
@@ -9,6 +9,7 @@
 use camphorloft_gateway::control::{
     AttemptEnd, Control, Directive, Invariant, Placement, PlacementRequest, Refusal, ServingSet,
 };
+use camphorloft_peer::wire::WirePlacement;
 use camphorloft_types::prelude::*;
 use slog::{Logger, crit};
 
@@ -53,6 +54,13 @@
 }
 
 impl Shared {
+    /// Tells other hosts of a placement.
+    pub fn announce_placement(&self, placement: WirePlacement) {
+        if let Some(link) = self.link.get() {
+            link.announce_placement(placement);
+        }
+    }
+
     /// Spreads blame to other hosts.
     pub fn spread_blame(&self, blame: Blame) {
         if let Some(link) = self.link.get() {
@@ -169,6 +177,10 @@
         self.sender.send(CoreMessage::Blame(blame));
     }
 
+    fn placements(&self, placements: Vec<WirePlacement>) {
+        self.sender.send(CoreMessage::Placements(placements));
+    }
+
     fn live_hosts(&self, hosts: HashSet<HostName>) {
         self.sender.send(CoreMessage::Sharers(hosts.len() as u32 + 1));
         *self.shared.live_hosts.write().unwrap_or_else(PoisonError::into_inner) = hosts;
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -13,6 +13,7 @@
 use camphorloft_gateway::control::ServingSet;
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::seal::FrameKeys;
+use camphorloft_peer::wire::WirePlacement;
 use camphorloft_platform::api::PlatformApi;
 use camphorloft_platform::publication::{PublishedDelta, VersionedSet, fetch_since, read_history};
 use camphorloft_platform::wire::HostEntry;
@@ -45,6 +46,9 @@
     /// Another host found blame.
     fn blame(&self, blame: Blame);
 
+    /// Another host made placements.
+    fn placements(&self, placements: Vec<WirePlacement>);
+
     /// The set of live hosts changed.
     fn live_hosts(&self, hosts: HashSet<HostName>);
 
@@ -74,6 +78,7 @@
 enum LinkRequest {
     Announce(ConfigVersion, Option<PublishedDelta>),
     Blame(Blame),
+    Placement(WirePlacement),
     Seeds(Vec<Member>),
     Leave,
 }
@@ -202,6 +207,11 @@
         let _ = self.requests.send(LinkRequest::Blame(blame));
     }
 
+    /// Tells other hosts of a placement.
+    pub fn announce_placement(&self, placement: WirePlacement) {
+        let _ = self.requests.send(LinkRequest::Placement(placement));
+    }
+
     /// Tells other hosts that this one leaves.
     pub fn leave(&self) {
         let _ = self.requests.send(LinkRequest::Leave);
@@ -310,17 +320,20 @@
                     let _ = self.fetches.send((peer, version));
                 }
                 ControlEvent::Blame(blame) => self.events.blame(blame),
+                ControlEvent::Placements(placements) => self.events.placements(placements),
             }
         }
     }
 
     fn take_requests(&mut self, out: &mut Vec<Datagram>) {
+        let mut placements = Vec::new();
         while let Ok(request) = self.requests.try_recv() {
             match request {
                 LinkRequest::Announce(version, delta) => {
                     self.plane.announce(version, delta.as_ref(), out);
                 }
                 LinkRequest::Blame(blame) => self.plane.spread_blame(blame, out),
+                LinkRequest::Placement(placement) => placements.push(placement),
                 LinkRequest::Seeds(seeds) => {
                     for seed in seeds {
                         self.plane.add_seed(seed, Instant::now());
@@ -329,6 +342,7 @@
                 LinkRequest::Leave => self.plane.leave(out),
             }
         }
+        self.plane.announce_placements(&placements, out);
     }
 
     fn send_all(&self, out: &mut Vec<Datagram>) {
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -6,8 +6,12 @@
 
 use camphorloft_config::object::Endpoint;
 use camphorloft_types::prelude::*;
+use camphorloft_types::rendezvous;
 use cranelift_entity::EntityRef;
 
+/// Key under which the names of endpoints are digested for other hosts.
+pub const ENDPOINT_DIGEST: &str = "endpoint";
+
 /// Assigns indices to names, in order of first sight.
 #[derive(Clone, Debug)]
 pub struct Interner<Name, Ix>
@@ -81,6 +85,7 @@
     /// Endpoints in order of their indices.
     pub endpoints: Vec<RegisteredEndpoint>,
     by_name: HashMap<EndpointName, EndpointIx>,
+    by_digest: HashMap<u64, EndpointIx>,
     /// Routes.
     pub routes: Interner<RouteName, RouteIx>,
     /// Organisations.
@@ -98,10 +103,16 @@
         self.by_name.get(name).copied()
     }
 
+    /// Returns the index of an endpoint by the digest of its name.
+    pub fn endpoint_by_digest(&self, digest: u64) -> Option<EndpointIx> {
+        self.by_digest.get(&digest).copied()
+    }
+
     /// Adds an endpoint, whose index must be the next one.
     pub fn add_endpoint(&mut self, ix: EndpointIx, name: &EndpointName, object: &Endpoint) {
         debug_assert_eq!(ix.index(), self.endpoints.len());
         self.by_name.insert(name.clone(), ix);
+        self.by_digest.insert(rendezvous::score(ENDPOINT_DIGEST, name.as_str()), ix);
         self.endpoints.push(RegisteredEndpoint {
             ix,
             name: name.clone(),
--- a/crates/decide/src/decider.rs
+++ b/crates/decide/src/decider.rs
@@ -9,7 +9,9 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::decision::{Decision, Placed, RefuseReason, Refused, TickOutput};
-use crate::endpoint_view::{Distance, EndedSequence, EndpointView, ForeignLoad, Report};
+use crate::endpoint_view::{
+    AnnouncedPlacement, Distance, EndedSequence, EndpointView, ForeignLoad, Report,
+};
 use crate::fair_queue::{FairQueue, Ticket, Waiting};
 use crate::forecast::{Forecast, HORIZONS};
 use crate::lengths::{ClassIx, ClassKey, Lengths};
@@ -19,6 +21,7 @@
 use crate::retry_budget::RetryBudgets;
 use crate::scoring::{Load, score};
 use crate::sequence::{Ask, Sequence, SequenceIx};
+use crate::typical_forecast::TypicalForecast;
 
 /// Organisations whose next generation is tried per tick round.
 const HEADS_PER_ROUND: usize = 16;
@@ -28,10 +31,10 @@
 const SHORT_TOKENS: u32 = 96;
 /// Wait told to a caller when no endpoint is usable.
 const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(2);
+/// Mean age that a report gains until the next one replaces it.
+const HALF_REPORT_INTERVAL: Duration = Duration::from_millis(125);
 /// Endpoints that are compared at least.
 const MIN_CANDIDATES: usize = 3;
-/// Mean memory of a sequence before one was seen, in tokens.
-const INITIAL_SEQUENCE_TOKENS: f32 = 800.0;
 /// Generations between two attempts that are remembered.
 const MAX_INTERRUPTED: usize = 10_000;
 /// Probability of overflow up to which a generation with delivered tokens is placed: it must not
@@ -83,8 +86,9 @@
     prefixes: PrefixTable,
     /// Hosts that place on the same endpoints.
     pub(crate) sharers: u32,
-    /// Mean memory of a sequence, in tokens.
-    pub(crate) mean_kv: f32,
+    hears_placements: bool,
+    /// Forecast of a token of memory of this host's own sequences.
+    pub(crate) typical: TypicalForecast,
     poison: PoisonTable,
     retries: RetryBudgets,
     pub(crate) rng: Pcg64Mcg,
@@ -112,7 +116,8 @@
             interrupted: HashMap::new(),
             prefixes: PrefixTable::default(),
             sharers: 1,
-            mean_kv: INITIAL_SEQUENCE_TOKENS,
+            hears_placements: false,
+            typical: TypicalForecast::default(),
             poison: PoisonTable::default(),
             retries: RetryBudgets::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -346,6 +351,7 @@
                     score: score.seconds,
                     compared: self.candidates.len() as u32,
                     unusable: 0,
+                    kv: prompt_tokens,
                     expected_tokens: 0,
                     prefix_hit,
                     waited: Duration::ZERO,
@@ -370,7 +376,8 @@
     fn pool_risk(&self, forecast: &Forecast, now: Instant) -> f32 {
         let mut total = Forecast::default();
         let mut capacity = 0.0;
-        let others = (self.sharers - 1) as f32;
+        let guessed = if self.hears_placements { 0 } else { self.sharers - 1 };
+        let others = guessed as f32;
         for endpoint in &self.candidates {
             let view = &self.endpoints[*endpoint];
             if view.is_usable(now) {
@@ -405,7 +412,7 @@
     /// Keeps a random half of the candidates when other hosts place on them too: hosts that all
     /// compare the same endpoints by the same reports would all choose the same one.
     fn thin_candidates(&mut self) {
-        if self.sharers <= 1 {
+        if self.sharers <= 1 || self.hears_placements {
             return;
         }
         let keep = (self.candidates.len().div_ceil(2)).max(MIN_CANDIDATES);
@@ -577,26 +584,39 @@
         }
         let running = (report.running + report.waiting).saturating_sub(own_running);
         let kv = (report.kv_used + report.waiting_tokens).saturating_sub(own_kv);
-        let forecast = self.foreign_forecast(running, kv);
+        let age = now.saturating_duration_since(made_at) + HALF_REPORT_INTERVAL;
+        let steps = age.as_secs_f32() / self.endpoints[endpoint].step_seconds;
+        let forecast = self.foreign_forecast(running, kv, steps as u32);
         let foreign = ForeignLoad { running, forecast };
-        self.endpoints[endpoint].take_report(report, &foreign, now);
-        self.endpoints[endpoint].unreported = unreported;
+        let view = &mut self.endpoints[endpoint];
+        view.take_report(report, &foreign, now);
+        view.unreported = unreported;
+        let announced = std::mem::take(&mut view.announced);
+        for later in announced.into_iter().filter(|placement| placement.heard_at > made_at) {
+            view.hear(later);
+        }
+    }
+
+    /// Takes a placement of `kv` tokens that another host told of just now.
+    pub fn hear_placement(&mut self, endpoint: EndpointIx, kv: u32, now: Instant) {
+        let root = self.lengths.root();
+        let continues = |horizon| self.lengths.continues(root, 0, 0, horizon);
+        let forecast = Forecast::of_sequence(kv, continues);
+        self.endpoints[endpoint].hear(AnnouncedPlacement { heard_at: now, forecast });
     }
 
-    /// Forecasts sequences of other hosts, of which only number and memory are known: they are
-    /// taken for halfway through what the sequences of this host use on average.
-    fn foreign_forecast(&self, running: u32, kv: u32) -> Forecast {
+    /// Tells whether other hosts announce their placements, so that they need not be guessed.
+    pub fn set_hears_placements(&mut self, hears: bool) {
+        self.hears_placements = hears;
+    }
+
+    /// Forecasts sequences of other hosts, of which only number and memory were known `steps` ago:
+    /// their memory is expected to develop as that of this host's own sequences does.
+    fn foreign_forecast(&self, running: u32, kv: u32, steps: u32) -> Forecast {
         let mut forecast = Forecast::default();
-        if running == 0 {
-            return forecast;
+        if running > 0 {
+            forecast.add_scaled(&self.typical.later(steps), kv as f32);
         }
-        let each = kv / running;
-        let generated = (self.mean_kv / 2.0).min(each as f32) as u32;
-        let root = self.lengths.root();
-        let one = Forecast::of_sequence(each, |horizon| {
-            self.lengths.continues(root, 0, generated, generated + horizon)
-        });
-        forecast.add_scaled(&one, running as f32);
         forecast
     }
 
--- a/crates/decide/src/decision.rs
+++ b/crates/decide/src/decision.rs
@@ -22,6 +22,8 @@
     pub compared: u32,
     /// Endpoints among them that were not usable.
     pub unusable: u32,
+    /// Memory that it holds at the start, in tokens.
+    pub kv: u32,
     /// Expected length, in tokens.
     pub expected_tokens: u32,
     /// True when the endpoint is believed to hold the prompt's prefix.
--- a/crates/decide/src/endpoint_view.rs
+++ b/crates/decide/src/endpoint_view.rs
@@ -45,6 +45,35 @@
     pub kv: u32,
 }
 
+/// A placement that another host told of.
+#[derive(Clone, Copy, Debug)]
+pub struct AnnouncedPlacement {
+    /// When it was heard of.
+    pub heard_at: Instant,
+    /// Its forecast.
+    pub forecast: Forecast,
+}
+
+/// What another host told of a sequence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnnouncedKind {
+    /// It was placed.
+    Placed,
+    /// It ended or was moved away.
+    Ended,
+}
+
+/// A placement or an end that another host told of.
+#[derive(Clone, Copy, Debug)]
+pub struct Announced {
+    /// What happened.
+    pub kind: AnnouncedKind,
+    /// When it was heard of.
+    pub heard_at: Instant,
+    /// Forecast of the sequence.
+    pub forecast: Forecast,
+}
+
 /// What other hosts have on an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ForeignLoad {
@@ -83,6 +112,8 @@
     pub forecast: Forecast,
     /// Forecast of what other hosts placed.
     pub foreign: Forecast,
+    /// Placements that other hosts told of and no load report covers yet.
+    pub announced: Vec<AnnouncedPlacement>,
     /// Part of the own forecast that no load report covers yet.
     pub unreported: Forecast,
     /// Sequences placed from here.
@@ -115,6 +146,7 @@
             draining: false,
             forecast: Forecast::default(),
             foreign: Forecast::default(),
+            announced: Vec::new(),
             unreported: Forecast::default(),
             sequences: Vec::with_capacity(128),
             ended: VecDeque::new(),
@@ -164,6 +196,13 @@
         self.foreign = foreign.forecast;
     }
 
+    /// Takes a placement that another host told of.
+    pub fn hear(&mut self, placement: AnnouncedPlacement) {
+        self.foreign_running += 1;
+        self.foreign.add(&placement.forecast);
+        self.announced.push(placement);
+    }
+
     /// Remembers a sequence that ended.
     pub fn note_ended(&mut self, ended: EndedSequence) {
         let old = |front: &EndedSequence| {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`hazard`]: online distribution of output lengths from finished and running generations.
 //! - [`lengths`]: length estimates per organisation and route, with fallback to coarser ones.
 //! - [`forecast`]: memory of an engine at a few horizons, and the probability of overflow.
+//! - [`typical_forecast`]: how memory develops that other hosts hold.
 //! - [`endpoint_view`]: what is known of one endpoint.
 //! - [`sequence`]: a generation that was placed.
 //! - [`prefix_table`]: which endpoints recently cached a prompt prefix.
@@ -32,3 +33,4 @@
 pub mod retry_budget;
 pub mod scoring;
 pub mod sequence;
+pub mod typical_forecast;
--- a/crates/decide/src/policy_settings.rs
+++ b/crates/decide/src/policy_settings.rs
@@ -81,12 +81,12 @@
     fn default() -> Self {
         Self {
             candidates: 32,
-            stall_thresholds: Thresholds { admit_risk: 0.3, pool_risk: 0.95, move_risk: 0.97 },
+            stall_thresholds: Thresholds { admit_risk: 0.22, pool_risk: 0.7, move_risk: 0.6 },
             preemption_thresholds: Thresholds { admit_risk: 0.3, pool_risk: 0.5, move_risk: 0.8 },
-            local_horizons: 6,
+            local_horizons: 5,
             move_horizons: 2,
-            usable_memory: 0.975,
-            move_target_risk: 0.05,
+            usable_memory: 0.98,
+            move_target_risk: 0.1,
             max_moves: 6,
             max_waiting: 20_000,
             max_wait: Duration::from_secs(60),
--- a/crates/decide/src/rebalance.rs
+++ b/crates/decide/src/rebalance.rs
@@ -17,14 +17,14 @@
 use crate::scoring::risk;
 use crate::sequence::SequenceIx;
 
+/// Hosts that act on an overflow of a shared endpoint per report, on average.
+const ACTING_HOSTS: u32 = 1;
 /// Moves that are decided per endpoint and tick.
 const MOVES_PER_ENDPOINT: usize = 2;
 /// Time that a placed generation stays before it may move.
 const MIN_STAY: Duration = Duration::from_millis(800);
 /// Time without progress after which a generation is taken for preempted.
 const STALL_LIMIT: Duration = Duration::from_millis(500);
-/// Weight of a new observation of the mean size of a sequence.
-const MEAN_GAIN: f32 = 0.01;
 /// Expected tokens below which a generation is left to finish.
 const MIN_RESIDUAL: f32 = 48.0;
 
@@ -44,8 +44,7 @@
                 let ix = self.endpoints[endpoint].sequences[position];
                 total.add(&self.refresh_sequence(ix, now));
             }
-            let own = self.endpoints[endpoint].sequences.len() as f32;
-            self.mean_kv += (total.mean[0] / own.max(1.0) - self.mean_kv) * MEAN_GAIN;
+            self.typical.observe(&total);
             self.endpoints[endpoint].forecast = total;
             self.endpoints[endpoint].expire_report(now);
         }
@@ -96,7 +95,7 @@
             return 0;
         }
         view.has_new_report = false;
-        usize::from(self.rng.random_ratio(1, self.sharers))
+        usize::from(self.rng.random_ratio(ACTING_HOSTS.min(self.sharers), self.sharers))
     }
 
     /// Returns a sequence that makes no progress, as after a preemption, if another endpoint has
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -22,7 +22,7 @@
 /// that lost each other join again.
 const SYNC_DEAD_EVERY: u64 = 3;
 /// Largest factor of the probe timeouts while this host's own probes fail.
-const MAX_HEALTH_FACTOR: u32 = 4;
+const MAX_HEALTH_FACTOR: u32 = 2;
 
 /// The view of one host.
 pub struct Membership {
@@ -325,8 +325,7 @@
         let confirmed = suspecting.saturating_sub(1).min(self.settings.confirmations) as f64;
         let part = confirmed / self.settings.confirmations.max(1) as f64;
         let span = self.settings.suspicion_max.saturating_sub(self.settings.suspicion_min);
-        let time = self.settings.suspicion_max - span.mul_f64(part);
-        time * (1 + self.health)
+        self.settings.suspicion_max - span.mul_f64(part)
     }
 
     /// Compares views with another host; now and then with one that is taken for dead.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -79,6 +79,17 @@
     pub delta: Vec<u8>,
 }
 
+/// A placement, told to the hosts that share the endpoint.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WirePlacement {
+    /// Digest of the endpoint's name.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// Memory that the generation holds at the start, in tokens.
+    #[prost(uint32, tag = "2")]
+    pub kv: u32,
+}
+
 /// A datagram.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireDatagram {
@@ -103,6 +114,9 @@
     /// A new version.
     #[prost(message, optional, tag = "7")]
     pub announcement: Option<WireAnnouncement>,
+    /// Placements of the sender.
+    #[prost(message, repeated, tag = "8")]
+    pub placements: Vec<WirePlacement>,
     /// Question or answer.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
