Share endpoints between a few hosts when hosts are many

Cause: each host read the load of every configured endpoint four times a second. A report takes 375 bytes with its HTTP heads (83 + 135 + 157, measured with curl), so 12 endpoints cost 18 KB/s a host and 5,400 would cost 8 MB/s, against 12 KB/s. Change: beyond 16 hosts an endpoint belongs to the 4 hosts of its region that rank highest for it; a host reads at most 24 reports a second (9 KB/s) and spreads them over its endpoints. 5,400 endpoints at 440 hosts are 49 a host, one report each 2 s. Shares of 1,080 endpoints over 88 hosts: none has twice the mean, and a lost host moves only its own (daemon/tests/endpoint_share.rs).

--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -39,7 +39,7 @@
     fn config_in_force(&self, _serving: Arc<ServingSet>, _source: &str) {}
     fn blame(&self, _blame: Blame) {}
     fn placements(&self, _placements: Vec<WirePlacement>) {}
-    fn live_hosts(&self, _hosts: HashSet<HostName>) {}
+    fn live_hosts(&self, _hosts: Vec<Member>) {}
     fn leaving(&self, _addresses: HashSet<String>) {}
 }
 
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -22,6 +22,7 @@
 use camphorloft_gateway::control::{
     AttemptEnd, Invariant, Placement, PlacementRequest, Refusal, ServingSet,
 };
+use camphorloft_membership::Member;
 use camphorloft_peer::wire::WirePlacement;
 use camphorloft_types::prelude::*;
 use camphorloft_types::rendezvous;
@@ -29,11 +30,11 @@
 use slog::{Logger, info, warn};
 use stakker::{CX, after};
 
-use crate::control_plane::MAX_TOLD_HOSTS;
 use crate::core_client::Shared;
 use crate::core_thread::{CoreMessage, PlannedSwitch, PolledEndpoint};
+use crate::endpoint_share::EndpointShare;
 use crate::load_poller::PolledEndpoints;
-use crate::registry::{ENDPOINT_DIGEST, Registry};
+use crate::registry::{ENDPOINT_DIGEST, RegisteredEndpoint, Registry};
 use crate::settings::Settings;
 
 /// Time between two ticks of the decider.
@@ -65,6 +66,7 @@
     setup: CoreSetup,
     decider: Decider<LearnedLengths>,
     planner: ModelPlanner,
+    share: EndpointShare,
     registry: Registry,
     serving: Option<Arc<ServingSet>>,
     /// Addresses that the platform's host list shows as leaving.
@@ -106,10 +108,13 @@
         after!(TICK, [cx], tick());
         let seed = rendezvous::score("decider", setup.settings.host.as_str());
         let lengths = LearnedLengths::default();
+        let (own, region) = (setup.settings.host.clone(), setup.settings.region.clone());
+        let share = EndpointShare::new(own, region);
         Some(Self {
             setup,
             decider: Decider::new(PolicySettings::default(), lengths, seed),
             planner: ModelPlanner::new(cx.now()),
+            share,
             registry: Registry::default(),
             serving: None,
             leaving: HashSet::new(),
@@ -146,10 +151,7 @@
                 // A keeper that stopped does not need the plan.
                 let _ = reply.send(self.plan_models(now));
             }
-            CoreMessage::Sharers(sharers) => {
-                self.decider.set_sharers(sharers);
-                self.decider.set_hears_placements(sharers as usize <= MAX_TOLD_HOSTS + 1);
-            }
+            CoreMessage::LiveHosts(others) => self.take_live_hosts(&others),
             CoreMessage::Placements(placements) => {
                 for placement in placements {
                     // An endpoint that is not known here is of another version.
@@ -334,6 +336,23 @@
         self.count("blame");
     }
 
+    /// Takes the other live hosts, which decide who places on which endpoints.
+    fn take_live_hosts(&mut self, others: &[Member]) {
+        self.share.set_live(others);
+        self.decider.set_sharers(self.share.sharers());
+        self.decider.set_hears_placements(self.share.is_small());
+        self.update_polled();
+        if let Some(serving) = self.serving.clone() {
+            self.configure_routes(&serving);
+        }
+    }
+
+    fn configure_routes(&mut self, serving: &ServingSet) {
+        for (_, route) in serving.set.routes.iter() {
+            self.configure_route(serving, route);
+        }
+    }
+
     /// Puts a version into force.
     fn configure(&mut self, serving: Arc<ServingSet>, source: &str) {
         let before = self.serving.as_ref().map_or(ConfigVersion(0), |serving| serving.version);
@@ -347,9 +366,7 @@
             let ix = self.registry.organisations.intern(&organisation.name);
             self.decider.set_weight(ix, organisation.weight);
         }
-        for (_, route) in serving.set.routes.iter() {
-            self.configure_route(&serving, route);
-        }
+        self.configure_routes(&serving);
         info!(self.setup.log, "configuration in force";
             "version" => %serving.version, "source" => source);
         self.setup.shared.metrics.config_version.set(serving.version.0 as i64);
@@ -380,16 +397,23 @@
             let all = endpoint.object.models.len();
             registered.max_models = endpoint.object.max_models.unwrap_or(all);
         }
-        let mut polled = Vec::new();
-        for endpoint in &self.registry.endpoints {
-            if !endpoint.removed {
-                polled.push(PolledEndpoint { ix: endpoint.ix, addr: endpoint.addr });
-            }
-        }
-        *self.setup.polled.lock().unwrap_or_else(PoisonError::into_inner) = polled;
+        self.update_polled();
         self.update_leaving();
     }
 
+    /// Returns true when this host places on an endpoint.
+    fn is_shared_here(&self, endpoint: &RegisteredEndpoint) -> bool {
+        self.share.includes(&endpoint.name, &endpoint.region)
+    }
+
+    /// Tells the poller whose load to read.
+    fn update_polled(&self) {
+        let present = self.registry.endpoints.iter().filter(|endpoint| !endpoint.removed);
+        let shared = present.filter(|endpoint| self.is_shared_here(endpoint));
+        let polled = shared.map(|endpoint| PolledEndpoint { ix: endpoint.ix, addr: endpoint.addr });
+        *self.setup.polled.lock().unwrap_or_else(PoisonError::into_inner) = polled.collect();
+    }
+
     /// Tells the decider which endpoints get no new work.
     fn update_leaving(&mut self) {
         for endpoint in &self.registry.endpoints {
@@ -401,7 +425,10 @@
     fn configure_route(&mut self, serving: &ServingSet, route: &CheckedRoute) {
         let names = route.endpoints.iter().map(|ix| &serving.set.endpoints[*ix].name);
         let known = names.filter_map(|name| self.registry.endpoint_ix(name));
-        let serves = |ix: &EndpointIx| self.registry.endpoint(*ix).serves(&route.model);
+        let serves = |ix: &EndpointIx| {
+            let endpoint = self.registry.endpoint(*ix);
+            endpoint.serves(&route.model) && self.is_shared_here(endpoint)
+        };
         let endpoints = known.filter(serves).collect();
         let weights = ObjectiveWeights {
             stall: route.objective.stall as f32,
@@ -447,9 +474,8 @@
             return;
         }
         registered.loaded = Some(loaded);
-        let Some(serving) = self.serving.clone() else { return };
-        for (_, route) in serving.set.routes.iter() {
-            self.configure_route(&serving, route);
+        if let Some(serving) = self.serving.clone() {
+            self.configure_routes(&serving);
         }
     }
 
--- a/crates/daemon/src/core_client.rs
+++ b/crates/daemon/src/core_client.rs
@@ -9,6 +9,7 @@
 use camphorloft_gateway::control::{
     AttemptEnd, Control, Directive, Invariant, Placement, PlacementRequest, Refusal, ServingSet,
 };
+use camphorloft_membership::Member;
 use camphorloft_peer::wire::WirePlacement;
 use camphorloft_types::prelude::*;
 use slog::{Logger, crit};
@@ -181,9 +182,10 @@
         self.sender.send(CoreMessage::Placements(placements));
     }
 
-    fn live_hosts(&self, hosts: HashSet<HostName>) {
-        self.sender.send(CoreMessage::Sharers(hosts.len() as u32 + 1));
-        *self.shared.live_hosts.write().unwrap_or_else(PoisonError::into_inner) = hosts;
+    fn live_hosts(&self, hosts: Vec<Member>) {
+        let names = hosts.iter().map(|member| member.host.clone()).collect();
+        *self.shared.live_hosts.write().unwrap_or_else(PoisonError::into_inner) = names;
+        self.sender.send(CoreMessage::LiveHosts(hosts));
     }
 
     fn leaving(&self, addresses: HashSet<String>) {
--- a/crates/daemon/src/core_thread.rs
+++ b/crates/daemon/src/core_thread.rs
@@ -9,6 +9,7 @@
 use camphorloft_decide::poison::Blame;
 use camphorloft_engine::load_report::{CacheEvents, LoadReport};
 use camphorloft_gateway::control::{AttemptEnd, Placement, PlacementRequest, Refusal, ServingSet};
+use camphorloft_membership::Member;
 use camphorloft_peer::wire::WirePlacement;
 use camphorloft_types::prelude::*;
 use stakker::{ActorOwn, Stakker, actor, call, ret_nop};
@@ -66,8 +67,8 @@
     Placements(Vec<WirePlacement>),
     /// Asks for the switches of models that are due.
     PlanModels(SyncSender<Vec<PlannedSwitch>>),
-    /// This many hosts, this one included, place on the same endpoints.
-    Sharers(u32),
+    /// The other live hosts.
+    LiveHosts(Vec<Member>),
     /// The platform's list shows these addresses as leaving.
     Leaving(HashSet<String>),
     /// Asks for a view, as JSON.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`core`]: the decision core, a `stakker` actor.
 //! - [`core_thread`]: the thread that runs the actor.
 //! - [`core_client`]: the gateway's way to the core.
+//! - [`endpoint_share`]: which endpoints a host places on.
 //! - [`load_poller`]: reads the load reports of the engines.
 //! - [`host`]: starts and stops a host.
 //! - [`process`]: runs a host as a process.
@@ -24,6 +25,7 @@
 pub mod core_client;
 pub mod core_thread;
 pub mod embedded;
+pub mod endpoint_share;
 pub mod host;
 pub mod load_poller;
 pub mod logging;
--- a/crates/daemon/src/load_poller.rs
+++ b/crates/daemon/src/load_poller.rs
@@ -12,8 +12,11 @@
 use crate::core_client::CoreSender;
 use crate::core_thread::{CoreMessage, PolledEndpoint};
 
-/// Time between two reports of one endpoint.
-pub const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Least time between two reports of one endpoint.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(250);
+/// Reports that a host reads per second at most. One takes about 375 bytes with its HTTP heads,
+/// so that this is 9 KB/s.
+const REPORTS_PER_SECOND: f64 = 24.0;
 /// Reports between two reads of the cache events.
 const REPORTS_PER_CACHE_READ: u32 = 4;
 /// Threads that read reports. One engine that hangs holds up one of them.
@@ -64,11 +67,12 @@
         round: u32,
         cache_positions: &mut HashMap<EndpointIx, usize>,
     ) {
-        let endpoints: Vec<PolledEndpoint> = {
+        let (endpoints, interval) = {
             let all = self.endpoints.lock().unwrap_or_else(PoisonError::into_inner);
-            all.iter().skip(share).step_by(POLLER_THREADS).cloned().collect()
+            let share = all.iter().skip(share).step_by(POLLER_THREADS).cloned();
+            (share.collect::<Vec<PolledEndpoint>>(), report_interval(all.len()))
         };
-        let each = REPORT_INTERVAL / endpoints.len().max(1) as u32;
+        let each = interval / endpoints.len().max(1) as u32;
         if endpoints.is_empty() {
             thread::sleep(each);
         }
@@ -106,3 +110,8 @@
         }
     }
 }
+
+/// Returns the time between two reports of one endpoint when `count` endpoints are read.
+fn report_interval(count: usize) -> Duration {
+    Duration::from_secs_f64(count as f64 / REPORTS_PER_SECOND).max(MIN_REPORT_INTERVAL)
+}
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -49,8 +49,8 @@
     /// Another host made placements.
     fn placements(&self, placements: Vec<WirePlacement>);
 
-    /// The set of live hosts changed.
-    fn live_hosts(&self, hosts: HashSet<HostName>);
+    /// The set of other live hosts changed.
+    fn live_hosts(&self, hosts: Vec<Member>);
 
     /// The platform's list shows these addresses as leaving.
     fn leaving(&self, addresses: HashSet<String>);
@@ -361,8 +361,8 @@
         self.state.evictions.store(self.plane.evictions(), Ordering::Relaxed);
         *self.state.counts.lock().unwrap_or_else(PoisonError::into_inner) = self.plane.counts();
         if live != self.live {
-            self.live = live.clone();
-            self.events.live_hosts(live);
+            self.live = live;
+            self.events.live_hosts(self.plane.live().cloned().collect());
         }
         let rows = self.rows();
         *self.state.rows.lock().unwrap_or_else(PoisonError::into_inner) = rows;
--- a/crates/daemon/src/registry.rs
+++ b/crates/daemon/src/registry.rs
@@ -60,6 +60,8 @@
     pub name: EndpointName,
     /// Address of the engine.
     pub addr: SocketAddr,
+    /// Region of the engine.
+    pub region: Region,
     /// True when the configuration no longer has it.
     pub removed: bool,
     /// True when the engine checks fencing numbers.
@@ -117,6 +119,7 @@
             ix,
             name: name.clone(),
             addr: object.address,
+            region: object.region.clone(),
             removed: false,
             checks_fencing: object.checks_fencing,
             allowed: object.models.clone(),
--- /dev/null
+++ b/crates/daemon/tests/endpoint_share.rs
@@ -0,0 +1,60 @@
+//! Endpoints are shared evenly, and the loss of a host moves only its own.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use camphorloft_daemon::endpoint_share::{EndpointShare, HOSTS_PER_ENDPOINT};
+use camphorloft_membership::{Member, MemberState};
+use camphorloft_types::prelude::*;
+
+const HOSTS: usize = 88;
+const ENDPOINTS: usize = 1080;
+
+fn member(ix: usize) -> Member {
+    Member {
+        host: format!("host-{ix}").parse().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        http_addr: "127.0.0.1:1".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        zone: "z".parse().unwrap(),
+        incarnation: Incarnation(1),
+        state: MemberState::Alive,
+        accuser: None,
+    }
+}
+
+/// Returns the endpoints of each host when these hosts live.
+fn shares(live: &[usize]) -> BTreeMap<usize, BTreeSet<usize>> {
+    let region: Region = "r".parse().unwrap();
+    let mut all = BTreeMap::new();
+    for own in live {
+        let mut share = EndpointShare::new(member(*own).host, region.clone());
+        let others: Vec<Member> =
+            live.iter().filter(|ix| *ix != own).map(|ix| member(*ix)).collect();
+        share.set_live(&others);
+        let mine = (0..ENDPOINTS)
+            .filter(|ix| share.includes(&format!("engine-{ix}").parse().unwrap(), &region));
+        all.insert(*own, mine.collect());
+    }
+    all
+}
+
+#[test]
+fn every_endpoint_has_its_hosts_and_no_host_has_too_many() {
+    let all = shares(&(0..HOSTS).collect::<Vec<_>>());
+    let total: usize = all.values().map(BTreeSet::len).sum();
+    assert_eq!(total, ENDPOINTS * HOSTS_PER_ENDPOINT);
+    let mean = total / HOSTS;
+    let most = all.values().map(BTreeSet::len).max().unwrap();
+    assert!(most < 2 * mean, "{most} for a mean of {mean}");
+}
+
+#[test]
+fn the_loss_of_a_host_moves_only_its_endpoints() {
+    let before = shares(&(0..HOSTS).collect::<Vec<_>>());
+    let after = shares(&(1..HOSTS).collect::<Vec<_>>());
+    for (host, endpoints) in &after {
+        assert!(endpoints.is_superset(&before[host]));
+        let gained = endpoints.difference(&before[host]);
+        assert!(gained.into_iter().all(|endpoint| before[&0].contains(endpoint)));
+    }
+}
