Split the large files by job

Change: the decider's placing, reporting and ticking, the core's configuration and views, the fetcher of the control plane, and the state and paced streams of the engine stand-in each have a file. No behaviour changes.

--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -183,9 +183,9 @@
 
 fn read_settings(path: Option<&Path>) -> Result<PolicySettings, String> {
     let Some(path) = path else { return Ok(PolicySettings::default()) };
-    let at = |err: &dyn std::fmt::Display| format!("{}: {err}", path.display());
-    let text = std::fs::read_to_string(path).map_err(|err| at(&err))?;
-    serde_json::from_str(&text).map_err(|err| at(&err))
+    let at = |err: String| format!("{}: {err}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|err| at(err.to_string()))?;
+    serde_json::from_str(&text).map_err(|err| at(err.to_string()))
 }
 
 fn write_report(dir: &Path, result: &PolicyResult, curves: &[report::Curve]) -> ExitCode {
--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -31,12 +31,10 @@
 pub fn run(args: &ExplainArgs) -> CommandResult {
     let mut lines = Vec::new();
     for path in &args.logs {
-        let at = |err: &dyn std::fmt::Display| {
-            CommandError::BadInput(format!("{}: {err}", path.display()))
-        };
-        let file = File::open(path).map_err(|err| at(&err))?;
+        let at = |err: String| CommandError::BadInput(format!("{}: {err}", path.display()));
+        let file = File::open(path).map_err(|err| at(err.to_string()))?;
         for line in BufReader::new(file).lines() {
-            let line = line.map_err(|err| at(&err))?;
+            let line = line.map_err(|err| at(err.to_string()))?;
             // Other lines of the log are not JSON or concern other requests.
             let Ok(Value::Object(record)) = serde_json::from_str(&line) else { continue };
             if record.get("generation").and_then(Value::as_str) == Some(&args.generation) {
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -8,33 +8,30 @@
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
-use camphorloft_config::checked::CheckedRoute;
 use camphorloft_config::object::Priority;
 use camphorloft_decide::decider::{Decider, EndKind};
 use camphorloft_decide::decision::{Decision, Placed, RefuseReason, Refused, TickOutput};
-use camphorloft_decide::endpoint_view::{Distance, Report};
+use camphorloft_decide::endpoint_view::Report;
 use camphorloft_decide::lengths::{ClassKey, LearnedLengths};
-use camphorloft_decide::model_placement::{ModelPlanner, ModelSwitch, Replica};
+use camphorloft_decide::model_placement::ModelPlanner;
 use camphorloft_decide::poison::Blame;
-use camphorloft_decide::policy_settings::{ObjectiveWeights, PolicySettings};
+use camphorloft_decide::policy_settings::PolicySettings;
 use camphorloft_decide::sequence::Ask;
 use camphorloft_engine::load_report::LoadReport;
 use camphorloft_gateway::control::{
     AttemptEnd, Invariant, Placement, PlacementRequest, Refusal, ServingSet,
 };
-use camphorloft_membership::Member;
 use camphorloft_peer::wire::WirePlacement;
 use camphorloft_types::prelude::*;
 use camphorloft_types::rendezvous;
-use serde::Serialize;
 use slog::{Logger, info, warn};
 use stakker::{CX, after};
 
 use crate::core_client::Shared;
-use crate::core_thread::{CoreMessage, PlannedSwitch, PolledEndpoint};
+use crate::core_thread::CoreMessage;
 use crate::endpoint_share::EndpointShare;
 use crate::load_poller::PolledEndpoints;
-use crate::registry::{ENDPOINT_DIGEST, RegisteredEndpoint, Registry};
+use crate::registry::{ENDPOINT_DIGEST, Registry};
 use crate::settings::Settings;
 
 /// Time between two ticks of the decider.
@@ -56,50 +53,25 @@
 }
 
 /// A caller that waits for a place.
-struct WaitingCaller {
+pub(crate) struct WaitingCaller {
     attempt: Attempt,
     reply: SyncSender<Result<Placement, Refusal>>,
 }
 
 /// The decision core.
 pub struct Core {
-    setup: CoreSetup,
-    decider: Decider<LearnedLengths>,
-    planner: ModelPlanner,
-    share: EndpointShare,
-    registry: Registry,
-    serving: Option<Arc<ServingSet>>,
+    pub(crate) setup: CoreSetup,
+    pub(crate) decider: Decider<LearnedLengths>,
+    pub(crate) planner: ModelPlanner,
+    pub(crate) share: EndpointShare,
+    pub(crate) registry: Registry,
+    pub(crate) serving: Option<Arc<ServingSet>>,
     /// Addresses that the platform's host list shows as leaving.
-    leaving: HashSet<String>,
-    waiting: HashMap<GenerationId, WaitingCaller>,
+    pub(crate) leaving: HashSet<String>,
+    pub(crate) waiting: HashMap<GenerationId, WaitingCaller>,
     /// Latest attempt of each generation that was placed here.
-    attempts: HashMap<GenerationId, Attempt>,
-    output: TickOutput,
-}
-
-/// One endpoint as operators see it.
-#[derive(Serialize)]
-struct EndpointRow {
-    name: String,
-    address: String,
-    capacity_tokens: u32,
-    running: u32,
-    engine_waiting: u32,
-    usable: bool,
-    leaving: bool,
-    report_age_ms: Option<u64>,
-}
-
-/// The state of a host as operators see it.
-#[derive(Serialize)]
-struct StatusView {
-    host: String,
-    region: String,
-    zone: String,
-    config_version: u64,
-    running: usize,
-    waiting: usize,
-    violations: u64,
+    pub(crate) attempts: HashMap<GenerationId, Attempt>,
+    pub(crate) output: TickOutput,
 }
 
 impl Core {
@@ -336,116 +308,6 @@
         self.count("blame");
     }
 
-    /// Takes the other live hosts, which decide who places on which endpoints.
-    fn take_live_hosts(&mut self, others: &[Member]) {
-        self.share.set_live(others);
-        self.decider.set_sharers(self.share.sharers());
-        self.decider.set_hears_placements(self.share.is_small());
-        self.update_polled();
-        if let Some(serving) = self.serving.clone() {
-            self.configure_routes(&serving);
-        }
-    }
-
-    fn configure_routes(&mut self, serving: &ServingSet) {
-        for (_, route) in serving.set.routes.iter() {
-            self.configure_route(serving, route);
-        }
-    }
-
-    /// Puts a version into force.
-    fn configure(&mut self, serving: Arc<ServingSet>, source: &str) {
-        let before = self.serving.as_ref().map_or(ConfigVersion(0), |serving| serving.version);
-        if serving.version < before {
-            let detail = format!("version {} follows {before}", serving.version);
-            self.setup.shared.violated(&self.setup.log, Invariant::ConfigMonotonic, &detail);
-            return;
-        }
-        self.configure_endpoints(&serving);
-        for (_, organisation) in serving.set.organisations.iter() {
-            let ix = self.registry.organisations.intern(&organisation.name);
-            self.decider.set_weight(ix, organisation.weight);
-        }
-        self.configure_routes(&serving);
-        info!(self.setup.log, "configuration in force";
-            "version" => %serving.version, "source" => source);
-        self.setup.shared.metrics.config_version.set(serving.version.0 as i64);
-        self.serving = Some(serving);
-    }
-
-    fn configure_endpoints(&mut self, serving: &ServingSet) {
-        for endpoint in &mut self.registry.endpoints {
-            endpoint.removed = true;
-        }
-        for (_, endpoint) in serving.set.endpoints.iter() {
-            let ix = match self.registry.endpoint_ix(&endpoint.name) {
-                Some(ix) => ix,
-                None => {
-                    let distance = self.distance(&endpoint.object.region, &endpoint.object.zone);
-                    let object = &endpoint.object;
-                    let (kv, sequences) = (object.kv_tokens.0, object.max_sequences);
-                    let ix = self.decider.add_endpoint(kv, sequences, distance);
-                    self.registry.add_endpoint(ix, &endpoint.name, object);
-                    ix
-                }
-            };
-            let registered = &mut self.registry.endpoints[ix.as_u32() as usize];
-            registered.removed = false;
-            registered.addr = endpoint.object.address;
-            registered.checks_fencing = endpoint.object.checks_fencing;
-            registered.allowed = endpoint.object.models.clone();
-            let all = endpoint.object.models.len();
-            registered.max_models = endpoint.object.max_models.unwrap_or(all);
-        }
-        self.update_polled();
-        self.update_leaving();
-    }
-
-    /// Returns true when this host places on an endpoint.
-    fn is_shared_here(&self, endpoint: &RegisteredEndpoint) -> bool {
-        self.share.includes(&endpoint.name, &endpoint.region)
-    }
-
-    /// Tells the poller whose load to read.
-    fn update_polled(&self) {
-        let present = self.registry.endpoints.iter().filter(|endpoint| !endpoint.removed);
-        let shared = present.filter(|endpoint| self.is_shared_here(endpoint));
-        let polled = shared.map(|endpoint| PolledEndpoint { ix: endpoint.ix, addr: endpoint.addr });
-        *self.setup.polled.lock().unwrap_or_else(PoisonError::into_inner) = polled.collect();
-    }
-
-    /// Tells the decider which endpoints get no new work.
-    fn update_leaving(&mut self) {
-        for endpoint in &self.registry.endpoints {
-            let listed = self.leaving.contains(&endpoint.addr.to_string());
-            self.decider.endpoint_mut(endpoint.ix).leaving = endpoint.removed || listed;
-        }
-    }
-
-    fn configure_route(&mut self, serving: &ServingSet, route: &CheckedRoute) {
-        let names = route.endpoints.iter().map(|ix| &serving.set.endpoints[*ix].name);
-        let known = names.filter_map(|name| self.registry.endpoint_ix(name));
-        let serves = |ix: &EndpointIx| {
-            let endpoint = self.registry.endpoint(*ix);
-            endpoint.serves(&route.model) && self.is_shared_here(endpoint)
-        };
-        let endpoints = known.filter(serves).collect();
-        let weights = ObjectiveWeights {
-            stall: route.objective.stall as f32,
-            preemption: route.objective.preemption as f32,
-            gap: route.objective.gap as f32,
-        };
-        let ix = self.registry.routes.intern(&route.name);
-        self.decider.set_route(ix, endpoints, weights);
-    }
-
-    fn distance(&self, region: &Region, zone: &AvailabilityZone) -> Distance {
-        if *region != self.setup.settings.region {
-            return Distance::Remote;
-        }
-        if *zone == self.setup.settings.zone { Distance::Zone } else { Distance::Region }
-    }
-
     fn take_load(
         &mut self,
         endpoint: EndpointIx,
@@ -465,95 +327,6 @@
         };
         self.decider.report(endpoint, &report, made_at, now);
     }
-
-    /// Takes the models that an endpoint has loaded. A change changes who serves which route.
-    fn take_loaded(&mut self, endpoint: EndpointIx, models: &[String]) {
-        let loaded: Vec<ModelName> = models.iter().filter_map(|name| name.parse().ok()).collect();
-        let registered = &mut self.registry.endpoints[endpoint.as_u32() as usize];
-        if registered.loaded.as_ref() == Some(&loaded) {
-            return;
-        }
-        registered.loaded = Some(loaded);
-        if let Some(serving) = self.serving.clone() {
-            self.configure_routes(&serving);
-        }
-    }
-
-    /// Plans switches of models on the engines of this region that cannot hold all of theirs.
-    fn plan_models(&mut self, now: Instant) -> Vec<PlannedSwitch> {
-        let mut replicas = Vec::new();
-        for endpoint in &self.registry.endpoints {
-            let view = self.decider.endpoint(endpoint.ix);
-            let local = view.distance < Distance::Remote;
-            let partial = endpoint.max_models < endpoint.allowed.len();
-            let Some(loaded) = endpoint.loaded.clone().filter(|_| local && partial) else {
-                continue;
-            };
-            if view.is_usable(now) {
-                replicas.push(Replica {
-                    endpoint: endpoint.ix,
-                    allowed: endpoint.allowed.clone(),
-                    loaded,
-                    max_models: endpoint.max_models,
-                    running: view.running(),
-                });
-            }
-        }
-        if replicas.is_empty() {
-            return Vec::new();
-        }
-        let switches = self.planner.plan(&replicas, now);
-        switches.into_iter().map(|switch| self.planned_switch(switch)).collect()
-    }
-
-    fn planned_switch(&self, switch: ModelSwitch) -> PlannedSwitch {
-        let endpoint = self.registry.endpoint(switch.endpoint);
-        PlannedSwitch {
-            endpoint: endpoint.name.clone(),
-            addr: endpoint.addr,
-            checks_fencing: endpoint.checks_fencing,
-            unload: switch.unload,
-            load: switch.load,
-        }
-    }
-
-    fn view(&self, name: &str, now: Instant) -> Option<String> {
-        match name {
-            "status" => serde_json::to_string(&self.status_view()).ok(),
-            "endpoints" => serde_json::to_string(&self.endpoint_rows(now)).ok(),
-            _ => None,
-        }
-    }
-
-    fn status_view(&self) -> StatusView {
-        let settings = &self.setup.settings;
-        StatusView {
-            host: settings.host.to_string(),
-            region: settings.region.to_string(),
-            zone: settings.zone.to_string(),
-            config_version: self.serving.as_ref().map_or(0, |serving| serving.version.0),
-            running: self.decider.running(),
-            waiting: self.decider.waiting(),
-            violations: self.setup.shared.metrics.violation_count(),
-        }
-    }
-
-    fn endpoint_rows(&self, now: Instant) -> Vec<EndpointRow> {
-        let rows = self.registry.endpoints.iter().map(|endpoint| {
-            let view = self.decider.endpoint(endpoint.ix);
-            EndpointRow {
-                name: endpoint.name.to_string(),
-                address: endpoint.addr.to_string(),
-                capacity_tokens: view.capacity,
-                running: view.running(),
-                engine_waiting: view.engine_waiting,
-                usable: view.is_usable(now),
-                leaving: view.leaving || view.draining,
-                report_age_ms: view.report_age(now).map(|age| age.as_millis() as u64),
-            }
-        });
-        rows.collect()
-    }
 }
 
 fn priority_level(priority: Priority) -> u8 {
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -15,28 +15,24 @@
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::wire::WirePlacement;
 use camphorloft_platform::api::PlatformApi;
-use camphorloft_platform::publication::{PublishedDelta, VersionedSet, fetch_since, read_history};
-use camphorloft_platform::wire::HostEntry;
+use camphorloft_platform::publication::PublishedDelta;
 use camphorloft_types::prelude::*;
 use cpu_time::ThreadTime;
 use rand::Rng;
 use serde::Serialize;
-use slog::{Logger, debug, error};
+use slog::{Logger, debug};
 
-use crate::config_exchange::{fetch_from_peer, serve_config};
-use crate::config_state::{ConfigState, Offer};
+use crate::config_exchange::serve_config;
+use crate::config_fetcher::Fetcher;
+use crate::config_state::ConfigState;
 use crate::control_plane::{ControlCounts, ControlEvent, ControlPlane, Datagram};
 
 /// Time between two ticks of the protocols.
-const TICK: Duration = Duration::from_millis(100);
+pub(crate) const TICK: Duration = Duration::from_millis(100);
 /// Time between two copies of the rows that operators read.
 const ROWS_INTERVAL: Duration = Duration::from_millis(500);
 /// Largest datagram.
 const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
-/// Reads of the newest version that all hosts together make per second.
-const CONFIG_READS_PER_SECOND: f64 = 100.0;
-/// Least time between two such reads of one host.
-const MIN_CONFIG_POLL: Duration = Duration::from_secs(1);
 /// Time between two attempts to find hosts by the addresses of the settings.
 const SEED_RETRY: Duration = Duration::from_secs(1);
 
@@ -77,7 +73,7 @@
 }
 
 /// A request to the control plane's thread.
-enum LinkRequest {
+pub(crate) enum LinkRequest {
     Announce(ConfigVersion, Option<PublishedDelta>),
     Blame(Blame),
     Placement(WirePlacement),
@@ -105,12 +101,12 @@
 }
 
 /// State that the threads share.
-struct LinkState {
+pub(crate) struct LinkState {
     rows: Mutex<Vec<MemberRow>>,
     counts: Mutex<ControlCounts>,
     cpu_micros: AtomicU64,
     evictions: AtomicU64,
-    live: AtomicU32,
+    pub(crate) live: AtomicU32,
     dead: AtomicU32,
 }
 
@@ -415,129 +411,8 @@
     }
 }
 
-fn add_cpu_time(state: &LinkState, since: &mut ThreadTime) {
+pub(crate) fn add_cpu_time(state: &LinkState, since: &mut ThreadTime) {
     let spent = since.elapsed();
     *since = ThreadTime::now();
     state.cpu_micros.fetch_add(spent.as_micros() as u64, Ordering::Relaxed);
 }
-
-/// The thread that talks to the platform and fetches sets from other hosts.
-struct Fetcher<P, L>
-where
-    P: PlatformApi,
-    L: ControlListener,
-{
-    platform: Arc<P>,
-    config: ConfigState,
-    keys: FrameKeys,
-    events: Arc<L>,
-    requests: Sender<LinkRequest>,
-    state: Arc<LinkState>,
-    expected_hosts: u32,
-    log: Logger,
-    stop: Arc<AtomicBool>,
-}
-
-impl<P, L> Fetcher<P, L>
-where
-    P: PlatformApi,
-    L: ControlListener,
-{
-    fn run(&self, fetches: &Receiver<(SocketAddr, ConfigVersion)>) {
-        let mut next_poll = Instant::now();
-        let mut cpu = ThreadTime::now();
-        while !self.stop.load(Ordering::Relaxed) {
-            let wait = next_poll.saturating_duration_since(Instant::now());
-            if let Ok((peer, version)) = fetches.recv_timeout(wait.min(TICK)) {
-                self.fetch_from(peer, version);
-            }
-            if Instant::now() >= next_poll {
-                self.poll_config();
-                self.poll_hosts();
-                next_poll = Instant::now() + self.poll_interval();
-            }
-            add_cpu_time(&self.state, &mut cpu);
-        }
-    }
-
-    /// Returns the time until the next poll: the hosts share a fixed number of reads, and jitter
-    /// keeps hosts that started together from polling together.
-    fn poll_interval(&self) -> Duration {
-        let hosts = (self.state.live.load(Ordering::Relaxed) + 1).max(self.expected_hosts);
-        let share = Duration::from_secs_f64(f64::from(hosts) / CONFIG_READS_PER_SECOND);
-        share.max(MIN_CONFIG_POLL).mul_f64(rand::rng().random_range(0.75..1.25))
-    }
-
-    fn poll_config(&self) {
-        let known = self.config.raw();
-        match fetch_since(&*self.platform, &known) {
-            Ok(Some(fetched)) => {
-                let delta = self.last_delta(&known, &fetched);
-                self.apply(fetched, delta, "platform");
-            }
-            Ok(None) => {}
-            Err(err) => debug!(self.log, "configuration not fetched"; "error" => %err),
-        }
-    }
-
-    /// Returns the published delta when exactly one version was missing.
-    fn last_delta(&self, known: &VersionedSet, fetched: &VersionedSet) -> Option<PublishedDelta> {
-        if fetched.version != known.version.next() || known.version.0 == 0 {
-            return None;
-        }
-        let delta = read_history(&*self.platform, 1).ok()?.pop()?;
-        (delta.version == fetched.version).then_some(delta)
-    }
-
-    fn fetch_from(&self, peer: SocketAddr, version: ConfigVersion) {
-        if version <= self.config.version() {
-            return;
-        }
-        match fetch_from_peer(peer, &self.keys, self.config.version()) {
-            Ok(Some(fetched)) => self.apply(fetched, None, "peer"),
-            Ok(None) => {}
-            Err(err) => {
-                debug!(self.log, "configuration not fetched"; "peer" => %peer, "error" => %err);
-            }
-        }
-    }
-
-    fn apply(&self, offered: VersionedSet, delta: Option<PublishedDelta>, source: &str) {
-        let version = offered.version;
-        match self.config.offer(offered) {
-            Offer::InForce(serving) => {
-                self.events.config_in_force(serving, source);
-                // The thread ends only when the host stops.
-                let _ = self.requests.send(LinkRequest::Announce(version, delta));
-            }
-            Offer::Stale => {}
-            Offer::Invalid(findings) => {
-                error!(self.log, "a published version has findings here; the old one stays";
-                    "version" => %version, "findings" => %findings);
-            }
-        }
-    }
-
-    fn poll_hosts(&self) {
-        let Ok(entries) = self.platform.hosts() else { return };
-        let leaving = entries.iter().filter(|entry| entry.leaving);
-        self.events.leaving(leaving.map(|entry| entry.addr.clone()).collect());
-        let seeds: Vec<Member> = entries.iter().filter_map(seed_member).collect();
-        let _ = self.requests.send(LinkRequest::Seeds(seeds));
-    }
-}
-
-/// Returns a host of this system, `None` for other entries of the list.
-fn seed_member(entry: &HostEntry) -> Option<Member> {
-    let addr = entry.addr.parse().ok()?;
-    Some(Member {
-        host: entry.name.parse().ok()?,
-        addr,
-        http_addr: entry.http_addr.as_deref()?.parse().ok()?,
-        region: entry.region.parse().ok()?,
-        zone: entry.zone.parse().ok()?,
-        incarnation: Incarnation(0),
-        state: MemberState::Alive,
-        accuser: None,
-    })
-}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,9 @@
 //! - [`policy_settings`]: the constants of the policy, checked.
 //! - [`decision`]: what is decided, with the inputs that decided it.
 //! - [`decider`]: the context that owns all of it.
+//! - [`placing`]: chooses the endpoint of one generation.
+//! - [`reporting`]: takes what engines and other hosts report.
+//! - [`ticking`]: acts on the passage of time.
 //! - [`scoring`]: compares endpoints for one generation.
 //! - [`rebalance`]: moves generations away from engines whose memory runs out.
 
@@ -26,11 +29,14 @@
 pub mod hazard;
 pub mod lengths;
 pub mod model_placement;
+pub mod placing;
 pub mod poison;
 pub mod policy_settings;
 pub mod prefix_table;
 pub mod rebalance;
+pub mod reporting;
 pub mod retry_budget;
 pub mod scoring;
 pub mod sequence;
+pub mod ticking;
 pub mod typical_forecast;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -3,38 +3,36 @@
 //! Paths: `POST /v1/completions`, `GET` and `DELETE /v1/generations/ID/ATTEMPT`, `GET /load`,
 //! `GET /cache_events?after=N`, `POST /orders`, `POST /faults`.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use camphorloft_engine::completion::{Choice, Chunk, CompletionBody, DONE};
-use camphorloft_engine::load_report::{CacheEvents, LoadReport};
+use camphorloft_engine::completion::{CompletionBody, DONE};
+use camphorloft_engine::load_report::CacheEvents;
 use camphorloft_engine::order::{Order, OrderAction};
 use camphorloft_http::body::read_body;
 use camphorloft_http::event_stream::EventStream;
 use camphorloft_http::header::{header, response_header};
 use camphorloft_http::listener::bind;
 use camphorloft_http::serve::{Handler, InFlightCount, serve};
-use camphorloft_types::prelude::{ByteSize, FencingNumber};
-use rand::{Rng, SeedableRng};
-use rand_pcg::Pcg64Mcg;
+use camphorloft_types::prelude::ByteSize;
+use rand::Rng;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tiny_http::{Method, Request, Response, Server};
 
 use crate::engine_http::{EngineFault, StandinHints};
-use crate::engine_model::{EngineLimits, EngineModel, SequenceId, StepEvent, Submission};
-use crate::text_model::{chain_next, chain_of_text, chain_start, sample};
+use crate::engine_model::{EngineLimits, SequenceId, Submission};
+use crate::engine_paced::stream_paced;
+use crate::engine_state::{EngineRecord, Generation, REPORT_LAG, State, Writing, lock};
+use crate::text_model::{chain_of_text, chain_start};
 
 /// Time that a generation without a reader keeps running.
 const DETACH_GRACE: Duration = Duration::from_secs(10);
 /// Time that a finished generation can still be read.
 const KEEP_FINISHED: Duration = Duration::from_secs(60);
-/// Delay of a load report.
-const REPORT_LAG: Duration = Duration::from_millis(200);
 /// Wait of an idle engine.
 const IDLE_WAIT: Duration = Duration::from_millis(5);
 /// Time between two purges of old generations.
@@ -45,8 +43,6 @@
 const MAX_IN_FLIGHT: usize = 6000;
 /// Characters that count as one token of a prompt.
 const CHARACTERS_PER_TOKEN: usize = 4;
-/// One in this many cache events is dropped.
-const CACHE_EVENT_GAP: u32 = 16;
 /// Prompt text that crashes the engine.
 const POISON: &str = "POISON";
 
@@ -70,72 +66,6 @@
     pub seed: u64,
 }
 
-/// Tokens of one generation as far as they were decoded.
-#[derive(Default)]
-struct Progress {
-    events: Vec<String>,
-    finished: Option<Instant>,
-    lost: bool,
-    readers: u32,
-    reader_left: Option<Instant>,
-}
-
-struct Generation {
-    sequence: SequenceId,
-    /// Ordinal of the first token of this attempt within the generation.
-    base: u32,
-    progress: Mutex<Progress>,
-    changed: Condvar,
-}
-
-/// What the model needs to write the next token of a sequence.
-struct Writing {
-    generation: Arc<Generation>,
-    chain: u64,
-    salt: u64,
-    offset: u32,
-    poison: bool,
-    /// Start of the chain of the prompt.
-    start: u64,
-    truncated: bool,
-}
-
-struct State {
-    model: EngineModel,
-    writing: HashMap<SequenceId, Writing>,
-    generations: HashMap<String, Arc<Generation>>,
-    reports: VecDeque<(Instant, LoadReport)>,
-    cache_events: Vec<u64>,
-    known_prefixes: BTreeSet<u64>,
-    models: Vec<String>,
-    fencing: FencingNumber,
-    next_sequence: u64,
-    incarnation: u64,
-    preemptions: u64,
-    draining: bool,
-    down_until: Option<Instant>,
-    frozen_until: Option<Instant>,
-    reclaim_at: Option<Instant>,
-    silenced: u64,
-    record: EngineRecord,
-    rng: Pcg64Mcg,
-}
-
-/// What an experiment checks afterwards.
-#[derive(Clone, Debug, Default)]
-pub struct EngineRecord {
-    /// Attempts taken, by the chain start of their prompt.
-    pub started: HashMap<u64, u32>,
-    /// Crashes by the chain start of the prompt that caused them.
-    pub poisoned: HashMap<u64, u32>,
-    /// Instants at which work was offered after the engine began to drain.
-    pub offered_while_draining: Vec<Instant>,
-    /// When the engine began to drain.
-    pub draining_since: Option<Instant>,
-    /// Orders that were carried out.
-    pub orders: Vec<Order>,
-}
-
 /// A running engine stand-in.
 pub struct Engine {
     settings: EngineSettings,
@@ -158,10 +88,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Starts an engine on threads of this process.
 ///
 /// # Errors
@@ -184,91 +110,6 @@
     serve(server, engine, &engine.stop, &InFlightCount::default(), MAX_IN_FLIGHT);
 }
 
-impl State {
-    fn new(settings: &EngineSettings) -> Self {
-        Self {
-            model: EngineModel::new(settings.limits),
-            writing: HashMap::new(),
-            generations: HashMap::new(),
-            reports: VecDeque::new(),
-            cache_events: Vec::new(),
-            known_prefixes: BTreeSet::new(),
-            models: settings.models.clone(),
-            fencing: FencingNumber(0),
-            next_sequence: 0,
-            incarnation: 1,
-            preemptions: 0,
-            draining: false,
-            down_until: None,
-            frozen_until: None,
-            reclaim_at: None,
-            silenced: 0,
-            record: EngineRecord::default(),
-            rng: Pcg64Mcg::seed_from_u64(settings.seed),
-        }
-    }
-
-    fn is_down(&self) -> bool {
-        self.down_until.is_some_and(|until| Instant::now() < until)
-    }
-
-    fn is_frozen(&self) -> bool {
-        self.frozen_until.is_some_and(|until| Instant::now() < until)
-    }
-
-    fn start_draining(&mut self, now: Instant) {
-        self.draining = true;
-        self.record.draining_since = Some(now);
-    }
-
-    fn lose_everything(&mut self) {
-        self.model.crash();
-        for (_, generation) in self.generations.drain() {
-            lock(&generation.progress).lost = true;
-            generation.changed.notify_all();
-        }
-        self.writing.clear();
-        self.known_prefixes.clear();
-        self.incarnation += 1;
-    }
-
-    fn report_load(&mut self) {
-        let load = self.model.load();
-        let report = LoadReport {
-            kv_used: load.kv_used,
-            kv_tokens: self.model.limits().kv_tokens,
-            running: load.running,
-            waiting: load.waiting,
-            waiting_tokens: load.waiting_tokens,
-            preemptions: self.preemptions,
-            draining: self.draining,
-            models: self.models.clone(),
-            age_ms: 0,
-            incarnation: self.incarnation,
-        };
-        self.reports.push_back((Instant::now(), report));
-    }
-
-    /// Returns the newest report that is older than the lag, as a real engine's scrape would.
-    fn lagged_report(&mut self) -> LoadReport {
-        while self.reports.len() > 1 && self.reports[1].0.elapsed() >= REPORT_LAG {
-            self.reports.pop_front();
-        }
-        let Some((at, report)) = self.reports.front() else { return LoadReport::default() };
-        LoadReport { age_ms: at.elapsed().as_millis() as u64, ..report.clone() }
-    }
-
-    fn publish_cache_events(&mut self) {
-        let cached: BTreeSet<u64> = self.model.cached_prefixes().collect();
-        for prefix in cached.difference(&self.known_prefixes) {
-            if self.rng.random_ratio(CACHE_EVENT_GAP - 1, CACHE_EVENT_GAP) {
-                self.cache_events.push(*prefix);
-            }
-        }
-        self.known_prefixes = cached;
-    }
-}
-
 impl Engine {
     /// Shows a fault.
     pub fn inject(&self, fault: EngineFault) {
@@ -542,94 +383,6 @@
     }
 }
 
-impl State {
-    /// Appends the token of an event to its generation. Returns true when the prompt is poison.
-    fn publish(&mut self, event: StepEvent) -> bool {
-        let (id, finished) = match event {
-            StepEvent::Preempted(_) => {
-                self.preemptions += 1;
-                return false;
-            }
-            StepEvent::Token(id) => (id, false),
-            StepEvent::Finished(id) => (id, true),
-        };
-        let Some(writing) = self.writing.get_mut(&id) else { return false };
-        if writing.poison {
-            *self.record.poisoned.entry(writing.start).or_default() += 1;
-            return true;
-        }
-        let event = writing.next_event(finished);
-        let generation = writing.generation.clone();
-        let mut progress = lock(&generation.progress);
-        progress.events.push(event);
-        if finished {
-            progress.finished = Some(Instant::now());
-            self.writing.remove(&id);
-        }
-        drop(progress);
-        generation.changed.notify_all();
-        false
-    }
-}
-
-/// Streams tokens at a fixed interval, the first at once.
-fn stream_paced(req: Request, body: &CompletionBody, interval: Duration, stop: &AtomicBool) {
-    let tokens = StandinHints::of(body).output_tokens.unwrap_or(1);
-    let Ok(mut stream) = EventStream::start(req, &[]) else { return };
-    let mut writing = Writing::paced(&body.prompt);
-    let mut due = Instant::now();
-    for ordinal in 1..=tokens {
-        thread::sleep(due.saturating_duration_since(Instant::now()));
-        due += interval;
-        let event = writing.next_event(ordinal == tokens);
-        if stop.load(Ordering::Relaxed) || stream.send(event.as_bytes()).is_err() {
-            return;
-        }
-    }
-    // A reader that left does not need the end mark.
-    let _ = stream.send(format!("data: {DONE}\n\n").as_bytes());
-    stream.finish();
-}
-
-impl Writing {
-    fn paced(prompt: &str) -> Self {
-        let start = chain_start(prompt);
-        let generation = Arc::new(Generation {
-            sequence: SequenceId(0),
-            base: 0,
-            progress: Mutex::default(),
-            changed: Condvar::new(),
-        });
-        Self {
-            generation,
-            chain: start,
-            salt: 0,
-            offset: 0,
-            poison: false,
-            start,
-            truncated: false,
-        }
-    }
-
-    fn next_event(&mut self, finished: bool) -> String {
-        let text = sample(self.chain, self.salt);
-        self.chain = chain_next(self.chain, &text);
-        let reason = if self.truncated { "length" } else { "stop" };
-        let chunk = Chunk {
-            object: "text_completion".to_owned(),
-            offset: self.offset,
-            chain: format!("{:016x}", self.chain),
-            choices: vec![Choice {
-                index: 0,
-                text,
-                finish_reason: finished.then(|| reason.to_owned()),
-            }],
-        };
-        self.offset += 1;
-        format!("data: {}\n\n", serde_json::to_string(&chunk).unwrap_or_default())
-    }
-}
-
 impl Handler for Engine {
     fn handle(&self, req: Request) {
         let url = req.url().to_owned();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,8 @@
 //! - [`text_model`]: deterministic text whose chain of digests reveals a splice.
 //! - [`engine`]: the engine model behind HTTP.
 //! - [`engine_http`]: requests and events of the engine's protocol.
+//! - [`engine_paced`]: streams of a fixed pace.
+//! - [`engine_state`]: state of the engine stand-in.
 //! - [`platform`]: a transactional table, an object store and a lagging host list.
 //! - [`platform_fake`]: the platform without a network, with scripted failures.
 //! - [`platform_http`]: the platform's protocol over HTTP.
@@ -14,6 +16,8 @@
 pub mod engine;
 pub mod engine_http;
 pub mod engine_model;
+pub mod engine_paced;
+pub mod engine_state;
 pub mod platform;
 pub mod platform_fake;
 pub mod platform_http;
