Tell a restarted process from the one before it in claims

Cause: a claim names its host, and a host that was killed and restarted under the same name counted as alive, so a repetition of its unfinished call was answered in_progress for ever instead of unknown. Change: members and claims carry the start of the process. Event identifiers open with any accepted secret, so a rotation breaks no stream. Measured: a test in daemon/tests/effects.rs puts the claim of an earlier process in place and reads outcome_unknown; clippy is clean.

--- a/crates/bench/src/claims.rs
+++ b/crates/bench/src/claims.rs
@@ -127,6 +127,7 @@
         record: ClaimRecord {
             nonce,
             host: "host".parse().expect("a valid name"),
+            started_ms: 1,
             fingerprint: "f".to_owned(),
             state: ClaimState::Claimed,
         },
--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -104,6 +104,7 @@
             region: region.parse().map_err(io::Error::other)?,
             zone: zone.parse().map_err(io::Error::other)?,
             incarnation: Incarnation(1),
+            started_ms: 1,
             state: MemberState::Alive,
             accuser: None,
         };
--- a/crates/daemon/src/config_fetcher.rs
+++ b/crates/daemon/src/config_fetcher.rs
@@ -142,6 +142,7 @@
         region: entry.region.parse().ok()?,
         zone: entry.zone.parse().ok()?,
         incarnation: Incarnation(0),
+        started_ms: 0,
         state: MemberState::Alive,
         accuser: None,
     })
--- a/crates/daemon/src/core_client.rs
+++ b/crates/daemon/src/core_client.rs
@@ -1,6 +1,6 @@
 //! The gateway's way to the core.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Sender, sync_channel};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
@@ -42,8 +42,8 @@
 pub struct Shared {
     /// Generations that must move.
     pub moves: Mutex<HashSet<GenerationId>>,
-    /// Hosts that are alive.
-    pub live_hosts: RwLock<HashSet<HostName>>,
+    /// Other hosts that are alive, with the start of their processes.
+    pub live_hosts: RwLock<HashMap<HostName, u64>>,
     /// The control plane, once it runs.
     pub link: OnceLock<PeerLink>,
     /// True once a graceful shutdown has begun.
@@ -86,6 +86,8 @@
     pub shared: Arc<Shared>,
     /// This host.
     pub host: HostName,
+    /// When this process started, in milliseconds since the epoch.
+    pub started_ms: u64,
     /// Log.
     pub log: Logger,
 }
@@ -134,9 +136,12 @@
         self.shared.violated(&self.log, invariant, detail);
     }
 
-    fn is_host_alive(&self, host: &HostName) -> bool {
+    fn is_process_alive(&self, host: &HostName, started_ms: u64) -> bool {
+        if *host == self.host {
+            return started_ms == self.started_ms;
+        }
         let live = self.shared.live_hosts.read().unwrap_or_else(PoisonError::into_inner);
-        *host == self.host || live.contains(host)
+        live.get(host) == Some(&started_ms)
     }
 
     fn metrics(&self) -> String {
@@ -183,8 +188,8 @@
     }
 
     fn live_hosts(&self, hosts: Vec<Member>) {
-        let names = hosts.iter().map(|member| member.host.clone()).collect();
-        *self.shared.live_hosts.write().unwrap_or_else(PoisonError::into_inner) = names;
+        let live = hosts.iter().map(|member| (member.host.clone(), member.started_ms)).collect();
+        *self.shared.live_hosts.write().unwrap_or_else(PoisonError::into_inner) = live;
         self.sender.send(CoreMessage::LiveHosts(hosts));
     }
 
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -83,11 +83,14 @@
     let core_thread =
         thread::Builder::new().name("core".to_owned()).spawn(move || run_core(setup, &rx))?;
     LoadPoller { endpoints: polled, core: core.clone(), stop: stop.clone() }.start();
+    let started = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let started_ms = started.as_millis() as u64;
     let listener = TcpListener::bind(settings.peer_listen)?;
     let peer_addr = listener.local_addr()?;
     let parts = ControlParts {
         settings: &settings,
         http_addr: addr,
+        started_ms,
         platform: &platform,
         config: &config,
         shared: &shared,
@@ -113,6 +116,7 @@
         config: config.clone(),
         shared: shared.clone(),
         host: settings.host.clone(),
+        started_ms,
         log: log.clone(),
     });
     let writes_per_second = PLATFORM_WRITES_PER_SECOND / f64::from(settings.expected_hosts);
@@ -120,7 +124,8 @@
     let claims = start_claims(HttpPlatform::clone(&platform), budget);
     let gateway_settings = GatewaySettings {
         host: settings.host.clone(),
-        secret: settings.secrets[0].clone(),
+        started_ms,
+        secrets: settings.secrets.clone(),
         operator_key: settings.operator_key.clone(),
         max_body: settings.max_body,
         deadlines: EngineDeadlines::default(),
@@ -150,6 +155,7 @@
 struct ControlParts<'a> {
     settings: &'a Settings,
     http_addr: SocketAddr,
+    started_ms: u64,
     platform: &'a Arc<HttpPlatform>,
     config: &'a ConfigState,
     shared: &'a Arc<Shared>,
@@ -159,18 +165,19 @@
 
 /// Starts the control plane of a host.
 fn start_control(parts: &ControlParts<'_>, listener: TcpListener) -> io::Result<PeerLink> {
-    let ControlParts { settings, http_addr, platform, config, shared, core, log } = *parts;
+    let ControlParts { settings, http_addr, started_ms, platform, config, shared, core, log } =
+        *parts;
     let peer_addr = listener.local_addr()?;
     let socket = UdpSocket::bind(peer_addr)?;
     let keys = FrameKeys::derive(&settings.secrets);
-    let started_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let own = Member {
         host: settings.host.clone(),
         addr: peer_addr,
         http_addr,
         region: settings.region.clone(),
         zone: settings.zone.clone(),
-        incarnation: Incarnation(started_ms.as_millis() as u64),
+        incarnation: Incarnation(started_ms),
+        started_ms,
         state: MemberState::Alive,
         accuser: None,
     };
@@ -179,7 +186,7 @@
         membership: MembershipSettings::default(),
         config: config.clone(),
         keys: keys.clone(),
-        started_ms: started_ms.as_millis() as u64,
+        started_ms,
         seed: rand::rng().random(),
     };
     start_link(LinkSetup {
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -1,6 +1,6 @@
 //! The threads of the control plane: datagrams, fetches and the platform's host list.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -193,7 +193,7 @@
         loss: setup.loss,
         state: state.clone(),
         stop: stop.clone(),
-        live: HashSet::new(),
+        live: HashMap::new(),
         log: setup.log,
     };
     thread::Builder::new().name("control".to_owned()).spawn(move || worker.run())?;
@@ -268,7 +268,7 @@
     loss: LossSwitch,
     state: Arc<LinkState>,
     stop: Arc<AtomicBool>,
-    live: HashSet<HostName>,
+    live: HashMap<HostName, u64>,
     log: Logger,
 }
 
@@ -376,9 +376,9 @@
         self.state.evictions.store(self.plane.evictions(), Ordering::Relaxed);
         *self.state.counts.lock().unwrap_or_else(PoisonError::into_inner) = self.plane.counts();
         let same = count == self.live.len()
-            && self.plane.live().all(|member| self.live.contains(&member.host));
+            && self.plane.live().all(|m| self.live.get(&m.host) == Some(&m.started_ms));
         if !same {
-            self.live = self.plane.live().map(|member| member.host.clone()).collect();
+            self.live = self.plane.live().map(|m| (m.host.clone(), m.started_ms)).collect();
             self.events.live_hosts(self.plane.live().cloned().collect());
         }
         let dead = self.plane.members().filter(|known| known.member.state == MemberState::Dead);
--- a/crates/daemon/tests/effects.rs
+++ b/crates/daemon/tests/effects.rs
@@ -78,6 +78,30 @@
     assert_eq!(total_effects(&cluster), 1);
 }
 
+#[test]
+fn a_claim_of_a_process_that_is_gone_is_unknown_and_not_in_progress() {
+    use camphorloft_platform::claim::{ClaimKey, ClaimRecord, ClaimState};
+    use camphorloft_platform::wire::{Expect, Write};
+    let cluster = TestCluster::start(1, 1);
+    // The same call under another key shows the record as this host writes it.
+    assert_eq!(reserve(cluster.host(), "other", "roller").status(), 200);
+    let (organisation, service) = ("one".parse().unwrap(), "booking".parse().unwrap());
+    let other = ClaimKey::new(&organisation, &service, "other");
+    let read = || cluster.platform.platform.state().read("claims", other.as_str()).unwrap();
+    let mut record: ClaimRecord = serde_json::from_str(&read().value).unwrap();
+    record.state = ClaimState::Claimed;
+    record.started_ms -= 1;
+    let write = Write {
+        key: ClaimKey::new(&organisation, &service, "k").as_str().to_owned(),
+        expect: Expect::Absent,
+        value: serde_json::to_string(&record).ok(),
+    };
+    cluster.platform.platform.state().transact("claims", &[write]).unwrap();
+    let mut again = reserve(cluster.host(), "k", "roller");
+    assert_eq!(problem(&mut again)["code"], "outcome_unknown");
+    assert_eq!(total_effects(&cluster), 1);
+}
+
 #[test]
 fn a_call_without_a_key_is_refused() {
     let cluster = TestCluster::start(1, 1);
--- a/crates/daemon/tests/endpoint_share.rs
+++ b/crates/daemon/tests/endpoint_share.rs
@@ -17,6 +17,7 @@
         region: "r".parse().unwrap(),
         zone: "z".parse().unwrap(),
         incarnation: Incarnation(1),
+        started_ms: 1,
         state: MemberState::Alive,
         accuser: None,
     }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -172,8 +172,8 @@
     /// Reports the breach of an invariant.
     fn violated(&self, invariant: Invariant, detail: &str);
 
-    /// Returns true when the named host is known to be alive.
-    fn is_host_alive(&self, host: &HostName) -> bool;
+    /// Returns true when the process of a host that started then is known to be alive.
+    fn is_process_alive(&self, host: &HostName, started_ms: u64) -> bool;
 
     /// Returns the metrics as text.
     fn metrics(&self) -> String;
--- a/crates/gateway/src/generations.rs
+++ b/crates/gateway/src/generations.rs
@@ -12,7 +12,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::control::{Control, Fingerprint, Placement, PlacementRequest, ServingSet};
-use crate::event_id::{EventId, SealKey};
+use crate::event_id::{EventId, EventIdError, SealKey};
 use crate::relay::{Relay, Running};
 use crate::request::GenerationRequest;
 use crate::sink::Sink;
@@ -43,8 +43,8 @@
     pub control: &'a Arc<C>,
     /// Client of the engines.
     pub engines: &'a EngineClient,
-    /// Secret that all hosts share.
-    pub secret: &'a [u8],
+    /// Secrets that all hosts share: the first one seals, all of them are accepted.
+    pub secrets: &'a [Vec<u8>],
     /// Identity for a new generation.
     pub new_id: GenerationId,
 }
@@ -64,8 +64,13 @@
         Problem::not_run(404, "unknown_route", detail).respond(req);
         return Outcome::NotRun;
     };
-    let seal = SealKey::derive(cx.secret, caller.name());
-    let last_event = match header(&req, "last-event-id").map(|text| seal.unseal(text)) {
+    let seals: Vec<SealKey> =
+        cx.secrets.iter().map(|secret| SealKey::derive(secret, caller.name())).collect();
+    let Some(seal) = seals.first().cloned() else {
+        Problem::not_run(500, "no_secret", "the host has no secret").respond(req);
+        return Outcome::NotRun;
+    };
+    let last_event = match header(&req, "last-event-id").map(|text| unseal(&seals, text)) {
         None => None,
         Some(Ok(id)) => Some(id),
         Some(Err(err)) => {
@@ -97,6 +102,18 @@
     }
 }
 
+/// Opens an event identifier that was sealed with any accepted secret.
+fn unseal(seals: &[SealKey], text: &str) -> Result<EventId, EventIdError> {
+    let mut last = EventIdError::Malformed;
+    for seal in seals {
+        match seal.unseal(text) {
+            Ok(id) => return Ok(id),
+            Err(err) => last = err,
+        }
+    }
+    Err(last)
+}
+
 fn starting_transcript(
     request: &GenerationRequest,
     last_event: Option<&EventId>,
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -29,8 +29,10 @@
 pub struct GatewaySettings {
     /// This host.
     pub host: HostName,
-    /// Secret that all hosts share.
-    pub secret: Vec<u8>,
+    /// When this process started, in milliseconds since the epoch.
+    pub started_ms: u64,
+    /// Secrets that all hosts share: the first one seals, all of them are accepted.
+    pub secrets: Vec<Vec<u8>>,
     /// Key that operators present.
     pub operator_key: String,
     /// Largest body.
@@ -103,7 +105,7 @@
         let cx = GenerationContext {
             control: &self.control,
             engines: &self.engines,
-            secret: &self.settings.secret,
+            secrets: &self.settings.secrets,
             new_id: GenerationId(rand::rng().random()),
         };
         let outcome = serve_generation(&cx, req, &caller, request);
@@ -125,6 +127,7 @@
             claims: &self.claims,
             agent: &self.agent,
             host: &self.settings.host,
+            started_ms: self.settings.started_ms,
             nonce: format!("{nonce:032x}"),
         };
         let outcome = serve_call(&cx, req, &caller, &call);
--- a/crates/gateway/src/service_calls.rs
+++ b/crates/gateway/src/service_calls.rs
@@ -65,6 +65,8 @@
     pub agent: &'a Agent,
     /// This host.
     pub host: &'a HostName,
+    /// When this process started, in milliseconds since the epoch.
+    pub started_ms: u64,
     /// A value that is unique among all claims.
     pub nonce: String,
 }
@@ -171,6 +173,7 @@
     let record = ClaimRecord {
         nonce: cx.nonce.clone(),
         host: cx.host.clone(),
+        started_ms: cx.started_ms,
         fingerprint: fingerprint(call),
         state: ClaimState::Claimed,
     };
@@ -275,7 +278,7 @@
     }
     match &existing.state {
         ClaimState::Done(answer) => respond(req, answer, true),
-        ClaimState::Claimed if cx.control.is_host_alive(&existing.host) => {
+        ClaimState::Claimed if cx.control.is_process_alive(&existing.host, existing.started_ms) => {
             let detail = format!("host {} runs the call or has run it", existing.host);
             let problem = Problem::unknown(409, "in_progress", detail);
             refuse(req, &problem.retry_after(IN_PROGRESS_RETRY))
--- a/crates/membership/src/member.rs
+++ b/crates/membership/src/member.rs
@@ -43,6 +43,9 @@
     pub region: Region,
     /// Availability zone.
     pub zone: AvailabilityZone,
+    /// When its process started, in milliseconds since the epoch. Tells a restarted process from
+    /// the one before it.
+    pub started_ms: u64,
     /// Incarnation, raised by the host itself only.
     pub incarnation: Incarnation,
     /// State.
--- a/crates/membership/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -44,6 +44,7 @@
         region: format!("region-{}", ix % REGIONS).parse().unwrap(),
         zone: format!("zone-{}", ix % REGIONS).parse().unwrap(),
         incarnation: Incarnation(incarnation),
+        started_ms: incarnation,
         state: MemberState::Alive,
         accuser: None,
     }
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -16,6 +16,7 @@
         region: member.region.to_string(),
         zone: member.zone.to_string(),
         incarnation: member.incarnation.0,
+        started_ms: member.started_ms,
         state: match member.state {
             MemberState::Alive => 0,
             MemberState::Suspect => 1,
@@ -51,6 +52,7 @@
         region: wire.region.parse().map_err(|_| FrameError::Malformed)?,
         zone: wire.zone.parse().map_err(|_| FrameError::Malformed)?,
         incarnation: Incarnation(wire.incarnation),
+        started_ms: wire.started_ms,
         state,
     })
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -24,6 +24,9 @@
     /// 0 alive, 1 suspect, 2 dead, 3 left.
     #[prost(uint32, tag = "7")]
     pub state: u32,
+    /// When its process started, in milliseconds since the epoch.
+    #[prost(uint64, tag = "9")]
+    pub started_ms: u64,
     /// The host whose own probe failed; empty unless suspect.
     #[prost(string, tag = "8")]
     pub accuser: String,
--- a/crates/platform/src/claim.rs
+++ b/crates/platform/src/claim.rs
@@ -74,8 +74,10 @@
 pub struct ClaimRecord {
     /// Tells this claim from every other one of the same key.
     pub nonce: String,
-    /// Holder.
+    /// Host of the holder.
     pub host: HostName,
+    /// When the holder's process started, in milliseconds since the epoch.
+    pub started_ms: u64,
     /// Digest of method, path and body, to refuse a key that is used for another call.
     pub fingerprint: String,
     /// How far the call has come.
--- a/crates/platform/tests/claims.rs
+++ b/crates/platform/tests/claims.rs
@@ -21,6 +21,7 @@
     let record = ClaimRecord {
         nonce: nonce.to_owned(),
         host: "h".parse().unwrap(),
+        started_ms: 1,
         fingerprint: "f".to_owned(),
         state: ClaimState::Claimed,
     };
