--- a/crates/decide/src/policy_settings.rs
+++ b/crates/decide/src/policy_settings.rs
@@ -82,7 +82,7 @@
         Self {
             candidates: 32,
             stall_thresholds: Thresholds { admit_risk: 0.22, pool_risk: 0.7, move_risk: 0.6 },
-            preemption_thresholds: Thresholds { admit_risk: 0.3, pool_risk: 0.5, move_risk: 0.8 },
+            preemption_thresholds: Thresholds { admit_risk: 0.1, pool_risk: 0.7, move_risk: 0.5 },
             local_horizons: 5,
             move_horizons: 2,
             usable_memory: 0.98,
