Decide in one place whether a request left this host

Whether no byte of a request left the host decides between not_run and unknown, and it stood four times (engine client, platform client, service calls, bench callers), once with two more cases than the others. Two constant-time comparisons were written by hand beside the library that the configuration uses. A test carried its own delegating platform, and one function had no caller.

Change: `http::client::is_not_sent` serves all four; a failed name lookup counts as not sent everywhere, as it did for engines. Seals compare with `subtle`. `PlatformApi` holds for a shared platform, so the test's wrapper and a clone in the host go. No assertion, bound or check is changed.

Ruled out: the two caller loops of bench faults and the set-up of the decision bench and its allocation test share lines but not logic worth a module.

--- a/crates/bench/src/faults/callers.rs
+++ b/crates/bench/src/faults/callers.rs
@@ -1,13 +1,12 @@
 //! Callers that ask for generations and check every token.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
-use camphorloft_http::client::{Deadlines, single_use_agent};
+use camphorloft_http::client::{Deadlines, is_not_sent, single_use_agent};
 use camphorloft_http::event_reader::{EventReader, event_data, event_id};
 use camphorloft_standins::text_model::{chain_next, chain_start};
 use rand::{Rng, SeedableRng};
@@ -234,12 +233,3 @@
         None
     }
 }
-
-/// Returns true when no byte of the request left the caller.
-pub fn is_not_sent(err: &ureq::Error) -> bool {
-    match err {
-        ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => true,
-        ureq::Error::Io(err) => err.kind() == io::ErrorKind::ConnectionRefused,
-        _ => false,
-    }
-}
--- a/crates/bench/src/faults/effects.rs
+++ b/crates/bench/src/faults/effects.rs
@@ -7,12 +7,13 @@
 use std::thread;
 use std::time::Duration;
 
+use camphorloft_http::client::is_not_sent;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::Value;
 use ureq::Agent;
 
-use super::callers::{caller_agent, is_not_sent};
+use super::callers::caller_agent;
 use super::cluster::{Cluster, organisation_key};
 use super::ledger::{Ended, Ledger, Promise};
 
--- a/crates/config/src/checked.rs
+++ b/crates/config/src/checked.rs
@@ -5,7 +5,7 @@
 use camphorloft_types::prelude::*;
 use cranelift_entity::PrimaryMap;
 
-use crate::object::{Adapter, Endpoint, Model, Objective, Organisation, Priority, Service};
+use crate::object::{Adapter, Endpoint, Model, Objective, Priority, Service};
 use crate::org_key::KeyHash;
 
 /// A checked endpoint.
@@ -96,10 +96,4 @@
         let owner = &self.organisations[organisation].name;
         service.organisations.contains(owner).then_some(service)
     }
-
-    /// Returns the organisation's attributes as configured, for display.
-    pub fn organisation_object(&self, ix: OrganisationIx) -> Organisation {
-        let organisation = &self.organisations[ix];
-        Organisation { key_hash: organisation.key_hash.to_hex(), weight: organisation.weight }
-    }
 }
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -121,7 +121,7 @@
     });
     let writes_per_second = PLATFORM_WRITES_PER_SECOND / f64::from(settings.expected_hosts);
     let budget = CallBudget::new(writes_per_second, WRITE_BURST, Instant::now());
-    let claims = start_claims(HttpPlatform::clone(&platform), budget);
+    let claims = start_claims(platform.clone(), budget);
     let gateway_settings = GatewaySettings {
         host: settings.host.clone(),
         started_ms,
--- a/crates/engine/src/client.rs
+++ b/crates/engine/src/client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use camphorloft_http::client::{Deadlines, pooled_agent, single_use_agent};
+use camphorloft_http::client::{Deadlines, is_not_sent, pooled_agent, single_use_agent};
 use camphorloft_http::event_reader::{EventReader, event_data};
 use camphorloft_types::prelude::{Attempt, GenerationId};
 use quick_error::quick_error;
@@ -247,15 +247,10 @@
 
 /// Sorts a client error by whether a byte of the request may have left this host.
 fn from_ureq(err: ureq::Error) -> EngineError {
+    if is_not_sent(&err) {
+        return EngineError::Connect(err.to_string());
+    }
     match err {
-        ureq::Error::ConnectionFailed
-        | ureq::Error::HostNotFound
-        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => {
-            EngineError::Connect(err.to_string())
-        }
-        ureq::Error::Io(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
-            EngineError::Connect(err.to_string())
-        }
         ureq::Error::Timeout(_) => EngineError::Io(io::ErrorKind::TimedOut.into()),
         ureq::Error::Io(err) => EngineError::Io(err),
         other => EngineError::Protocol(other.to_string()),
--- a/crates/gateway/src/event_id.rs
+++ b/crates/gateway/src/event_id.rs
@@ -9,6 +9,7 @@
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use camphorloft_types::prelude::*;
 use quick_error::quick_error;
+use subtle::ConstantTimeEq;
 
 const SEAL_CONTEXT: &str = "camphorloft event identifier 2026-12-03";
 /// Bytes of the seal.
@@ -106,17 +107,13 @@
         }
         let (payload, tag) = bytes.split_at(bytes.len() - TAG_BYTES);
         let expected = self.tag(payload);
-        if !constant_time_eq(&expected.as_bytes()[..TAG_BYTES], tag) {
+        if !bool::from(expected.as_bytes()[..TAG_BYTES].ct_eq(tag)) {
             return Err(EventIdError::WrongSeal);
         }
         parse_payload(payload).ok_or(EventIdError::Malformed)
     }
 }
 
-fn constant_time_eq(a: &[u8], b: &[u8]) -> bool {
-    a.iter().zip(b).fold(a.len() ^ b.len(), |diff, (x, y)| diff | usize::from(x ^ y)) == 0
-}
-
 fn parse_payload(payload: &[u8]) -> Option<EventId> {
     let (generation, rest) = payload.split_first_chunk::<16>()?;
     let (attempt, rest) = rest.split_first_chunk::<4>()?;
--- a/crates/gateway/src/service_calls.rs
+++ b/crates/gateway/src/service_calls.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_config::object::Service;
-use camphorloft_http::client::{Deadlines, single_use_agent};
+use camphorloft_http::client::{Deadlines, is_not_sent, single_use_agent};
 use camphorloft_http::header::{header, response_header};
 use camphorloft_http::problem::Problem;
 use camphorloft_platform::claim::{
@@ -326,19 +326,11 @@
     };
     match agent.run(request) {
         Ok(response) => read_answer(response),
-        Err(err) if is_connect_error(&err) => Dispatched::NotSent(format!("{addr}: {err}")),
+        Err(err) if is_not_sent(&err) => Dispatched::NotSent(format!("{addr}: {err}")),
         Err(err) => Dispatched::Lost(format!("{addr}: {err}")),
     }
 }
 
-fn is_connect_error(err: &ureq::Error) -> bool {
-    match err {
-        ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect) => true,
-        ureq::Error::Io(err) => err.kind() == std::io::ErrorKind::ConnectionRefused,
-        _ => false,
-    }
-}
-
 fn read_answer(mut response: http::Response<Body>) -> Dispatched {
     let status = response.status().as_u16();
     let content_type = response.headers().get("content-type");
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,5 +1,6 @@
 //! Builds HTTP agents.
 
+use std::io;
 use std::time::Duration;
 
 use ureq::Agent;
@@ -44,3 +45,14 @@
         .build()
         .new_agent()
 }
+
+/// Returns true when no byte of the request left this host. Anything else may have been run.
+pub fn is_not_sent(err: &ureq::Error) -> bool {
+    match err {
+        ureq::Error::ConnectionFailed
+        | ureq::Error::HostNotFound
+        | ureq::Error::Timeout(ureq::Timeout::Connect | ureq::Timeout::Resolve) => true,
+        ureq::Error::Io(err) => err.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
--- a/crates/peer/src/seal.rs
+++ b/crates/peer/src/seal.rs
@@ -5,6 +5,7 @@
 //! behind the old on all hosts, then exchanging their order, then dropping the old.
 
 use quick_error::quick_error;
+use subtle::ConstantTimeEq;
 
 const FRAME_CONTEXT: &str = "camphorloft peer frame 2026-12-03";
 /// Bytes of the tag.
@@ -71,15 +72,10 @@
         };
         for key in &self.keys {
             let expected = blake3::keyed_hash(key, payload);
-            if tags_match(&expected.as_bytes()[..TAG_BYTES], tag) {
+            if expected.as_bytes()[..TAG_BYTES].ct_eq(tag).into() {
                 return Ok(payload);
             }
         }
         Err(FrameError::WrongSeal)
     }
 }
-
-/// Compares in a time that does not depend on the content.
-fn tags_match(a: &[u8], b: &[u8]) -> bool {
-    a.iter().zip(b).fold(0, |diff, (x, y)| diff | (x ^ y)) == 0
-}
--- a/crates/platform/src/api.rs
+++ b/crates/platform/src/api.rs
@@ -1,6 +1,7 @@
 //! The narrow interface to the platform.
 
 use std::fmt;
+use std::sync::Arc;
 
 use quick_error::quick_error;
 
@@ -105,3 +106,38 @@
     /// Returns [`PlatformError`] when no answer arrived.
     fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError>;
 }
+
+impl<P> PlatformApi for Arc<P>
+where
+    P: PlatformApi,
+{
+    fn read(&self, table: Table, key: &str) -> Result<Option<Row>, PlatformError> {
+        (**self).read(table, key)
+    }
+
+    fn scan(
+        &self,
+        table: Table,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<(String, Row)>, PlatformError> {
+        (**self).scan(table, prefix, after, limit)
+    }
+
+    fn transact(&self, table: Table, writes: &[Write]) -> Result<Transacted, PlatformError> {
+        (**self).transact(table, writes)
+    }
+
+    fn put_object(&self, name: &str, bytes: &[u8]) -> Result<(), PlatformError> {
+        (**self).put_object(name, bytes)
+    }
+
+    fn get_object(&self, name: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        (**self).get_object(name)
+    }
+
+    fn hosts(&self) -> Result<Vec<HostEntry>, PlatformError> {
+        (**self).hosts()
+    }
+}
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,10 +1,9 @@
 //! The platform over HTTP.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use camphorloft_http::client::{Deadlines, pooled_agent};
+use camphorloft_http::client::{Deadlines, is_not_sent, pooled_agent};
 use serde::de::DeserializeOwned;
 use ureq::http::Response;
 use ureq::{Agent, Body};
@@ -47,13 +46,7 @@
 }
 
 fn from_ureq(err: ureq::Error) -> PlatformError {
-    let refused = matches!(&err, ureq::Error::Io(err)
-        if err.kind() == io::ErrorKind::ConnectionRefused);
-    let connect = matches!(
-        &err,
-        ureq::Error::ConnectionFailed | ureq::Error::Timeout(ureq::Timeout::Connect)
-    );
-    if refused || connect {
+    if is_not_sent(&err) {
         return PlatformError::Unavailable(err.to_string());
     }
     PlatformError::Ambiguous(err.to_string())
--- a/crates/platform/tests/claims.rs
+++ b/crates/platform/tests/claims.rs
@@ -32,60 +32,11 @@
     CallBudget::new(100_000.0, 1000.0, Instant::now())
 }
 
-/// A shared fake, since the service takes its platform by value.
-struct Shared(Arc<FakePlatform>);
-
-impl PlatformApi for Shared {
-    fn read(
-        &self,
-        table: Table,
-        key: &str,
-    ) -> Result<Option<Row>, camphorloft_platform::api::PlatformError> {
-        self.0.read(table, key)
-    }
-    fn scan(
-        &self,
-        table: Table,
-        prefix: &str,
-        after: &str,
-        limit: usize,
-    ) -> Result<Vec<(String, Row)>, camphorloft_platform::api::PlatformError> {
-        self.0.scan(table, prefix, after, limit)
-    }
-    fn transact(
-        &self,
-        table: Table,
-        writes: &[camphorloft_platform::wire::Write],
-    ) -> Result<camphorloft_platform::api::Transacted, camphorloft_platform::api::PlatformError>
-    {
-        self.0.transact(table, writes)
-    }
-    fn put_object(
-        &self,
-        name: &str,
-        bytes: &[u8],
-    ) -> Result<(), camphorloft_platform::api::PlatformError> {
-        self.0.put_object(name, bytes)
-    }
-    fn get_object(
-        &self,
-        name: &str,
-    ) -> Result<Option<Vec<u8>>, camphorloft_platform::api::PlatformError> {
-        self.0.get_object(name)
-    }
-    fn hosts(
-        &self,
-    ) -> Result<Vec<camphorloft_platform::wire::HostEntry>, camphorloft_platform::api::PlatformError>
-    {
-        self.0.hosts()
-    }
-}
-
 #[test]
 fn a_lost_answer_is_settled_by_the_nonce() {
     let platform = Arc::new(FakePlatform::default());
     platform.script([Fate::AnswerLost]);
-    let client = start_claims(Shared(platform.clone()), budget());
+    let client = start_claims(platform.clone(), budget());
     assert_eq!(client.claim(request("k", "n1")), ClaimDecision::Granted);
     assert!(matches!(client.claim(request("k", "n2")), ClaimDecision::Existing(_)));
 }
@@ -95,7 +46,7 @@
     let platform = Arc::new(FakePlatform::default());
     // The first transaction lands without an answer; then nothing answers until the deadline.
     platform.script(std::iter::once(Fate::AnswerLost).chain([Fate::Refused; 200]));
-    let client = start_claims(Shared(platform.clone()), budget());
+    let client = start_claims(platform.clone(), budget());
     assert_eq!(client.claim(request("k", "n1")), ClaimDecision::Unconfirmed);
     // The release is written as soon as the platform answers, so a repetition gets the claim.
     let decision = loop {
@@ -112,7 +63,7 @@
 #[test]
 fn a_recorded_answer_is_returned_to_a_repetition() {
     let platform = Arc::new(FakePlatform::default());
-    let client = start_claims(Shared(platform), budget());
+    let client = start_claims(platform, budget());
     let first = request("k", "n1");
     assert_eq!(client.claim(first.clone()), ClaimDecision::Granted);
     let answer = KeptAnswer {
