--- a/crates/cli/src/trial.rs
+++ b/crates/cli/src/trial.rs
@@ -2,7 +2,7 @@
 
 use argh::FromArgs;
 use camphorloft_daemon::embedded::{DEMO_KEY, DEMO_ROUTE, start_embedded};
-use camphorloft_daemon::logging::stderr_logger;
+use camphorloft_observe::logging::stderr_logger;
 
 use crate::ask::{Question, ask};
 use crate::exit::{CommandError, CommandResult};
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,7 +1,6 @@
 //! One host of the system: every part wired together.
 //!
 //! - [`settings`]: the JSON settings of a host, checked.
-//! - [`logging`]: structured logs.
 //! - [`metrics`]: counters and gauges.
 //! - [`config_state`]: the version in force, which never decreases.
 //! - [`control_plane`]: what hosts agree on by gossip.
@@ -34,7 +33,6 @@
 pub mod endpoint_share;
 pub mod host;
 pub mod load_poller;
-pub mod logging;
 pub mod metrics;
 pub mod model_keeper;
 pub mod peer_link;
--- /dev/null
+++ b/crates/dispatch/src/entry.rs
@@ -0,0 +1,64 @@
+//! What the endpoint list says of one endpoint.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use camphorloft_types::prelude::*;
+
+/// When the process of an endpoint started, in milliseconds since the epoch. Tells a restarted
+/// endpoint from the one before it. Zero when the endpoint does not say.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Born(pub u64);
+
+impl fmt::Display for Born {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for Born {
+    type Err = NumberError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Ok(Self(text.parse()?))
+    }
+}
+
+/// What the endpoint list says of one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointEntry {
+    /// Name, unique in the list.
+    pub name: EndpointName,
+    /// Start of its process.
+    pub born: Born,
+    /// Address that takes requests.
+    pub addr: SocketAddr,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Availability zone.
+    pub zone: AvailabilityZone,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+    /// True when it takes no new work and leaves soon.
+    pub leaving: bool,
+    /// Time for which it is still slow after its start, as of when the entry was written.
+    pub cold_left: Duration,
+}
+
+impl EndpointEntry {
+    /// Returns true when `other` describes the same process.
+    pub fn is_same_process(&self, other: &Self) -> bool {
+        self.name == other.name && self.born == other.born && self.addr == other.addr
+    }
+
+    /// Returns true when nothing but the passage of time differs.
+    pub fn is_equivalent(&self, other: &Self) -> bool {
+        self.is_same_process(other)
+            && self.service == other.service
+            && self.zone == other.zone
+            && self.slots == other.slots
+            && self.leaving == other.leaving
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/fleet.rs
@@ -0,0 +1,235 @@
+//! The table of endpoints.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use camphorloft_types::prelude::*;
+use cranelift_entity::PrimaryMap;
+
+use crate::distance::Locality;
+use crate::endpoint::{Endpoint, EndpointState};
+use crate::entry::EndpointEntry;
+use crate::load::LoadReport;
+use crate::run::{CallId, Run, RunId, RunWork};
+
+/// A change of what this host believes of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FleetChange {
+    /// It was listed.
+    Joined(EndpointIx),
+    /// It began to leave.
+    Leaving(EndpointIx),
+    /// It is no longer listed.
+    Gone(EndpointIx),
+    /// It is listed again.
+    Returned(EndpointIx),
+}
+
+impl FleetChange {
+    /// Returns the endpoint.
+    pub fn endpoint(self) -> EndpointIx {
+        match self {
+            FleetChange::Joined(ix)
+            | FleetChange::Leaving(ix)
+            | FleetChange::Gone(ix)
+            | FleetChange::Returned(ix) => ix,
+        }
+    }
+}
+
+impl fmt::Display for FleetChange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            FleetChange::Joined(_) => "joined",
+            FleetChange::Leaving(_) => "leaving",
+            FleetChange::Gone(_) => "gone",
+            FleetChange::Returned(_) => "returned",
+        })
+    }
+}
+
+/// The table of endpoints.
+///
+/// The index of an endpoint is used again only after the endpoint is gone and the last run of this
+/// host there has ended, so that an index that a run holds never names another endpoint.
+#[derive(Debug)]
+pub struct Fleet {
+    locality: Locality,
+    slots: PrimaryMap<EndpointIx, Option<Endpoint>>,
+    free: Vec<EndpointIx>,
+    /// Listed endpoints.
+    by_name: HashMap<EndpointName, EndpointIx>,
+    next_run: u64,
+}
+
+impl Fleet {
+    /// Builds an empty table.
+    pub fn new(locality: Locality) -> Self {
+        Self {
+            locality,
+            slots: PrimaryMap::new(),
+            free: Vec::new(),
+            by_name: HashMap::new(),
+            next_run: 0,
+        }
+    }
+
+    /// Returns where this host is.
+    pub fn locality(&self) -> &Locality {
+        &self.locality
+    }
+
+    /// Returns an endpoint.
+    pub fn get(&self, ix: EndpointIx) -> Option<&Endpoint> {
+        self.slots.get(ix)?.as_ref()
+    }
+
+    /// Returns an endpoint to change it.
+    pub fn get_mut(&mut self, ix: EndpointIx) -> Option<&mut Endpoint> {
+        self.slots.get_mut(ix)?.as_mut()
+    }
+
+    /// Returns the listed endpoint of a name.
+    pub fn find(&self, name: &EndpointName) -> Option<EndpointIx> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Returns the endpoints in the table.
+    pub fn iter(&self) -> impl Iterator<Item = (EndpointIx, &Endpoint)> {
+        self.slots.iter().filter_map(|(ix, slot)| Some((ix, slot.as_ref()?)))
+    }
+
+    /// Returns the endpoints of a service.
+    pub fn of_service<'f>(
+        &'f self,
+        service: &'f ServiceName,
+    ) -> impl Iterator<Item = (EndpointIx, &'f Endpoint)> {
+        self.iter().filter(move |(_, endpoint)| endpoint.entry.service == *service)
+    }
+
+    /// Takes what the list says of one endpoint. Returns what changed.
+    pub fn list(&mut self, entry: EndpointEntry, now: Instant, changes: &mut Vec<FleetChange>) {
+        if let Some(ix) = self.find(&entry.name) {
+            let known = self.get(ix).is_some_and(|e| e.entry.is_same_process(&entry));
+            if known {
+                self.update(ix, entry, now, changes);
+                return;
+            }
+            self.delist(&entry.name, now, changes);
+        }
+        let name = entry.name.clone();
+        let ix = self.insert(entry, now);
+        self.by_name.insert(name, ix);
+        changes.push(FleetChange::Joined(ix));
+    }
+
+    fn insert(&mut self, entry: EndpointEntry, now: Instant) -> EndpointIx {
+        let distance = self.locality.distance(&entry.zone);
+        let endpoint = Some(Endpoint::new(entry, distance, now));
+        match self.free.pop() {
+            Some(ix) => {
+                self.slots[ix] = endpoint;
+                ix
+            }
+            None => self.slots.push(endpoint),
+        }
+    }
+
+    fn update(
+        &mut self,
+        ix: EndpointIx,
+        entry: EndpointEntry,
+        now: Instant,
+        changes: &mut Vec<FleetChange>,
+    ) {
+        let Some(endpoint) = self.get_mut(ix) else { return };
+        let was_leaving = endpoint.state != EndpointState::Ready;
+        if entry.leaving && !was_leaving {
+            endpoint.state = EndpointState::Leaving { since: now };
+            changes.push(FleetChange::Leaving(ix));
+        } else if !entry.leaving && was_leaving {
+            endpoint.state = EndpointState::Ready;
+            endpoint.leaves_at = None;
+            changes.push(FleetChange::Returned(ix));
+        }
+        endpoint.warm_at = now + entry.cold_left;
+        endpoint.entry = entry;
+    }
+
+    /// Takes that an endpoint is no longer listed. It takes no new work, like one that leaves.
+    pub fn delist(&mut self, name: &EndpointName, now: Instant, changes: &mut Vec<FleetChange>) {
+        let Some(ix) = self.by_name.remove(name) else { return };
+        if let Some(endpoint) = self.get_mut(ix) {
+            let since = endpoint.leaving_since().unwrap_or(now);
+            endpoint.state = EndpointState::Gone { since };
+        }
+        changes.push(FleetChange::Gone(ix));
+    }
+
+    /// Frees the places of endpoints that left longer than `keep` ago and run nothing for this
+    /// host.
+    pub fn collect(&mut self, keep: Duration, now: Instant) {
+        for ix in self.slots.keys() {
+            let Some(endpoint) = &self.slots[ix] else { continue };
+            let EndpointState::Gone { since } = endpoint.state else { continue };
+            if endpoint.runs.is_empty() && now.saturating_duration_since(since) > keep {
+                self.slots[ix] = None;
+                self.free.push(ix);
+            }
+        }
+    }
+
+    /// Takes a report of an engine that was true at `as_of`. Returns true when it says for the
+    /// first time that the engine leaves.
+    pub fn report(&mut self, ix: EndpointIx, report: LoadReport, as_of: Instant) -> bool {
+        let Some(endpoint) = self.get_mut(ix) else { return false };
+        if let Some(left) = report.leaves_in {
+            endpoint.leaves_at = Some(as_of + left);
+        }
+        let news = report.leaving && endpoint.state == EndpointState::Ready;
+        if news {
+            endpoint.state = EndpointState::Leaving { since: as_of };
+        }
+        endpoint.load.take_report(report, as_of);
+        news
+    }
+
+    /// Records that a request is sent to an endpoint.
+    pub fn begin(
+        &mut self,
+        ix: EndpointIx,
+        call: &CallId,
+        fingerprint: u64,
+        work: RunWork,
+        now: Instant,
+    ) -> RunId {
+        self.next_run += 1;
+        let id = RunId(self.next_run);
+        if let Some(endpoint) = self.get_mut(ix) {
+            endpoint.runs.push(Run { id, call: call.clone(), fingerprint, work, sent_at: now });
+        }
+        id
+    }
+
+    /// Returns a run.
+    pub fn run_mut(&mut self, ix: EndpointIx, id: RunId) -> Option<&mut Run> {
+        self.get_mut(ix)?.runs.iter_mut().find(|run| run.id == id)
+    }
+
+    /// Records the tokens that a run has generated.
+    pub fn progress(&mut self, ix: EndpointIx, id: RunId, tokens: u32) {
+        if let Some(run) = self.run_mut(ix, id)
+            && let RunWork::Generation { generated, .. } = &mut run.work
+        {
+            *generated = tokens;
+        }
+    }
+
+    /// Records that a run has ended.
+    pub fn end(&mut self, ix: EndpointIx, id: RunId) {
+        if let Some(endpoint) = self.get_mut(ix) {
+            endpoint.runs.retain(|run| run.id != id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/generation.rs
@@ -0,0 +1,110 @@
+//! Chooses an engine for a generation.
+//!
+//! Answers long outputs of unknown length on engines whose memory fills in the middle of decoding:
+//! an engine is priced by the memory that its sequences are expected to need at their peak, by
+//! the prompts that it still has to read, and by how often it fails.
+
+use std::time::Instant;
+
+use camphorloft_serving::prelude::EngineSpec;
+use camphorloft_types::prelude::*;
+use rand::Rng;
+
+use crate::choice::{Cheapest, Choice};
+use crate::distance::Distance;
+use crate::endpoint::Endpoint;
+use crate::fleet::Fleet;
+use crate::load::EngineLoad;
+
+/// Prompt tokens that an engine reads in a millisecond; the sheets' figure.
+const PROMPT_TOKENS_PER_MS: f64 = 14.0;
+/// Share of the memory from which an engine is crowded: lengths are estimates.
+const CROWDED_FILL: f64 = 0.7;
+/// Cost of an engine whose whole memory is expected to be needed, above one that is not crowded,
+/// in milliseconds.
+const FULL_MS: f64 = 4000.0;
+/// Cost of each sequence beside which a generation runs, in milliseconds: every step takes longer,
+/// and a prompt that is read delays the tokens of all.
+const NEIGHBOUR_MS: f64 = 40.0;
+/// Cost of an engine in another region, in milliseconds: the way there, and bytes paid by volume.
+const REMOTE_MS: f64 = 250.0;
+/// Cost of an engine in another zone of the region, in milliseconds.
+const REGION_MS: f64 = 20.0;
+/// Cost of a generation that fails, in milliseconds.
+const FAILURE_MS: f64 = 6000.0;
+/// Random part of a cost, so that hosts with the same view do not all choose the same engine.
+const JITTER_MS: f64 = 60.0;
+
+/// What a generation needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Need {
+    /// Tokens that it holds at its start.
+    pub held: u32,
+    /// Tokens among them that the engine has to read.
+    pub unread: u32,
+    /// Tokens that it is expected to generate.
+    pub expected: u32,
+}
+
+/// Returns the expected share of an engine's memory at the peak, with a generation added.
+pub fn expected_fill(load: &EngineLoad, need: &Need, spec: &EngineSpec) -> f64 {
+    // Sequences do not all peak at once: on average half of the growth coincides.
+    const COINCIDING_GROWTH: f64 = 0.5;
+    let growth = f64::from(load.growth + need.expected) * COINCIDING_GROWTH;
+    (f64::from(load.used + need.held) + growth) / f64::from(spec.memory.0.max(1))
+}
+
+/// Chooses an engine for a generation, other than those in `tried`.
+pub fn choose<Draws>(
+    fleet: &Fleet,
+    service: &ServiceName,
+    spec: &EngineSpec,
+    need: &Need,
+    tried: &[EndpointIx],
+    now: Instant,
+    rng: &mut Draws,
+) -> Option<Choice>
+where
+    Draws: Rng,
+{
+    let mut cheapest = Cheapest::default();
+    for (ix, endpoint) in fleet.of_service(service) {
+        if tried.contains(&ix) || !endpoint.is_usable(now) {
+            cheapest.unusable += 1;
+            continue;
+        }
+        let load = endpoint.load.engine(&endpoint.runs, now);
+        let fill = expected_fill(&load, need, spec);
+        let cost = expected_ms(endpoint, &load, fill, need, now);
+        cheapest.offer(Choice {
+            endpoint: ix,
+            cost_ms: cost + JITTER_MS * rng.random::<f64>(),
+            failure_share: endpoint.health.failure_share(now),
+            fill,
+            report_age: endpoint.load.report(now).map(|(_, age)| age),
+            compared: 0,
+            unusable: 0,
+        });
+    }
+    cheapest.finish()
+}
+
+fn expected_ms(
+    endpoint: &Endpoint,
+    load: &EngineLoad,
+    fill: f64,
+    need: &Need,
+    now: Instant,
+) -> f64 {
+    let reading = f64::from(load.unread + need.unread) / PROMPT_TOKENS_PER_MS;
+    let crowding = (fill - CROWDED_FILL).max(0.0) / (1.0 - CROWDED_FILL) * FULL_MS;
+    let neighbours = f64::from(load.sequences) * NEIGHBOUR_MS;
+    let cold = endpoint.warm_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+    let way = match endpoint.distance {
+        Distance::Zone => 0.0,
+        Distance::Region => REGION_MS,
+        Distance::Remote => REMOTE_MS,
+    };
+    let failures = endpoint.health.failure_share(now) * FAILURE_MS;
+    reading + crowding + neighbours + cold + way + failures
+}
--- /dev/null
+++ b/crates/dispatch/src/load.rs
@@ -0,0 +1,166 @@
+//! How busy an endpoint is, from reports and from what this host sent.
+
+use std::time::{Duration, Instant};
+
+use crate::run::{CallId, Run};
+
+/// Age at which a report no longer counts; reports come several times in this time.
+const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
+/// Time in which what an answer said of the endpoint's load loses half of its weight.
+const HINT_HALF_LIFE: Duration = Duration::from_millis(400);
+/// Speed at which an engine generates for one sequence in a small batch, in tokens per second.
+/// Engines of the sheets take 7 ms and more for a token.
+pub const TOKENS_PER_SECOND: f64 = 110.0;
+/// Tokens that a generation of another host is expected to go on for: about half of a long
+/// output on the sheets.
+const FOREIGN_TOKENS_LEFT: u32 = 500;
+
+/// The load that an endpoint added to an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadHint {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it works on at a time.
+    pub slots: u32,
+}
+
+/// A sequence in a report of an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ReportedRun {
+    /// Identity that the caller gave.
+    pub call: CallId,
+    /// Memory that it holds, in tokens.
+    pub tokens: u32,
+    /// Events that it has made.
+    pub events: u32,
+}
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Memory that cannot be freed, in tokens.
+    pub used_tokens: u32,
+    /// Memory, in tokens.
+    pub total_tokens: u32,
+    /// Sequences that run.
+    pub running: u32,
+    /// Sequences that wait.
+    pub waiting: u32,
+    /// Prompt tokens of the first one that waits.
+    pub next_tokens: u32,
+    /// Copies that it keeps of sequences of other engines.
+    pub copies: u32,
+    /// True when it takes no new work and leaves soon.
+    pub leaving: bool,
+    /// Time until it leaves, as of when the report was made, if it knows.
+    pub leaves_in: Option<Duration>,
+    /// Sequences that run.
+    pub runs: Vec<ReportedRun>,
+}
+
+/// A report with its age.
+#[derive(Clone, Debug)]
+struct Taken<Item> {
+    item: Item,
+    /// When what it says was true.
+    as_of: Instant,
+}
+
+/// How busy an endpoint is.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    report: Option<Taken<LoadReport>>,
+    hint: Option<Taken<LoadHint>>,
+    /// Requests of this host when the hint was taken.
+    own_at_hint: u32,
+    /// Placements that other hosts told of and no report covers yet: when, and their tokens.
+    foreign: Vec<(Instant, u32)>,
+}
+
+/// Memory and work of an engine, as estimated for now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineLoad {
+    /// Sequences that run or wait.
+    pub sequences: u32,
+    /// Memory in use, in tokens.
+    pub used: u32,
+    /// Tokens that the sequences are still expected to generate.
+    pub growth: u32,
+    /// Prompt tokens that are still to be read.
+    pub unread: u32,
+}
+
+impl Load {
+    /// Takes a report that was true at `as_of`.
+    pub fn take_report(&mut self, report: LoadReport, as_of: Instant) {
+        if self.report.as_ref().is_some_and(|known| known.as_of > as_of) {
+            return;
+        }
+        self.foreign.retain(|(at, _)| *at > as_of);
+        self.report = Some(Taken { item: report, as_of });
+    }
+
+    /// Takes the load that an answer carried.
+    pub fn take_hint(&mut self, hint: LoadHint, own: u32, now: Instant) {
+        self.hint = Some(Taken { item: hint, as_of: now });
+        self.own_at_hint = own;
+    }
+
+    /// Takes a placement that another host told of.
+    pub fn take_foreign(&mut self, tokens: u32, now: Instant) {
+        const MAX_FOREIGN: usize = 256;
+        if self.foreign.len() < MAX_FOREIGN {
+            self.foreign.push((now, tokens));
+        }
+    }
+
+    /// Returns the newest report that still counts, and its age.
+    pub fn report(&self, now: Instant) -> Option<(&LoadReport, Duration)> {
+        let taken = self.report.as_ref()?;
+        let age = now.saturating_duration_since(taken.as_of);
+        (age <= MAX_REPORT_AGE).then_some((&taken.item, age))
+    }
+
+    /// Returns the requests that other hosts have at the endpoint, estimated from its answers.
+    pub fn foreign_requests(&self, now: Instant) -> f64 {
+        let Some(hint) = &self.hint else { return 0.0 };
+        let age = now.saturating_duration_since(hint.as_of).as_secs_f64();
+        let decay = 0.5_f64.powf(age / HINT_HALF_LIFE.as_secs_f64());
+        let all = hint.item.running + hint.item.waiting;
+        f64::from(all.saturating_sub(self.own_at_hint)) * decay
+    }
+
+    /// Estimates the load of an engine now: what it reported, grown by the age of the report, plus
+    /// what this host and others sent since.
+    pub fn engine(&self, own: &[Run], now: Instant) -> EngineLoad {
+        let mut load = EngineLoad::default();
+        let mut reported: &[ReportedRun] = &[];
+        if let Some((report, age)) = self.report(now) {
+            let grown = f64::from(report.running) * age.as_secs_f64() * TOKENS_PER_SECOND;
+            load.sequences = report.running + report.waiting;
+            load.used = report.used_tokens + grown as u32;
+            load.unread = report.next_tokens * report.waiting;
+            load.growth = FOREIGN_TOKENS_LEFT * (report.running + report.waiting);
+            reported = &report.runs;
+        }
+        for run in own {
+            if reported.iter().any(|other| other.call == run.call) {
+                load.growth = load.growth.saturating_sub(FOREIGN_TOKENS_LEFT);
+            } else {
+                load.sequences += 1;
+                load.used += run.held_tokens();
+                load.unread += run.held_tokens();
+            }
+            load.growth += run.expected_left();
+        }
+        for (_, tokens) in &self.foreign {
+            load.sequences += 1;
+            load.used += tokens;
+            load.unread += tokens;
+            load.growth += FOREIGN_TOKENS_LEFT;
+        }
+        load
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/plain.rs
@@ -0,0 +1,73 @@
+//! Chooses an endpoint for a call of a plain service.
+//!
+//! Answers short calls at a rate that a few slots bear easily while one of the endpoints is grey,
+//! slow or far away: each endpoint is priced by the time that a call is expected to take there,
+//! failures included, and the cheapest one takes the call.
+
+use std::time::Instant;
+
+use camphorloft_types::prelude::*;
+use rand::Rng;
+
+use crate::choice::{Cheapest, Choice};
+use crate::distance::Distance;
+use crate::endpoint::Endpoint;
+use crate::fleet::Fleet;
+
+/// Time that a failed call is expected to cost its caller, in milliseconds: a retry, or an answer
+/// that is lost.
+const FAILURE_MS: f64 = 800.0;
+/// Price of bytes that cross regions, as time, in milliseconds: a call that is on time elsewhere
+/// is still worth it.
+const REMOTE_MS: f64 = 60.0;
+/// Crossings of the way before an answer arrives: one exchange to connect and one to ask.
+const EXCHANGES: f64 = 2.0;
+/// Part of the time of a call that each taken slot adds, since endpoints slow down when nearly
+/// full.
+const CROWDING: f64 = 0.3;
+/// Random part of a cost, so that hosts with the same view do not all choose the same endpoint.
+const JITTER: f64 = 0.15;
+
+/// Chooses an endpoint for a call, other than those in `tried`.
+pub fn choose<Draws>(
+    fleet: &Fleet,
+    service: &ServiceName,
+    tried: &[EndpointIx],
+    now: Instant,
+    rng: &mut Draws,
+) -> Option<Choice>
+where
+    Draws: Rng,
+{
+    let mut cheapest = Cheapest::default();
+    for (ix, endpoint) in fleet.of_service(service) {
+        if tried.contains(&ix) || !endpoint.is_usable(now) {
+            cheapest.unusable += 1;
+            continue;
+        }
+        let cost = expected_ms(endpoint, now) * (1.0 + JITTER * rng.random::<f64>());
+        cheapest.offer(Choice {
+            endpoint: ix,
+            cost_ms: cost,
+            failure_share: endpoint.health.failure_share(now),
+            fill: 0.0,
+            report_age: None,
+            compared: 0,
+            unusable: 0,
+        });
+    }
+    cheapest.finish()
+}
+
+fn expected_ms(endpoint: &Endpoint, now: Instant) -> f64 {
+    let way = endpoint.connect_time().as_secs_f64() * 1e3 * EXCHANGES;
+    let work = endpoint.work_time().as_secs_f64() * 1e3;
+    let slots = f64::from(endpoint.entry.slots.max(1));
+    let busy = endpoint.runs.len() as f64 + endpoint.load.foreign_requests(now);
+    let queued = (busy + 1.0 - slots).max(0.0);
+    let crowding = work * CROWDING * (busy / slots).min(1.0);
+    let cold = endpoint.warm_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+    let remote = if endpoint.distance == Distance::Remote { REMOTE_MS } else { 0.0 };
+    let failures = endpoint.health.failure_share(now) * FAILURE_MS;
+    way + work + crowding + work * queued / slots + cold.min(work) + remote + failures
+}
--- /dev/null
+++ b/crates/dispatch/src/prelude.rs
@@ -0,0 +1,14 @@
+//! Common imports.
+
+pub use crate::admission::{Admission, RefuseReason};
+pub use crate::choice::Choice;
+pub use crate::distance::{Distance, Locality};
+pub use crate::endpoint::{Endpoint, EndpointState};
+pub use crate::entry::{Born, EndpointEntry};
+pub use crate::fleet::{Fleet, FleetChange};
+pub use crate::generation::Need;
+pub use crate::health::Health;
+pub use crate::load::{LoadHint, LoadReport, ReportedRun};
+pub use crate::reclaim::Fate;
+pub use crate::retry_quota::{QuotaSettings, RetryQuota};
+pub use crate::run::{CallId, Run, RunId, RunWork};
--- /dev/null
+++ b/crates/host/src/connection.rs
@@ -0,0 +1,139 @@
+//! One connection of a caller, with its time limits.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use camphorloft_serving::prelude::CallerLimits;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Waiting {
+    /// The first byte of a request.
+    Request(Instant),
+    /// The rest of a head.
+    Head(Instant),
+    /// The end of an answer.
+    Answer,
+}
+
+/// What a connection waits for, shared between its reader and its answers.
+#[derive(Debug)]
+pub struct Phase(Cell<Waiting>);
+
+impl Phase {
+    /// Builds the phase of a connection that was just accepted.
+    pub fn new() -> Self {
+        Self(Cell::new(Waiting::Request(Instant::now())))
+    }
+
+    /// Records that bytes arrived.
+    fn bytes_arrived(&self) {
+        if let Waiting::Request(_) = self.0.get() {
+            self.0.set(Waiting::Head(Instant::now()));
+        }
+    }
+
+    /// Records that a whole head arrived.
+    pub(crate) fn head_arrived(&self) {
+        self.0.set(Waiting::Answer);
+    }
+
+    /// Records that an answer has ended.
+    pub(crate) fn answered(&self) {
+        self.0.set(Waiting::Request(Instant::now()));
+    }
+
+    /// Returns true between requests.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.0.get(), Waiting::Request(_))
+    }
+
+    /// Returns the time until a limit is exceeded; zero when one is.
+    ///
+    /// ```
+    /// use camphorloft_host::connection::Phase;
+    /// use camphorloft_serving::prelude::CallerLimits;
+    /// let limits = CallerLimits::default();
+    /// let left = Phase::new().time_left(&limits).unwrap();
+    /// assert!(left <= limits.idle_timeout && left > limits.idle_timeout / 2);
+    /// ```
+    pub fn time_left(&self, limits: &CallerLimits) -> Option<Duration> {
+        let (since, limit) = match self.0.get() {
+            Waiting::Request(since) => (since, limits.idle_timeout),
+            Waiting::Head(since) => (since, limits.head_timeout),
+            Waiting::Answer => return None,
+        };
+        Some(limit.saturating_sub(since.elapsed()))
+    }
+}
+
+impl Default for Phase {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A connection that records when bytes arrive.
+#[derive(Debug)]
+pub struct WatchedStream {
+    inner: TcpStream,
+    phase: Rc<Phase>,
+}
+
+impl WatchedStream {
+    /// Wraps a connection.
+    pub fn new(inner: TcpStream, phase: Rc<Phase>) -> Self {
+        Self { inner, phase }
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.phase.bytes_arrived();
+        }
+        poll
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- /dev/null
+++ b/crates/host/src/context.rs
@@ -0,0 +1,207 @@
+//! The state of the host and its shared parts.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use camphorloft_decide::poison::{Blame, PoisonTable};
+use camphorloft_dispatch::prelude::*;
+use camphorloft_serving::prelude::*;
+use camphorloft_types::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use slog::{Logger, info, warn};
+use tokio::sync::watch;
+
+use crate::metrics::Metrics;
+use crate::settings::HostSettings;
+
+/// Where a host is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It serves as soon as it knows what to serve.
+    Serving,
+    /// It was told to end.
+    Draining {
+        /// When.
+        since: Instant,
+    },
+}
+
+/// What the host believes and decides with.
+#[derive(Debug)]
+pub struct State {
+    /// Endpoints.
+    pub fleet: Fleet,
+    /// Version in force.
+    pub serving: Option<Rc<ServingSet>>,
+    /// What may be sent again.
+    pub quota: RetryQuota,
+    /// Requests that crash endpoints.
+    pub poison: PoisonTable,
+    /// Random numbers.
+    pub rng: SmallRng,
+}
+
+/// A host: its state and its shared parts.
+#[derive(Debug)]
+pub struct Host<W, R> {
+    /// Settings.
+    pub settings: HostSettings,
+    /// Wire of the deployment.
+    pub wire: W,
+    /// Registry of the deployment.
+    pub registry: R,
+    /// Log.
+    pub log: Logger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// State. Never borrowed across a suspension.
+    pub state: RefCell<State>,
+    /// Bytes of bodies of requests that are held.
+    pub held_bytes: Cell<u64>,
+    fleet_news: watch::Sender<u64>,
+    stage: watch::Sender<Stage>,
+}
+
+impl<W, R> Host<W, R> {
+    /// Builds a host that knows nothing yet. `hosts` is the number of hosts to assume until others
+    /// are heard of.
+    pub fn new(settings: HostSettings, wire: W, registry: R, log: Logger, hosts: u32) -> Rc<Self> {
+        let state = State {
+            fleet: Fleet::new(settings.locality.clone()),
+            serving: None,
+            quota: RetryQuota::new(settings.quota, hosts),
+            poison: PoisonTable::default(),
+            rng: SmallRng::from_os_rng(),
+        };
+        Rc::new(Self {
+            settings,
+            wire,
+            registry,
+            log,
+            metrics: Metrics::default(),
+            state: RefCell::new(state),
+            held_bytes: Cell::new(0),
+            fleet_news: watch::Sender::new(0),
+            stage: watch::Sender::new(Stage::Serving),
+        })
+    }
+
+    /// Returns the version in force.
+    pub fn serving(&self) -> Option<Rc<ServingSet>> {
+        self.state.borrow().serving.clone()
+    }
+
+    /// Returns the stage.
+    pub fn stage(&self) -> Stage {
+        *self.stage.borrow()
+    }
+
+    /// Returns a receiver that hears of each new stage.
+    pub fn stages(&self) -> watch::Receiver<Stage> {
+        self.stage.subscribe()
+    }
+
+    /// Starts to drain.
+    pub fn drain(&self) {
+        self.stage.send_if_modified(|stage| {
+            let begins = *stage == Stage::Serving;
+            if begins {
+                *stage = Stage::Draining { since: Instant::now() };
+            }
+            begins
+        });
+    }
+
+    /// Returns true when callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let state = self.state.borrow();
+        let knows_endpoints = state.fleet.iter().any(|(_, endpoint)| endpoint.is_ready());
+        self.stage() == Stage::Serving && state.serving.is_some() && knows_endpoints
+    }
+
+    /// Returns a receiver that hears of each change of the fleet.
+    pub fn fleet_changes(&self) -> watch::Receiver<u64> {
+        self.fleet_news.subscribe()
+    }
+
+    /// Tells those who wait that the fleet changed.
+    pub fn fleet_changed(&self) {
+        let state = self.state.borrow();
+        let ready = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
+        self.metrics.ready_endpoints.set(ready as i64);
+        self.fleet_news.send_modify(|count| *count += 1);
+    }
+
+    /// Takes a version if it is newer than the one in force. Returns true when it was taken.
+    pub fn take_serving(&self, raw: RawServing, source: &str) -> bool {
+        let version = ConfigVersion(raw.version);
+        let known = self.serving().map_or(ConfigVersion(0), |serving| serving.version);
+        if version <= known {
+            return false;
+        }
+        let set = match ServingSet::try_from(raw) {
+            Ok(set) => set,
+            Err(findings) => {
+                warn!(self.log, "version refused"; "version" => %version,
+                    "source" => source, "findings" => %findings);
+                return false;
+            }
+        };
+        info!(self.log, "version in force"; "version" => %version, "before" => %known,
+            "source" => source, "routes" => set.routes.len(),
+            "organisations" => set.organisations.len());
+        self.metrics.serving_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+        self.state.borrow_mut().serving = Some(Rc::new(set));
+        self.fleet_changed();
+        true
+    }
+
+    /// Logs changes of the fleet and tells those who wait. Requests that broke off on an endpoint
+    /// that is gone are blamed for its crash.
+    pub fn note_fleet_changes(&self, changes: &[FleetChange], source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        for change in changes {
+            let mut state = self.state.borrow_mut();
+            let Some(endpoint) = state.fleet.get_mut(change.endpoint()) else { continue };
+            info!(self.log, "endpoint changed"; "endpoint" => %endpoint.entry.name,
+                "change" => %change, "service" => %endpoint.entry.service,
+                "zone" => %endpoint.entry.zone, "born" => %endpoint.entry.born,
+                "runs" => endpoint.runs.len(), "source" => source);
+            if let FleetChange::Gone(ix) = change {
+                drop(state);
+                self.endpoint_crashed(*ix, now);
+            }
+        }
+        self.fleet_changed();
+    }
+
+    /// Takes the confirmation that an endpoint crashed, and blames the requests that broke off.
+    pub fn endpoint_crashed(&self, ix: EndpointIx, now: Instant) -> Vec<Blame> {
+        let mut state = self.state.borrow_mut();
+        let Some(endpoint) = state.fleet.get_mut(ix) else { return Vec::new() };
+        let mut suspects = endpoint.take_crash_suspects(now);
+        if suspects.is_empty() {
+            return Vec::new();
+        }
+        suspects.sort_unstable();
+        suspects.dedup();
+        let name = endpoint.entry.name.clone();
+        let blames = state.poison.endpoint_crashed(&suspects, now);
+        for blame in &blames {
+            warn!(self.log, "request blamed for a crash"; "endpoint" => %name,
+                "fingerprint" => format!("{:016x}", blame.fingerprint), "crashes" => blame.crashes);
+        }
+        blames
+    }
+
+    /// Forgets endpoints that left and run nothing for this host.
+    pub fn collect_endpoints(&self) {
+        const KEEP: Duration = Duration::from_secs(10);
+        self.state.borrow_mut().fleet.collect(KEEP, Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/host/src/endpoint_watch.rs
@@ -0,0 +1,176 @@
+//! Follows the endpoint list.
+//!
+//! An endpoint that is no longer listed takes no new work. While the registry is away entries
+//! lapse that were not renewed, so after its return such entries are given time to come back.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use camphorloft_dispatch::prelude::*;
+use camphorloft_types::prelude::*;
+use slog::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use crate::boundary::{EndpointChange, Listing, Registry, RegistryError, Revision, Wire};
+use crate::context::Host;
+
+/// Time for which the registry is asked to wait for a change.
+const WAIT: Duration = Duration::from_millis(1000);
+/// Time for an answer beyond the time that it may wait.
+const ANSWER_WITHIN: Duration = Duration::from_millis(700);
+/// Time between two questions: endpoints write a sign of life about every second each, and every
+/// call is paid.
+const PACE: Duration = Duration::from_millis(120);
+/// Time to wait after a failure.
+const RETRY_STEP: Duration = Duration::from_millis(200);
+/// Time after the return of the registry in which lapsed entries come back.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// What a host knows of the registry's endpoint list.
+#[derive(Debug, Default)]
+struct ListState {
+    /// Position up to which the list is known; `None` when it must be read whole.
+    revision: Option<Revision>,
+    /// When the registry was lost.
+    lost_at: Option<Instant>,
+    /// When it came back after it was lost.
+    regained_at: Option<Instant>,
+    /// Entries that are missing since the registry came back, and when they count as gone.
+    lapsed: BTreeMap<EndpointName, Instant>,
+}
+
+/// Follows the endpoint list.
+pub async fn follow<W, R>(cx: Rc<Host<W, R>>)
+where
+    W: Wire,
+    R: Registry,
+{
+    let mut list = ListState::default();
+    loop {
+        let result = match list.revision {
+            None => read_all(&cx, &mut list).await,
+            Some(after) => read_changes(&cx, &mut list, after).await,
+        };
+        let label = if result.is_ok() { "ok" } else { "failed" };
+        cx.metrics.registry_calls.with_label_values(&["endpoints", label]).inc();
+        expire_lapsed(&cx, &mut list);
+        match result {
+            Ok(()) => sleep(PACE).await,
+            Err(RegistryError::HistoryLost) => {
+                info!(cx.log, "endpoint list read anew"; "reason" => "history lost");
+                list.revision = None;
+            }
+            Err(err) => {
+                if list.lost_at.is_none() {
+                    list.lost_at = Some(Instant::now());
+                    warn!(cx.log, "registry lost"; "call" => "endpoints", "error" => %err);
+                }
+                list.revision = None;
+                sleep(RETRY_STEP).await;
+            }
+        }
+    }
+}
+
+async fn within<Answer, Asked>(time: Duration, asked: Asked) -> Result<Answer, RegistryError>
+where
+    Asked: Future<Output = Result<Answer, RegistryError>>,
+{
+    match timeout(time, asked).await {
+        Ok(answer) => answer,
+        Err(_) => Err(RegistryError::Unanswered("no answer in time".to_owned())),
+    }
+}
+
+async fn read_all<W, R>(cx: &Rc<Host<W, R>>, list: &mut ListState) -> Result<(), RegistryError>
+where
+    R: Registry,
+{
+    let listing = within(ANSWER_WITHIN, cx.registry.read_endpoints()).await?;
+    note_regained(cx, list);
+    let now = Instant::now();
+    let mut changes = Vec::new();
+    let missing: Vec<EndpointName> = {
+        let state = cx.state.borrow();
+        let listed = |name: &EndpointName| listing.items.iter().any(|entry| entry.name == *name);
+        let ready = state.fleet.iter().filter(|(_, endpoint)| {
+            !matches!(endpoint.state, EndpointState::Gone { .. }) && !listed(&endpoint.entry.name)
+        });
+        ready.map(|(_, endpoint)| endpoint.entry.name.clone()).collect()
+    };
+    for entry in listing.items {
+        list.lapsed.remove(&entry.name);
+        cx.state.borrow_mut().fleet.list(entry, now, &mut changes);
+    }
+    for name in missing {
+        delist(cx, list, name, now, &mut changes);
+    }
+    cx.note_fleet_changes(&changes, "registry_list");
+    list.revision = Some(listing.revision);
+    Ok(())
+}
+
+async fn read_changes<W, R>(
+    cx: &Rc<Host<W, R>>,
+    list: &mut ListState,
+    after: Revision,
+) -> Result<(), RegistryError>
+where
+    R: Registry,
+{
+    let asked = cx.registry.await_endpoints(after, WAIT);
+    let Listing { revision, items } = within(WAIT + ANSWER_WITHIN, asked).await?;
+    let now = Instant::now();
+    let mut changes = Vec::new();
+    for change in items {
+        match change {
+            EndpointChange::Listed(entry) => {
+                list.lapsed.remove(&entry.name);
+                cx.state.borrow_mut().fleet.list(entry, now, &mut changes);
+            }
+            EndpointChange::Delisted(name) => delist(cx, list, name, now, &mut changes),
+        }
+    }
+    cx.note_fleet_changes(&changes, "registry_change");
+    list.revision = Some(after.max(revision));
+    Ok(())
+}
+
+/// Takes that an entry is missing: at once, or after a time if the registry just came back.
+fn delist<W, R>(
+    cx: &Rc<Host<W, R>>,
+    list: &mut ListState,
+    name: EndpointName,
+    now: Instant,
+    changes: &mut Vec<FleetChange>,
+) {
+    let until = list.regained_at.map(|at| at + LAPSE_GRACE).filter(|until| *until > now);
+    match until {
+        Some(until) => {
+            list.lapsed.entry(name).or_insert(until);
+        }
+        None => cx.state.borrow_mut().fleet.delist(&name, now, changes),
+    }
+}
+
+/// Takes the entries as gone that did not come back in time.
+fn expire_lapsed<W, R>(cx: &Rc<Host<W, R>>, list: &mut ListState) {
+    let now = Instant::now();
+    let mut changes = Vec::new();
+    list.lapsed.retain(|name, until| {
+        let expired = now >= *until;
+        if expired {
+            cx.state.borrow_mut().fleet.delist(name, now, &mut changes);
+        }
+        !expired
+    });
+    cx.note_fleet_changes(&changes, "lapsed");
+}
+
+fn note_regained<W, R>(cx: &Rc<Host<W, R>>, list: &mut ListState) {
+    let Some(lost_at) = list.lost_at.take() else { return };
+    list.regained_at = Some(Instant::now());
+    info!(cx.log, "registry regained"; "call" => "endpoints",
+        "after_ms" => lost_at.elapsed().as_millis() as u64);
+}
--- /dev/null
+++ b/crates/host/src/sending.rs
@@ -0,0 +1,228 @@
+//! Sends one request to one endpoint and records it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use camphorloft_dispatch::prelude::*;
+use camphorloft_types::prelude::*;
+use http::Request;
+use http_body_util::Full;
+use slog::info;
+
+use crate::boundary::{AnswerKind, EngineRank, Registry, Resume, SendOrder, Wire};
+use crate::call::Call;
+use crate::context::Host;
+use crate::upstream::{Connected, Exchange, ExchangeError, connect};
+
+/// Time to connect beyond a multiple of the average: covers a loaded listener.
+const CONNECT_SLACK: Duration = Duration::from_millis(150);
+/// Multiple of the average time to connect that is waited for.
+const CONNECT_FACTOR: u32 = 4;
+
+/// A run that is recorded until this is dropped.
+#[derive(Debug)]
+pub struct RunGuard<W, R> {
+    cx: Rc<Host<W, R>>,
+    /// Endpoint.
+    pub endpoint: EndpointIx,
+    /// Run.
+    pub run: RunId,
+}
+
+impl<W, R> RunGuard<W, R> {
+    /// Records a run.
+    pub fn begin(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, call: &Call, work: RunWork) -> Self {
+        let now = Instant::now();
+        let run =
+            cx.state.borrow_mut().fleet.begin(endpoint, &call.id, call.fingerprint, work, now);
+        Self { cx: cx.clone(), endpoint, run }
+    }
+}
+
+impl<W, R> Drop for RunGuard<W, R> {
+    fn drop(&mut self) {
+        self.cx.state.borrow_mut().fleet.end(self.endpoint, self.run);
+    }
+}
+
+/// An answer whose head arrived.
+#[derive(Debug)]
+pub struct Sent<W, R> {
+    /// The run, while it lasts.
+    pub guard: RunGuard<W, R>,
+    /// Name of the endpoint.
+    pub name: EndpointName,
+    /// What the answer means.
+    pub kind: AnswerKind,
+    /// The exchange.
+    pub exchange: Exchange,
+    /// When the request was sent.
+    pub sent_at: Instant,
+}
+
+/// How a request is sent.
+#[derive(Debug)]
+pub struct SendPlan {
+    /// Endpoint.
+    pub endpoint: EndpointIx,
+    /// What it does to the endpoint.
+    pub work: RunWork,
+    /// Rank of a generation at the engine.
+    pub rank: Option<EngineRank>,
+    /// How a generation goes on, if it has begun elsewhere.
+    pub resume: Option<Resume>,
+    /// Engine that keeps a mirror of the generation's memory.
+    pub mirror: Option<SocketAddr>,
+}
+
+/// Connects to an endpoint and records how that went.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError::NotSent`] when no connection was made.
+pub async fn connect_to<W, R>(
+    cx: &Rc<Host<W, R>>,
+    ix: EndpointIx,
+    left: Duration,
+) -> Result<Connected, ExchangeError> {
+    let (addr, within) = {
+        let state = cx.state.borrow();
+        let Some(endpoint) = state.fleet.get(ix) else {
+            return Err(ExchangeError::NotSent("the endpoint is gone".to_owned()));
+        };
+        let within = endpoint.connect_time() * CONNECT_FACTOR + CONNECT_SLACK;
+        (endpoint.entry.addr, within.min(left))
+    };
+    let began = Instant::now();
+    let connected = connect(addr, within).await;
+    let now = Instant::now();
+    if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
+        match &connected {
+            Ok(_) => endpoint.connected(now - began),
+            Err(_) => endpoint.health.unreachable(now),
+        }
+    }
+    if connected.is_err() {
+        cx.endpoint_crashed(ix, now);
+    }
+    connected
+}
+
+/// Sends a call to an endpoint and waits for the head of its answer.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError`], which tells whether the call may have been run.
+pub async fn send<W, R>(
+    cx: &Rc<Host<W, R>>,
+    call: &Call,
+    plan: SendPlan,
+    connected: Option<Connected>,
+) -> Result<Sent<W, R>, ExchangeError>
+where
+    W: Wire,
+    R: Registry,
+{
+    let ix = plan.endpoint;
+    let connected = match connected {
+        Some(connected) => connected,
+        None => {
+            let result = connect_to(cx, ix, call.left(Instant::now())).await;
+            result.inspect_err(|err| log_failure(cx, call, ix, err))?
+        }
+    };
+    let Some(name) = cx.state.borrow().fleet.get(ix).map(|e| e.entry.name.clone()) else {
+        return Err(ExchangeError::NotSent("the endpoint is gone".to_owned()));
+    };
+    let guard = RunGuard::begin(cx, ix, call, plan.work);
+    let sent_at = Instant::now();
+    let req = build_request(cx, call, &plan, &name, sent_at);
+    match connected.send(req).await {
+        Ok(exchange) => {
+            let kind = cx.wire.answer_kind(&exchange.head, &call.id);
+            record_answer(cx, ix, kind, &exchange);
+            Ok(Sent { guard, name, kind, exchange, sent_at })
+        }
+        Err(err) => {
+            if let ExchangeError::Unanswered(_) = &err {
+                broke_off(cx, call, ix);
+            }
+            log_failure(cx, call, ix, &err);
+            Err(err)
+        }
+    }
+}
+
+fn build_request<W, R>(
+    cx: &Rc<Host<W, R>>,
+    call: &Call,
+    plan: &SendPlan,
+    name: &EndpointName,
+    now: Instant,
+) -> Request<Full<bytes::Bytes>>
+where
+    W: Wire,
+{
+    let order = SendOrder {
+        endpoint: name,
+        organisation: call.organisation_name(),
+        left: call.left(now),
+        rank: plan.rank,
+        resume: plan.resume.clone(),
+        mirror: plan.mirror,
+    };
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.head.method.clone();
+    *req.uri_mut() = call.head.uri.clone();
+    *req.headers_mut() = cx.wire.outbound_headers(&call.head, &order);
+    req
+}
+
+/// Records what the head of an answer says of its endpoint.
+fn record_answer<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx, kind: AnswerKind, exchange: &Exchange)
+where
+    W: Wire,
+{
+    let now = Instant::now();
+    let mut changes = Vec::new();
+    {
+        let mut state = cx.state.borrow_mut();
+        let Some(endpoint) = state.fleet.get_mut(ix) else { return };
+        if let Some(hint) = cx.wire.load_hint(&exchange.head) {
+            let own = endpoint.runs.len() as u32;
+            endpoint.load.take_hint(hint, own, now);
+        }
+        let good = match kind {
+            AnswerKind::Success => true,
+            AnswerKind::Failed => !exchange.head.status.is_server_error(),
+            AnswerKind::NotRun { .. } | AnswerKind::Foreign => false,
+        };
+        endpoint.health.answered(good, now);
+        if kind == (AnswerKind::NotRun { wrong_endpoint: true }) {
+            let name = endpoint.entry.name.clone();
+            state.fleet.delist(&name, now, &mut changes);
+        }
+    }
+    cx.note_fleet_changes(&changes, "wrong_endpoint_answer");
+}
+
+/// Records that a call broke off at an endpoint.
+pub fn broke_off<W, R>(cx: &Rc<Host<W, R>>, call: &Call, ix: EndpointIx) {
+    if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
+        endpoint.broke_off(call.fingerprint, Instant::now());
+    }
+}
+
+fn log_failure<W, R>(cx: &Rc<Host<W, R>>, call: &Call, ix: EndpointIx, err: &ExchangeError) {
+    let result = match err {
+        ExchangeError::NotSent(_) => "not_sent",
+        ExchangeError::Unanswered(_) => "unanswered",
+    };
+    cx.metrics.sends.with_label_values(&[result]).inc();
+    let state = cx.state.borrow();
+    let endpoint = state.fleet.get(ix);
+    let name = endpoint.map(|endpoint| endpoint.entry.name.to_string());
+    info!(cx.log, "send failed"; "call" => %call.id, "endpoint" => name, "error" => %err,
+        "endpoint_ready" => endpoint.is_some_and(Endpoint::is_ready));
+}
--- /dev/null
+++ b/crates/host/src/settings.rs
@@ -0,0 +1,36 @@
+//! What a host is told at its start, checked.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use camphorloft_dispatch::prelude::{Locality, QuotaSettings};
+use camphorloft_types::prelude::*;
+
+/// What a host is told at its start.
+#[derive(Clone, Debug)]
+pub struct HostSettings {
+    /// Name.
+    pub host: HostName,
+    /// Where it is.
+    pub locality: Locality,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address of the readiness probe.
+    pub readiness: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Address for messages between hosts.
+    pub peers: SocketAddr,
+    /// Addresses of other hosts, possibly stale.
+    pub seeds: Vec<SocketAddr>,
+    /// Memory that the process may use.
+    pub memory: ByteSize,
+    /// Connections that the process may have open.
+    pub max_connections: usize,
+    /// Time between two signs of life of an endpoint in the list.
+    pub heartbeat: Duration,
+    /// Time from the termination signal to the end of the process.
+    pub grace: Duration,
+    /// What may be sent again, over all hosts.
+    pub quota: QuotaSettings,
+}
--- /dev/null
+++ b/crates/host/src/transfer.rs
@@ -0,0 +1,181 @@
+//! Copies a running generation to another engine: first while it runs, then what is new, after
+//! which it has stopped and goes on at the destination.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use camphorloft_dispatch::prelude::*;
+use camphorloft_types::prelude::*;
+use quick_error::quick_error;
+use slog::info;
+use tokio::time::{sleep, sleep_until, timeout};
+
+use crate::boundary::{CopyHandle, CopyReply, CopySource, Registry, Wire};
+use crate::call::Call;
+use crate::context::Host;
+use crate::sending::connect_to;
+use crate::upstream::{Connected, connect};
+
+/// Time between two tries of a copy that the engine is not ready for.
+const RETRY_STEP: Duration = Duration::from_millis(40);
+/// Time to connect to an engine for an order.
+const CONNECT_WITHIN: Duration = Duration::from_millis(300);
+/// Largest answer to a copy, in bytes.
+const MAX_REPLY_BYTES: usize = 16 << 10;
+/// Time for the last copy, which holds what was generated since the first.
+const LAST_COPY_WITHIN: Duration = Duration::from_millis(1500);
+
+/// Where and when a generation is moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TransferPlan {
+    /// Engine that runs it.
+    pub from: EndpointIx,
+    /// Destination.
+    pub to: EndpointIx,
+    /// When its last part is copied, at the earliest.
+    pub stop_at: Instant,
+    /// When its last part is copied, at the latest.
+    pub stop_by: Instant,
+}
+
+/// A generation that has stopped and can go on.
+#[derive(Debug)]
+pub struct Handover {
+    /// Engine that it goes on at.
+    pub to: EndpointIx,
+    /// Connection to that engine.
+    pub connected: Option<Connected>,
+    /// Engine at which it stopped.
+    pub from: EndpointIx,
+    /// Its memory.
+    pub copy: CopySource,
+    /// Events that it made before it stopped, if told.
+    pub events: Option<u64>,
+}
+
+quick_error! {
+    /// Reason that a generation was not moved. It runs on where it was.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum TransferError {
+        /// The destination has no room or cannot be reached.
+        Refused {
+            display("the destination refused the copy")
+        }
+        /// It no longer runs at the source.
+        Ended {
+            display("the generation has ended")
+        }
+        /// The time did not suffice.
+        TooLate {
+            display("the copy was not complete in time")
+        }
+        /// The source gave no clear answer.
+        Unclear(detail: String) {
+            display("the source gave no clear answer: {}", detail)
+        }
+    }
+}
+
+/// Moves a generation as planned.
+///
+/// # Errors
+///
+/// Returns [`TransferError`] when it was not moved.
+pub async fn transfer<W, R>(
+    cx: Rc<Host<W, R>>,
+    call: Rc<Call>,
+    plan: TransferPlan,
+) -> Result<Handover, TransferError>
+where
+    W: Wire,
+    R: Registry,
+{
+    let began = Instant::now();
+    let (from, to) = {
+        let state = cx.state.borrow();
+        let entry = |ix| state.fleet.get(ix).map(|endpoint| endpoint.entry.clone());
+        (entry(plan.from).ok_or(TransferError::TooLate)?, entry(plan.to).ok_or(TransferError::Refused)?)
+    };
+    let order = CopyOrder { cx: &cx, call: &call, from: &from, to: &to };
+    order.first(plan.stop_by).await?;
+    let first_took = began.elapsed();
+    sleep_until(plan.stop_at.into()).await;
+    let connected = connect_to(&cx, plan.to, CONNECT_WITHIN).await;
+    let Ok(connected) = connected else { return Err(TransferError::Refused) };
+    let stop_began = Instant::now();
+    let (handle, events, copied) = order.last().await?;
+    info!(cx.log, "generation stopped for a move"; "call" => %call.id, "from" => %from.name,
+        "to" => %to.name, "first_copy_ms" => first_took.as_millis() as u64,
+        "waited_ms" => (stop_began - began - first_took).as_millis() as u64,
+        "last_copy_ms" => stop_began.elapsed().as_millis() as u64, "copied" => copied,
+        "events" => events);
+    let (to, connected) = match copied {
+        true => (plan.to, Some(connected)),
+        false => (plan.from, None),
+    };
+    let copy = CopySource { addr: from.addr, handle };
+    Ok(Handover { to, connected, from: plan.from, copy, events })
+}
+
+/// A copy between two engines.
+struct CopyOrder<'a, W, R> {
+    cx: &'a Rc<Host<W, R>>,
+    call: &'a Call,
+    from: &'a EndpointEntry,
+    to: &'a EndpointEntry,
+}
+
+impl<W, R> CopyOrder<'_, W, R>
+where
+    W: Wire,
+    R: Registry,
+{
+    async fn order(&self, last: bool, within: Duration) -> Result<CopyReply, TransferError> {
+        let unclear = |detail: String| TransferError::Unclear(detail);
+        let connected = connect(self.from.addr, CONNECT_WITHIN).await;
+        let mut connected = connected.map_err(|err| unclear(err.to_string()))?;
+        let req = self.cx.wire.copy_request(self.from, &self.call.id, self.to.addr, last);
+        let answer = timeout(within, connected.ask(req, MAX_REPLY_BYTES)).await;
+        let (head, body) =
+            answer.map_err(|_| TransferError::TooLate)?.map_err(|err| unclear(err.to_string()))?;
+        Ok(self.cx.wire.read_copy(head.status, &body))
+    }
+
+    /// Copies while the generation runs.
+    async fn first(&self, by: Instant) -> Result<(), TransferError> {
+        loop {
+            let left = by.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Err(TransferError::TooLate);
+            }
+            match self.order(false, left).await? {
+                CopyReply::Copied { .. } => return Ok(()),
+                // It has not made its first token.
+                CopyReply::NoSuchRun | CopyReply::Busy => sleep(RETRY_STEP).await,
+                CopyReply::Refused { .. } => return Err(TransferError::Refused),
+                CopyReply::Unclear(status) => {
+                    return Err(TransferError::Unclear(status.to_string()));
+                }
+            }
+        }
+    }
+
+    /// Stops the generation and copies the rest. Returns the handle, the events made if told, and
+    /// whether the destination holds the copy.
+    async fn last(&self) -> Result<(CopyHandle, Option<u64>, bool), TransferError> {
+        const TRIES: u32 = 5;
+        for _ in 0..TRIES {
+            match self.order(true, LAST_COPY_WITHIN).await? {
+                CopyReply::Copied { handle, events } => return Ok((handle, Some(events), true)),
+                CopyReply::Refused { handle: Some(handle) } => return Ok((handle, None, false)),
+                CopyReply::Refused { handle: None } => return Err(TransferError::Refused),
+                CopyReply::NoSuchRun => return Err(TransferError::Ended),
+                CopyReply::Busy => sleep(RETRY_STEP).await,
+                CopyReply::Unclear(status) => {
+                    return Err(TransferError::Unclear(status.to_string()));
+                }
+            }
+        }
+        Err(TransferError::TooLate)
+    }
+}
--- a/crates/daemon/src/logging.rs
+++ b/crates/observe/src/logging.rs
@@ -1,10 +1,12 @@
-//! Structured logs on standard error, one JSON object a line.
+//! Structured logs, one JSON object a line.
 
 use std::io;
 
 use slog::{Drain, Level, Logger, o};
 use slog_async::{Async, OverflowStrategy};
 
+use crate::bounded::Bounded;
+
 /// Records that may wait to be written. Further ones are dropped and counted in a record.
 const CHANNEL_RECORDS: usize = 8192;
 
@@ -13,10 +15,15 @@
     writer_logger(io::stderr(), host, level)
 }
 
+/// Builds a logger that writes JSON lines to standard output.
+pub fn stdout_logger(host: &str, level: Level) -> Logger {
+    writer_logger(io::stdout(), host, level)
+}
+
 /// Builds a logger that writes JSON lines to `writer`.
 ///
 /// ```
-/// let logger = camphorloft_daemon::logging::writer_logger(std::io::sink(), "h", slog::Level::Info);
+/// let logger = camphorloft_observe::logging::writer_logger(std::io::sink(), "h", slog::Level::Info);
 /// slog::info!(logger, "started");
 /// ```
 pub fn writer_logger<W>(writer: W, host: &str, level: Level) -> Logger
@@ -30,5 +37,5 @@
         .overflow_strategy(OverflowStrategy::DropAndReport)
         .build()
         .fuse();
-    Logger::root(drain, o!("host" => host.to_owned()))
+    Logger::root(Bounded::new(drain).fuse(), o!("host" => host.to_owned()))
 }
--- /dev/null
+++ b/crates/serving/src/service.rs
@@ -0,0 +1,61 @@
+//! A pool of endpoints that a route sends to.
+
+use std::time::Duration;
+
+use camphorloft_types::prelude::*;
+
+/// What the engines of a service can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineSpec {
+    /// Sequences that run at a time.
+    pub slots: u32,
+    /// Key-value memory.
+    pub memory: TokenCount,
+    /// Key-value memory of one token.
+    pub token_size: ByteSize,
+    /// Speed of the link between engines, in megabits per second.
+    pub link_mbps: f64,
+    /// True when running sequences can be copied to another engine.
+    pub moves: bool,
+    /// True when the memory of a sequence can be mirrored at another engine as it grows.
+    pub mirrors: bool,
+    /// Tokens in an event of a stream; at least 1.
+    pub tokens_per_event: u32,
+}
+
+impl EngineSpec {
+    /// Returns the time in which the memory of `tokens` crosses the link between two engines.
+    ///
+    /// ```
+    /// use camphorloft_serving::prelude::EngineSpec;
+    /// use camphorloft_types::prelude::*;
+    /// let engine = EngineSpec {
+    ///     slots: 24,
+    ///     memory: TokenCount(34_304),
+    ///     token_size: ByteSize(35_136),
+    ///     link_mbps: 5_100.0,
+    ///     moves: true,
+    ///     mirrors: true,
+    ///     tokens_per_event: 4,
+    /// };
+    /// let copy = engine.copy_time(TokenCount(4_000));
+    /// assert_eq!(copy.as_millis(), 220);
+    /// ```
+    pub fn copy_time(&self, tokens: TokenCount) -> Duration {
+        const BITS_PER_BYTE: f64 = 8.0;
+        const BITS_PER_MEGABIT: f64 = 1e6;
+        let bits = f64::from(tokens.0) * self.token_size.0 as f64 * BITS_PER_BYTE;
+        Duration::from_secs_f64(bits / (self.link_mbps * BITS_PER_MEGABIT))
+    }
+}
+
+/// A pool of endpoints.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceName,
+    /// Connections that each endpoint accepts from all hosts together.
+    pub max_connections: u32,
+    /// What its engines can do, for a service that generates.
+    pub engine: Option<EngineSpec>,
+}
--- /dev/null
+++ b/crates/serving/src/verify.rs
@@ -0,0 +1,226 @@
+//! Checks a raw version and collects every finding.
+
+use std::collections::HashMap;
+use std::fmt::Display;
+use std::str::FromStr;
+use std::time::Duration;
+
+use camphorloft_config::finding::Findings;
+use camphorloft_types::prelude::*;
+use cranelift_entity::PrimaryMap;
+
+use crate::limits::CallerLimits;
+use crate::raw::{RawLimits, RawOrganisation, RawRoute, RawService, RawServing};
+use crate::route::{Repeat, Route, Target};
+use crate::service::{EngineSpec, Service};
+use crate::set::{Organisation, ServingSet};
+
+/// What has been checked so far.
+struct Verifier<'a> {
+    raw: &'a RawServing,
+    findings: Findings,
+    services: PrimaryMap<ServiceIx, Service>,
+    service_names: HashMap<&'a str, ServiceIx>,
+    routes: PrimaryMap<RouteIx, Route>,
+    organisations: PrimaryMap<OrganisationIx, Organisation>,
+    by_key: HashMap<Box<str>, OrganisationIx>,
+}
+
+/// Checks a raw version.
+///
+/// # Errors
+///
+/// Returns every finding with its place when there is one or more.
+///
+/// ```
+/// use camphorloft_serving::raw::{RawRoute, RawServing};
+/// use camphorloft_serving::verify::verify;
+/// let raw = RawServing { routes: vec![RawRoute::default()], ..RawServing::default() };
+/// let findings = verify(&raw).unwrap_err();
+/// assert!(findings.0.iter().any(|finding| finding.path == "/routes/0/prefix"));
+/// ```
+pub fn verify(raw: &RawServing) -> Result<ServingSet, Findings> {
+    let mut verifier = Verifier {
+        raw,
+        findings: Findings::default(),
+        services: PrimaryMap::new(),
+        service_names: HashMap::new(),
+        routes: PrimaryMap::new(),
+        organisations: PrimaryMap::new(),
+        by_key: HashMap::new(),
+    };
+    verifier.check_services();
+    verifier.check_routes();
+    verifier.check_organisations();
+    let limits = verifier.check_limits(&raw.limits);
+    verifier.finish(limits)
+}
+
+impl<'a> Verifier<'a> {
+    fn parse<Name>(&mut self, path: String, text: &str) -> Option<Name>
+    where
+        Name: FromStr,
+        Name::Err: Display,
+    {
+        match text.parse() {
+            Ok(name) => Some(name),
+            Err(err) => {
+                self.findings.push(path, err.to_string(), "use an accepted name");
+                None
+            }
+        }
+    }
+
+    fn check_services(&mut self) {
+        for (position, service) in self.raw.services.iter().enumerate() {
+            let path = format!("/services/{position}");
+            if self.service_names.contains_key(service.name.as_str()) {
+                self.findings.push(format!("{path}/name"), "the name stands twice", "rename one");
+                continue;
+            }
+            if let Some(checked) = self.check_service(&path, service) {
+                let ix = self.services.push(checked);
+                self.service_names.insert(&service.name, ix);
+            }
+        }
+    }
+
+    fn check_service(&mut self, path: &str, raw: &RawService) -> Option<Service> {
+        let name = self.parse(format!("{path}/name"), &raw.name)?;
+        let engine = raw.engine.as_ref().map(|engine| EngineSpec {
+            slots: engine.slots,
+            memory: TokenCount(engine.memory_tokens),
+            token_size: ByteSize(u64::from(engine.token_bytes)),
+            link_mbps: engine.link_mbps,
+            moves: engine.moves && engine.link_mbps > 0.0,
+            mirrors: engine.mirrors,
+            tokens_per_event: engine.tokens_per_event.max(1),
+        });
+        Some(Service { name, max_connections: raw.max_connections, engine })
+    }
+
+    fn check_routes(&mut self) {
+        for (position, route) in self.raw.routes.iter().enumerate() {
+            if let Some(checked) = self.check_route(&format!("/routes/{position}"), route) {
+                self.routes.push(checked);
+            }
+        }
+    }
+
+    fn check_route(&mut self, path: &str, raw: &RawRoute) -> Option<Route> {
+        let name = self.parse(format!("{path}/name"), &raw.name);
+        if !raw.prefix.starts_with('/') || !raw.prefix.ends_with('/') {
+            let remedy = "begin and end it with a slash";
+            self.findings.push(format!("{path}/prefix"), "not a path prefix", remedy);
+        }
+        if raw.timeout_ms == 0 {
+            self.findings.push(format!("{path}/timeout"), "the timeout is zero", "allow some time");
+        }
+        let repeat = self.check_repeat(path, raw);
+        let targets = self.check_targets(path, raw);
+        Some(Route {
+            name: name?,
+            authority: raw.authority.to_ascii_lowercase().into(),
+            prefix: raw.prefix.as_str().into(),
+            repeat: repeat?,
+            timeout: Duration::from_millis(raw.timeout_ms),
+            objective: Duration::from_millis(raw.objective_ms),
+            gap_objective: Duration::from_millis(raw.gap_objective_ms),
+            priority: raw.priority,
+            targets: targets?,
+            max_sends: raw.max_sends.max(1),
+            public: raw.public,
+            generation: raw.generation,
+        })
+    }
+
+    fn check_repeat(&mut self, path: &str, raw: &RawRoute) -> Option<Repeat> {
+        match raw.repeat.as_str() {
+            "idempotent" => Some(Repeat::Idempotent),
+            "at_most_once" => Some(Repeat::AtMostOnce),
+            "stream" => Some(Repeat::Stream { resumable: raw.resumable }),
+            other => {
+                let what = format!("{other:?} is no way to repeat a request");
+                let remedy = "use idempotent, at_most_once or stream";
+                self.findings.push(format!("{path}/repeat"), what, remedy);
+                None
+            }
+        }
+    }
+
+    fn check_targets(&mut self, path: &str, raw: &RawRoute) -> Option<Vec<Target>> {
+        let mut targets = Vec::with_capacity(raw.targets.len());
+        for (position, target) in raw.targets.iter().enumerate() {
+            match self.service_names.get(target.service.as_str()) {
+                Some(service) => {
+                    targets.push(Target { service: *service, weight: Weight(target.weight) });
+                }
+                None => {
+                    let what = format!("service {:?} does not exist", target.service);
+                    let place = format!("{path}/targets/{position}");
+                    self.findings.push(place, what, "declare it or name another");
+                }
+            }
+        }
+        if targets.iter().all(|target| target.weight.0 == 0) {
+            let remedy = "name a service with a weight above zero";
+            self.findings.push(format!("{path}/targets"), "no service takes requests", remedy);
+            return None;
+        }
+        Some(targets)
+    }
+
+    fn check_organisations(&mut self) {
+        for (position, organisation) in self.raw.organisations.iter().enumerate() {
+            self.check_organisation(&format!("/organisations/{position}"), organisation);
+        }
+    }
+
+    fn check_organisation(&mut self, path: &str, raw: &RawOrganisation) {
+        let Some(name) = self.parse(format!("{path}/name"), &raw.name) else { return };
+        let ix = self.organisations.push(Organisation { name, priority: raw.priority });
+        for (position, key) in raw.keys.iter().enumerate() {
+            if self.by_key.insert(key.as_str().into(), ix).is_some_and(|other| other != ix) {
+                let what = "another organisation holds the same key";
+                self.findings.push(format!("{path}/keys/{position}"), what, "issue a new key");
+            }
+        }
+    }
+
+    fn check_limits(&mut self, raw: &RawLimits) -> CallerLimits {
+        let mut positive = |name: &str, value: u64| {
+            if value == 0 {
+                self.findings.push(format!("/limits/{name}"), "the limit is zero", "raise it");
+            }
+            value
+        };
+        CallerLimits {
+            max_head: ByteSize(positive("max_head_bytes", raw.max_head_bytes)),
+            max_body: ByteSize(positive("max_body_bytes", raw.max_body_bytes)),
+            head_timeout: Duration::from_millis(positive("head_timeout_ms", raw.head_timeout_ms)),
+            idle_timeout: Duration::from_millis(positive("idle_timeout_ms", raw.idle_timeout_ms)),
+        }
+    }
+
+    fn finish(self, limits: CallerLimits) -> Result<ServingSet, Findings> {
+        if !self.findings.is_empty() {
+            return Err(self.findings);
+        }
+        let mut by_authority: HashMap<Box<str>, Vec<RouteIx>> = HashMap::new();
+        for (ix, route) in self.routes.iter() {
+            by_authority.entry(route.authority.clone()).or_default().push(ix);
+        }
+        for routes in by_authority.values_mut() {
+            routes.sort_by_key(|ix| std::cmp::Reverse(self.routes[*ix].prefix.len()));
+        }
+        Ok(ServingSet {
+            version: ConfigVersion(self.raw.version),
+            routes: self.routes,
+            services: self.services,
+            organisations: self.organisations,
+            limits,
+            by_authority,
+            by_key: self.by_key,
+        })
+    }
+}
--- a/crates/types/src/index.rs
+++ b/crates/types/src/index.rs
@@ -16,3 +16,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RouteIx(u32);
 entity_impl!(RouteIx, "route");
+
+/// Index of a service.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServiceIx(u32);
+entity_impl!(ServiceIx, "service");
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -1,7 +1,7 @@
 //! Common imports.
 
 pub use crate::generation::{Attempt, GenerationId};
-pub use crate::index::{EndpointIx, OrganisationIx, RouteIx};
+pub use crate::index::{EndpointIx, OrganisationIx, RouteIx, ServiceIx};
 pub use crate::name::{
     AdapterName, AvailabilityZone, EndpointName, HostName, ModelName, NameError, ObjectiveName,
     OrganisationName, PoolName, Region, RouteName, ServiceName,
