--- a/crates/host/src/stream_pump.rs
+++ b/crates/host/src/stream_pump.rs
@@ -179,11 +179,17 @@
     async fn take(&mut self, step: Step) -> Option<End> {
         match step {
             Step::Data(data) => self.relay(&data).await.err(),
-            Step::Ended if !self.splitter.has_partial() && self.transfer.is_none() => {
+            Step::Ended if self.splitter.has_partial() => {
+                self.broke("ended within an event".to_owned()).await
+            }
+            Step::Ended => {
+                // An answer without a length ends in the same way when a move stopped it.
+                if let Some(handover) = self.settle_transfer().await {
+                    return self.go_on(handover).await.err();
+                }
                 self.cx.metrics.sends.with_label_values(&["answered"]).inc();
                 Some(End::Complete)
             }
-            Step::Ended => self.broke("ended within an event or a move".to_owned()).await,
             Step::Broke(detail) => self.broke(detail).await,
         }
     }
@@ -364,16 +370,27 @@
         self.review();
     }
 
+    /// Waits for the end of a move under way. Returns the handover if the generation was moved.
+    async fn settle_transfer(&mut self) -> Option<Handover> {
+        let task = self.transfer.take()?;
+        match task.await {
+            Ok(Ok(handover)) => Some(handover),
+            Ok(Err(err)) => {
+                self.not_moved(&err);
+                None
+            }
+            Err(err) => {
+                warn!(self.cx.log, "move task failed"; "call" => %self.call.id, "error" => %err);
+                None
+            }
+        }
+    }
+
     /// Takes that the source broke off. A move under way may have been the cause.
     async fn broke(&mut self, detail: String) -> Option<End> {
         let _ = self.splitter.take_partial();
-        if let Some(task) = self.transfer.take() {
-            match task.await {
-                Ok(Ok(handover)) => return self.go_on(handover).await.err(),
-                Ok(Err(err)) => self.not_moved(&err),
-                Err(err) => warn!(self.cx.log, "move task failed"; "call" => %self.call.id,
-                    "error" => %err),
-            }
+        if let Some(handover) = self.settle_transfer().await {
+            return self.go_on(handover).await.err();
         }
         broke_off(&self.cx, &self.call, self.source.guard.endpoint);
         self.cx.metrics.sends.with_label_values(&["broken"]).inc();
