--- a/crates/bench/src/control/fleet.rs
+++ b/crates/bench/src/control/fleet.rs
@@ -14,6 +14,7 @@
 use camphorloft_gateway::control::ServingSet;
 use camphorloft_membership::settings::MembershipSettings;
 use camphorloft_membership::{Member, MemberState};
+use camphorloft_peer::link::LinkConfig;
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::wire::WirePlacement;
 use camphorloft_platform::http::HttpPlatform;
@@ -119,14 +120,14 @@
         self.platform.platform.state().set_host(&name, Some(entry));
         let config = ConfigState::default();
         let keys = FrameKeys::derive(&[SECRET.to_vec()]);
-        let setup = ControlSetup {
+        let link = LinkConfig {
             own,
             membership: MembershipSettings::default(),
-            config: config.clone(),
             keys: keys.clone(),
             started_ms: 1,
             seed: ix as u64,
         };
+        let setup = ControlSetup { link, config: config.clone() };
         let link = start_link(LinkSetup {
             plane: ControlPlane::new(setup, Instant::now()),
             socket,
--- a/crates/bench/src/control/mod.rs
+++ b/crates/bench/src/control/mod.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
-use camphorloft_daemon::control_plane::ControlCounts;
+use camphorloft_peer::link::LinkCounts;
 use camphorloft_types::prelude::ConfigVersion;
 use serde::Serialize;
 
@@ -165,12 +165,12 @@
 /// Totals over all running hosts.
 struct Totals {
     cpu: Duration,
-    counts: ControlCounts,
+    counts: LinkCounts,
     evictions: u64,
 }
 
 fn totals(fleet: &Fleet) -> Totals {
-    let mut totals = Totals { cpu: Duration::ZERO, counts: ControlCounts::default(), evictions: 0 };
+    let mut totals = Totals { cpu: Duration::ZERO, counts: LinkCounts::default(), evictions: 0 };
     for (_, link) in fleet.running() {
         let counts = link.counts();
         totals.cpu += link.cpu_time();
--- a/crates/bench/src/faults/mod.rs
+++ b/crates/bench/src/faults/mod.rs
@@ -22,9 +22,9 @@
 
 use argh::FromArgs;
 use camphorloft_daemon::host::start_host;
-use camphorloft_observe::logging::stderr_logger;
 use camphorloft_daemon::process::run_until_drained;
 use camphorloft_daemon::settings::Settings;
+use camphorloft_observe::logging::stderr_logger;
 use serde::Serialize;
 
 use callers::GenerationCaller;
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -250,7 +250,11 @@
             self.setup.shared.violated(&self.setup.log, Invariant::NoWorkToLeaving, &detail);
         }
         let digest = rendezvous::score(ENDPOINT_DIGEST, endpoint.name.as_str());
-        self.setup.shared.announce_placement(WirePlacement { endpoint: digest, kv: placed.kv });
+        self.setup.shared.announce_placement(WirePlacement {
+            endpoint: digest,
+            kv: placed.kv,
+            unread: placed.kv,
+        });
         let placement = Placement {
             endpoint: endpoint.name.clone(),
             addr: endpoint.addr,
--- a/crates/daemon/src/host.rs
+++ b/crates/daemon/src/host.rs
@@ -14,6 +14,7 @@
 use camphorloft_http::serve::{InFlightCount, serve};
 use camphorloft_membership::settings::MembershipSettings;
 use camphorloft_membership::{Member, MemberState};
+use camphorloft_peer::link::LinkConfig;
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_platform::budget::CallBudget;
 use camphorloft_platform::claims::start_claims;
@@ -181,14 +182,14 @@
         state: MemberState::Alive,
         accuser: None,
     };
-    let setup = ControlSetup {
+    let link = LinkConfig {
         own,
         membership: MembershipSettings::default(),
-        config: config.clone(),
         keys: keys.clone(),
         started_ms,
         seed: rand::rng().random(),
     };
+    let setup = ControlSetup { link, config: config.clone() };
     start_link(LinkSetup {
         plane: ControlPlane::new(setup, Instant::now()),
         socket,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,9 +7,9 @@
 use argh::FromArgs;
 use camphorloft_daemon::embedded::start_embedded;
 use camphorloft_daemon::host::{Host, start_host};
-use camphorloft_observe::logging::stderr_logger;
 use camphorloft_daemon::process::run_until_drained;
 use camphorloft_daemon::settings::Settings;
+use camphorloft_observe::logging::stderr_logger;
 use slog::Level;
 
 /// Exit code when the settings have findings.
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -12,6 +12,7 @@
 use camphorloft_decide::poison::Blame;
 use camphorloft_gateway::control::ServingSet;
 use camphorloft_membership::{Member, MemberState};
+use camphorloft_peer::link::{Datagram, LinkCounts};
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::wire::WirePlacement;
 use camphorloft_platform::api::PlatformApi;
@@ -25,7 +26,7 @@
 use crate::config_exchange::serve_config;
 use crate::config_fetcher::Fetcher;
 use crate::config_state::ConfigState;
-use crate::control_plane::{ControlCounts, ControlEvent, ControlPlane, Datagram};
+use crate::control_plane::{ControlEvent, ControlPlane};
 
 /// Time between two ticks of the protocols.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
@@ -103,7 +104,7 @@
 /// State that the threads share.
 pub(crate) struct LinkState {
     rows: Mutex<Vec<MemberRow>>,
-    counts: Mutex<ControlCounts>,
+    counts: Mutex<LinkCounts>,
     cpu_micros: AtomicU64,
     evictions: AtomicU64,
     pub(crate) live: AtomicU32,
@@ -233,7 +234,7 @@
     }
 
     /// Returns the datagrams counted.
-    pub fn counts(&self) -> ControlCounts {
+    pub fn counts(&self) -> LinkCounts {
         *self.state.counts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -40,10 +40,6 @@
     }
 
     pub(crate) fn finish(self) -> Option<Choice> {
-        self.best.map(|best| Choice {
-            compared: self.compared,
-            unusable: self.unusable,
-            ..best
-        })
+        self.best.map(|best| Choice { compared: self.compared, unusable: self.unusable, ..best })
     }
 }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -45,6 +45,8 @@
 pub struct Endpoint {
     /// What the list says.
     pub entry: EndpointEntry,
+    /// Digest of its name and process, by which hosts tell each other of it.
+    pub digest: u64,
     /// How far it is.
     pub distance: Distance,
     /// State.
@@ -81,6 +83,7 @@
         };
         Self {
             warm_at: now + entry.cold_left,
+            digest: entry.digest(),
             entry,
             distance,
             state,
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use camphorloft_types::prelude::*;
+use camphorloft_types::rendezvous;
 
 /// When the process of an endpoint started, in milliseconds since the epoch. Tells a restarted
 /// endpoint from the one before it. Zero when the endpoint does not say.
@@ -53,12 +54,8 @@
         self.name == other.name && self.born == other.born && self.addr == other.addr
     }
 
-    /// Returns true when nothing but the passage of time differs.
-    pub fn is_equivalent(&self, other: &Self) -> bool {
-        self.is_same_process(other)
-            && self.service == other.service
-            && self.zone == other.zone
-            && self.slots == other.slots
-            && self.leaving == other.leaving
+    /// Returns a digest of the name and the process, the same on every host.
+    pub fn digest(&self) -> u64 {
+        rendezvous::score(self.name.as_str(), &self.born.to_string())
     }
 }
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -60,6 +60,7 @@
     free: Vec<EndpointIx>,
     /// Listed endpoints.
     by_name: HashMap<EndpointName, EndpointIx>,
+    by_digest: HashMap<u64, EndpointIx>,
     next_run: u64,
 }
 
@@ -71,6 +72,7 @@
             slots: PrimaryMap::new(),
             free: Vec::new(),
             by_name: HashMap::new(),
+            by_digest: HashMap::new(),
             next_run: 0,
         }
     }
@@ -95,6 +97,19 @@
         self.by_name.get(name).copied()
     }
 
+    /// Returns the listed endpoint of a digest.
+    pub fn find_digest(&self, digest: u64) -> Option<EndpointIx> {
+        self.by_digest.get(&digest).copied()
+    }
+
+    /// Returns a digest of the list, the same on every host that knows the same list.
+    pub fn list_digest(&self) -> u64 {
+        let listed = self.by_name.values().filter_map(|ix| self.get(*ix));
+        listed.fold(0, |sum, endpoint| {
+            sum ^ endpoint.digest.rotate_left(u32::from(endpoint.entry.leaving))
+        })
+    }
+
     /// Returns the endpoints in the table.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointIx, &Endpoint)> {
         self.slots.iter().filter_map(|(ix, slot)| Some((ix, slot.as_ref()?)))
@@ -118,9 +133,10 @@
             }
             self.delist(&entry.name, now, changes);
         }
-        let name = entry.name.clone();
+        let (name, digest) = (entry.name.clone(), entry.digest());
         let ix = self.insert(entry, now);
         self.by_name.insert(name, ix);
+        self.by_digest.insert(digest, ix);
         changes.push(FleetChange::Joined(ix));
     }
 
@@ -163,6 +179,8 @@
         if let Some(endpoint) = self.get_mut(ix) {
             let since = endpoint.leaving_since().unwrap_or(now);
             endpoint.state = EndpointState::Gone { since };
+            let digest = endpoint.digest;
+            self.by_digest.remove(&digest);
         }
         changes.push(FleetChange::Gone(ix));
     }
@@ -207,6 +225,9 @@
         self.next_run += 1;
         let id = RunId(self.next_run);
         if let Some(endpoint) = self.get_mut(ix) {
+            if let RunWork::Generation { unread, .. } = work {
+                endpoint.load.take_placement(unread, now);
+            }
             endpoint.runs.push(Run { id, call: call.clone(), fingerprint, work, sent_at: now });
         }
         id
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -14,10 +14,8 @@
 use crate::distance::Distance;
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
-use crate::load::EngineLoad;
+use crate::load::{EngineLoad, READ_PER_SECOND};
 
-/// Prompt tokens that an engine reads in a millisecond; the sheets' figure.
-const PROMPT_TOKENS_PER_MS: f64 = 14.0;
 /// Share of the memory from which an engine is crowded: lengths are estimates.
 const CROWDED_FILL: f64 = 0.7;
 /// Cost of an engine whose whole memory is expected to be needed, above one that is not crowded,
@@ -96,7 +94,7 @@
     need: &Need,
     now: Instant,
 ) -> f64 {
-    let reading = f64::from(load.unread + need.unread) / PROMPT_TOKENS_PER_MS;
+    let reading = f64::from(load.unread + need.unread) / READ_PER_SECOND * 1e3;
     let crowding = (fill - CROWDED_FILL).max(0.0) / (1.0 - CROWDED_FILL) * FULL_MS;
     let neighbours = f64::from(load.sequences) * NEIGHBOUR_MS;
     let cold = endpoint.warm_at.saturating_duration_since(now).as_secs_f64() * 1e3;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`health`]: how often an endpoint fails, learned from its answers.
 //! - [`load`]: how busy an endpoint is, from reports and from what this host sent.
 //! - [`run`]: a request that this host sent to an endpoint.
+//! - [`duty`]: which host does what for the others.
 //! - [`endpoint`]: all that is known of one endpoint.
 //! - [`fleet`]: the table of endpoints.
 //! - [`choice`]: an endpoint that was chosen, with the inputs that decided it.
@@ -19,6 +20,7 @@
 pub mod admission;
 pub mod choice;
 pub mod distance;
+pub mod duty;
 pub mod endpoint;
 pub mod entry;
 pub mod fleet;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use crate::run::{CallId, Run};
+use crate::run::Run;
 
 /// Age at which a report no longer counts; reports come several times in this time.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
@@ -11,6 +11,9 @@
 /// Speed at which an engine generates for one sequence in a small batch, in tokens per second.
 /// Engines of the sheets take 7 ms and more for a token.
 pub const TOKENS_PER_SECOND: f64 = 110.0;
+/// Speed at which an engine reads prompts beside a small batch, in tokens per second: a chunk of
+/// 112 tokens with each step of about 16 ms.
+pub const READ_PER_SECOND: f64 = 7000.0;
 /// Tokens that a generation of another host is expected to go on for: about half of a long
 /// output on the sheets.
 const FOREIGN_TOKENS_LEFT: u32 = 500;
@@ -26,19 +29,8 @@
     pub slots: u32,
 }
 
-/// A sequence in a report of an engine.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ReportedRun {
-    /// Identity that the caller gave.
-    pub call: CallId,
-    /// Memory that it holds, in tokens.
-    pub tokens: u32,
-    /// Events that it has made.
-    pub events: u32,
-}
-
 /// What an engine reports of itself.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadReport {
     /// Memory that cannot be freed, in tokens.
     pub used_tokens: u32,
@@ -56,8 +48,6 @@
     pub leaving: bool,
     /// Time until it leaves, as of when the report was made, if it knows.
     pub leaves_in: Option<Duration>,
-    /// Sequences that run.
-    pub runs: Vec<ReportedRun>,
 }
 
 /// A report with its age.
@@ -77,6 +67,8 @@
     own_at_hint: u32,
     /// Placements that other hosts told of and no report covers yet: when, and their tokens.
     foreign: Vec<(Instant, u32)>,
+    /// Prompt tokens that were still to be read at a moment.
+    unread: Option<Taken<f64>>,
 }
 
 /// Memory and work of an engine, as estimated for now.
@@ -108,14 +100,29 @@
         self.own_at_hint = own;
     }
 
-    /// Takes a placement that another host told of.
-    pub fn take_foreign(&mut self, tokens: u32, now: Instant) {
+    /// Takes a placement, of which `unread` tokens have to be read.
+    pub fn take_placement(&mut self, unread: u32, now: Instant) {
+        let item = self.unread_tokens(now) + f64::from(unread);
+        self.unread = Some(Taken { item, as_of: now });
+    }
+
+    /// Takes a placement of `held` tokens that another host told of.
+    pub fn take_foreign(&mut self, held: u32, unread: u32, now: Instant) {
         const MAX_FOREIGN: usize = 256;
+        self.take_placement(unread, now);
         if self.foreign.len() < MAX_FOREIGN {
-            self.foreign.push((now, tokens));
+            self.foreign.push((now, held));
         }
     }
 
+    /// Returns the prompt tokens that are still to be read: those of the placements since, less
+    /// what the engine reads in the meantime.
+    pub fn unread_tokens(&self, now: Instant) -> f64 {
+        let Some(unread) = &self.unread else { return 0.0 };
+        let read = now.saturating_duration_since(unread.as_of).as_secs_f64() * READ_PER_SECOND;
+        (unread.item - read).max(0.0)
+    }
+
     /// Returns the newest report that still counts, and its age.
     pub fn report(&self, now: Instant) -> Option<(&LoadReport, Duration)> {
         let taken = self.report.as_ref()?;
@@ -135,30 +142,29 @@
     /// Estimates the load of an engine now: what it reported, grown by the age of the report, plus
     /// what this host and others sent since.
     pub fn engine(&self, own: &[Run], now: Instant) -> EngineLoad {
-        let mut load = EngineLoad::default();
-        let mut reported: &[ReportedRun] = &[];
+        let mut load =
+            EngineLoad { unread: self.unread_tokens(now) as u32, ..EngineLoad::default() };
+        let mut reported_at = None;
         if let Some((report, age)) = self.report(now) {
             let grown = f64::from(report.running) * age.as_secs_f64() * TOKENS_PER_SECOND;
             load.sequences = report.running + report.waiting;
-            load.used = report.used_tokens + grown as u32;
-            load.unread = report.next_tokens * report.waiting;
+            load.used = report.used_tokens + report.next_tokens * report.waiting + grown as u32;
+            load.unread = load.unread.max(report.next_tokens * report.waiting);
             load.growth = FOREIGN_TOKENS_LEFT * (report.running + report.waiting);
-            reported = &report.runs;
+            reported_at = Some(now - age);
         }
         for run in own {
-            if reported.iter().any(|other| other.call == run.call) {
+            if reported_at.is_some_and(|at| run.sent_at <= at) {
                 load.growth = load.growth.saturating_sub(FOREIGN_TOKENS_LEFT);
             } else {
                 load.sequences += 1;
                 load.used += run.held_tokens();
-                load.unread += run.held_tokens();
             }
             load.growth += run.expected_left();
         }
-        for (_, tokens) in &self.foreign {
+        for (_, held) in &self.foreign {
             load.sequences += 1;
-            load.used += tokens;
-            load.unread += tokens;
+            load.used += held;
             load.growth += FOREIGN_TOKENS_LEFT;
         }
         load
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -8,7 +8,7 @@
 pub use crate::fleet::{Fleet, FleetChange};
 pub use crate::generation::Need;
 pub use crate::health::Health;
-pub use crate::load::{LoadHint, LoadReport, ReportedRun};
+pub use crate::load::{LoadHint, LoadReport};
 pub use crate::reclaim::Fate;
 pub use crate::retry_quota::{QuotaSettings, RetryQuota};
 pub use crate::run::{CallId, Run, RunId, RunWork};
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -92,8 +92,7 @@
     tried: &[EndpointIx],
     now: Instant,
 ) -> Option<(EndpointIx, Distance)> {
-    let need =
-        Need { held: run.held_tokens(), unread: 0, expected: run.expected_left() };
+    let need = Need { held: run.held_tokens(), unread: 0, expected: run.expected_left() };
     let mut best: Option<(Distance, f64, EndpointIx)> = None;
     for (ix, endpoint) in fleet.of_service(&source.entry.service) {
         let is_source = endpoint.entry.name == source.entry.name;
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -70,6 +70,8 @@
     Generation {
         /// Tokens that it holds at its start: the prompt, and what was generated elsewhere.
         held: u32,
+        /// Tokens among them that the engine has to read.
+        unread: u32,
         /// Tokens that it is expected to generate from there.
         expected: u32,
         /// Tokens generated here so far.
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -203,16 +203,7 @@
         let need = self.need(resume, spec.tokens_per_event);
         let begun = (call.arrived_at, call.route().objective);
         let fleet = &state.fleet;
-        admission::admit(
-            fleet,
-            &service.name,
-            spec,
-            &need,
-            &self.tried,
-            begun,
-            now,
-            &mut state.rng,
-        )
+        admission::admit(fleet, &service.name, spec, &need, &self.tried, begun, now, &mut state.rng)
     }
 
     fn need(&self, resume: Option<&Resume>, tokens_per_event: u32) -> Need {
@@ -227,9 +218,12 @@
         let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event);
         let need = self.need(resume.as_ref(), tokens_per_event);
         let work = match engine {
-            Some(_) => {
-                RunWork::Generation { held: need.held, expected: need.expected, generated: 0 }
-            }
+            Some(_) => RunWork::Generation {
+                held: need.held,
+                unread: need.unread,
+                expected: need.expected,
+                generated: 0,
+            },
             None => RunWork::Plain,
         };
         let rank = engine.map(|_| self.call.engine_rank());
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -8,8 +8,7 @@
 };
 
 /// Upper bounds of the latency histograms, in seconds: from a local call to a long stream.
-const LATENCY_SECONDS: &[f64] =
-    &[0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 40.0];
+const LATENCY_SECONDS: &[f64] = &[0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0, 40.0];
 /// Upper bounds of the histogram of pauses between events, in seconds.
 const PAUSE_SECONDS: &[f64] = &[0.02, 0.05, 0.1, 0.18, 0.3, 0.5, 1.0, 2.0, 5.0];
 
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -185,10 +185,8 @@
     W: Wire,
 {
     let now = Instant::now();
-    let mut changes = Vec::new();
-    {
-        let mut state = cx.state.borrow_mut();
-        let Some(endpoint) = state.fleet.get_mut(ix) else { return };
+    let mut state = cx.state.borrow_mut();
+    if let Some(endpoint) = state.fleet.get_mut(ix) {
         if let Some(hint) = cx.wire.load_hint(&exchange.head) {
             let own = endpoint.runs.len() as u32;
             endpoint.load.take_hint(hint, own, now);
@@ -200,11 +198,10 @@
         };
         endpoint.health.answered(good, now);
         if kind == (AnswerKind::NotRun { wrong_endpoint: true }) {
-            let name = endpoint.entry.name.clone();
-            state.fleet.delist(&name, now, &mut changes);
+            // The list still names the process that had the address before.
+            endpoint.health.unreachable(now);
         }
     }
-    cx.note_fleet_changes(&changes, "wrong_endpoint_answer");
 }
 
 /// Records that a call broke off at an endpoint.
--- a/crates/host/src/stream_pump.rs
+++ b/crates/host/src/stream_pump.rs
@@ -278,8 +278,7 @@
             "stop_in_ms" => plan.stop_at.saturating_duration_since(now).as_millis() as u64,
             "stop_by_ms" => plan.stop_by.saturating_duration_since(now).as_millis() as u64);
         self.tried.push(plan.to);
-        self.transfer =
-            Some(OwnedTask::spawn(transfer(self.cx.clone(), self.call.clone(), plan)));
+        self.transfer = Some(OwnedTask::spawn(transfer(self.cx.clone(), self.call.clone(), plan)));
     }
 
     fn not_moved(&mut self, err: &TransferError) {
@@ -343,6 +342,7 @@
         let expected = self.call.expected_tokens().saturating_sub(made);
         RunWork::Generation {
             held: self.call.generation.prompt.0 + made,
+            unread: 0,
             expected: expected.max(made / 3),
             generated: 0,
         }
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -94,7 +94,10 @@
     let (from, to) = {
         let state = cx.state.borrow();
         let entry = |ix| state.fleet.get(ix).map(|endpoint| endpoint.entry.clone());
-        (entry(plan.from).ok_or(TransferError::TooLate)?, entry(plan.to).ok_or(TransferError::Refused)?)
+        (
+            entry(plan.from).ok_or(TransferError::TooLate)?,
+            entry(plan.to).ok_or(TransferError::Refused)?,
+        )
     };
     let order = CopyOrder { cx: &cx, call: &call, from: &from, to: &to };
     order.first(plan.stop_by).await?;
--- a/crates/peer/src/stream.rs
+++ b/crates/peer/src/stream.rs
@@ -13,7 +13,8 @@
 /// Bytes requested from the connection at a time.
 const READ_BYTES: usize = 16 * 1024;
 
-fn codec() -> LengthDelimitedCodec {
+/// Returns the codec of the frames.
+pub fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -91,6 +91,95 @@
     /// Memory that the generation holds at the start, in tokens.
     #[prost(uint32, tag = "2")]
     pub kv: u32,
+    /// Tokens of it that the engine has to read.
+    #[prost(uint32, tag = "3")]
+    pub unread: u32,
+}
+
+/// An engine's report, told by the host that asked for it.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireReport {
+    /// Digest of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// Age of the report when it was sent on, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Memory that cannot be freed, in tokens.
+    #[prost(uint32, tag = "3")]
+    pub used_tokens: u32,
+    /// Memory, in tokens.
+    #[prost(uint32, tag = "4")]
+    pub total_tokens: u32,
+    /// Sequences that run.
+    #[prost(uint32, tag = "5")]
+    pub running: u32,
+    /// Sequences that wait.
+    #[prost(uint32, tag = "6")]
+    pub waiting: u32,
+    /// Prompt tokens of the first one that waits.
+    #[prost(uint32, tag = "7")]
+    pub next_tokens: u32,
+    /// Copies that it keeps of sequences of other engines.
+    #[prost(uint32, tag = "8")]
+    pub copies: u32,
+    /// True when it leaves.
+    #[prost(bool, tag = "9")]
+    pub leaving: bool,
+    /// Time until it leaves, as of when the report was made, in milliseconds.
+    #[prost(uint32, optional, tag = "10")]
+    pub leaves_ms: Option<u32>,
+}
+
+/// An entry of the endpoint list.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireEndpoint {
+    /// When its process started, in milliseconds since the epoch.
+    #[prost(uint64, tag = "1")]
+    pub born: u64,
+    /// Address that takes requests.
+    #[prost(string, tag = "2")]
+    pub addr: String,
+    /// Service.
+    #[prost(string, tag = "3")]
+    pub service: String,
+    /// Availability zone.
+    #[prost(string, tag = "4")]
+    pub zone: String,
+    /// Requests that it works on at a time.
+    #[prost(uint32, tag = "5")]
+    pub slots: u32,
+    /// True when it leaves soon.
+    #[prost(bool, tag = "6")]
+    pub leaving: bool,
+    /// Time for which it is still slow, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub cold_left_ms: u32,
+}
+
+/// A change of the endpoint list.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireEndpointChange {
+    /// Name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// The entry; absent when it is no longer listed.
+    #[prost(message, optional, tag = "2")]
+    pub entry: Option<WireEndpoint>,
+}
+
+/// What a host that reads the registry knows of it.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireRegistryState {
+    /// Digest of the endpoint list.
+    #[prost(fixed64, tag = "1")]
+    pub list_digest: u64,
+    /// Time since the list was last known to be complete, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub list_age_ms: u32,
+    /// Time since the version in force was last known to be the newest, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub version_age_ms: u32,
 }
 
 /// A datagram.
@@ -120,6 +209,15 @@
     /// Placements of the sender.
     #[prost(message, repeated, tag = "8")]
     pub placements: Vec<WirePlacement>,
+    /// Reports of engines.
+    #[prost(message, repeated, tag = "14")]
+    pub reports: Vec<WireReport>,
+    /// Changes of the endpoint list.
+    #[prost(message, repeated, tag = "15")]
+    pub endpoint_changes: Vec<WireEndpointChange>,
+    /// What the sender knows of the registry, if it reads it for others.
+    #[prost(message, optional, tag = "16")]
+    pub registry: Option<WireRegistryState>,
     /// Question or answer.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
