Let hosts tell each other of placements, reports and the endpoint list

Change: hosts join by gossip with a secret kept in the store. One host a region reads the store for it and tells changes at once, one host asks each engine, and each placement is told to all. A host that hears nothing fresh, or whose list differs, reads for itself. The version in force travels from host to host for hosts that the store turns away.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -97,6 +97,12 @@
         self.by_name.get(name).copied()
     }
 
+    /// Returns true when the process that an entry describes is known to leave.
+    pub fn is_leaving(&self, entry: &EndpointEntry) -> bool {
+        let known = self.find(&entry.name).and_then(|ix| self.get(ix));
+        known.is_some_and(|known| known.entry.is_same_process(entry) && !known.is_ready())
+    }
+
     /// Returns the listed endpoint of a digest.
     pub fn find_digest(&self, digest: u64) -> Option<EndpointIx> {
         self.by_digest.get(&digest).copied()
--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -262,6 +262,8 @@
     pub host: HostName,
     /// Address for messages between hosts.
     pub addr: SocketAddr,
+    /// When its process started, in milliseconds since the epoch.
+    pub started_ms: u64,
 }
 
 /// Everything that is stored outside the process.
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use camphorloft_decide::poison::{Blame, PoisonTable};
 use camphorloft_dispatch::prelude::*;
 use camphorloft_serving::prelude::*;
@@ -13,7 +14,9 @@
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 
+use crate::boundary::Registry;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
 use crate::settings::HostSettings;
 
 /// Where a host is in its life.
@@ -35,6 +38,10 @@
     pub fleet: Fleet,
     /// Version in force.
     pub serving: Option<Rc<ServingSet>>,
+    /// The same as the registry encoded it, for other hosts.
+    pub serving_encoded: Bytes,
+    /// Other hosts.
+    pub peers: Peers,
     /// What may be sent again.
     pub quota: RetryQuota,
     /// Requests that crash endpoints.
@@ -60,6 +67,12 @@
     pub state: RefCell<State>,
     /// Bytes of bodies of requests that are held.
     pub held_bytes: Cell<u64>,
+    /// When this host itself last knew the endpoint list to be complete.
+    pub list_read_at: Cell<Option<Instant>>,
+    /// When this host itself last knew the version in force to be the newest.
+    pub version_read_at: Cell<Option<Instant>>,
+    /// When a version was last asked of another host.
+    fetched_at: Cell<Option<Instant>>,
     fleet_news: watch::Sender<u64>,
     stage: watch::Sender<Stage>,
 }
@@ -71,6 +84,8 @@
         let state = State {
             fleet: Fleet::new(settings.locality.clone()),
             serving: None,
+            serving_encoded: Bytes::new(),
+            peers: Peers::new(settings.host.clone(), settings.locality.region.clone(), hosts),
             quota: RetryQuota::new(settings.quota, hosts),
             poison: PoisonTable::default(),
             rng: SmallRng::from_os_rng(),
@@ -83,6 +98,9 @@
             metrics: Metrics::default(),
             state: RefCell::new(state),
             held_bytes: Cell::new(0),
+            list_read_at: Cell::new(None),
+            version_read_at: Cell::new(None),
+            fetched_at: Cell::new(None),
             fleet_news: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
         })
@@ -134,8 +152,42 @@
         self.fleet_news.send_modify(|count| *count += 1);
     }
 
+    /// Returns when this host itself last knew the endpoint list and the version in force, if it
+    /// reads both.
+    pub fn registry_known_at(&self) -> Option<(Instant, Instant)> {
+        Some((self.list_read_at.get()?, self.version_read_at.get()?))
+    }
+
+    /// Returns true when a version may be asked of another host now.
+    pub fn begin_fetch(&self, now: Instant) -> bool {
+        const PAUSE: Duration = Duration::from_millis(150);
+        let recent = |at: Instant| now.saturating_duration_since(at) < PAUSE;
+        if self.fetched_at.get().is_some_and(recent) {
+            return false;
+        }
+        self.fetched_at.set(Some(now));
+        true
+    }
+
+    /// Decodes a version and takes it if it is newer than the one in force.
+    pub fn take_encoded_serving(&self, encoded: Bytes, source: &str)
+    where
+        R: Registry,
+    {
+        match self.registry.decode_serving(&encoded) {
+            Ok(raw) => {
+                if self.take_serving(raw, source) {
+                    self.state.borrow_mut().serving_encoded = encoded;
+                }
+            }
+            Err(err) => {
+                warn!(self.log, "version not understood"; "source" => source, "error" => %err);
+            }
+        }
+    }
+
     /// Takes a version if it is newer than the one in force. Returns true when it was taken.
-    pub fn take_serving(&self, raw: RawServing, source: &str) -> bool {
+    fn take_serving(&self, raw: RawServing, source: &str) -> bool {
         let version = ConfigVersion(raw.version);
         let known = self.serving().map_or(ConfigVersion(0), |serving| serving.version);
         if version <= known {
@@ -174,7 +226,8 @@
                 "runs" => endpoint.runs.len(), "source" => source);
             if let FleetChange::Gone(ix) = change {
                 drop(state);
-                self.endpoint_crashed(*ix, now);
+                let blames = self.endpoint_crashed(*ix, now);
+                self.tell_blames(&blames);
             }
         }
         self.fleet_changed();
@@ -199,6 +252,22 @@
         blames
     }
 
+    /// Takes a report of an engine that was true at `as_of`.
+    pub fn take_report(&self, ix: EndpointIx, report: LoadReport, as_of: Instant, source: &str) {
+        let news = {
+            let mut state = self.state.borrow_mut();
+            if !state.fleet.report(ix, report, as_of) {
+                return;
+            }
+            state.fleet.get(ix).map(|endpoint| endpoint.entry.name.clone())
+        };
+        let leaves_ms = report.leaves_in.map(|left| left.as_millis() as u64);
+        info!(self.log, "endpoint changed"; "endpoint" => news.map(|name| name.to_string()),
+            "change" => "leaving", "source" => source, "leaves_ms" => leaves_ms,
+            "report_age_ms" => as_of.elapsed().as_millis() as u64);
+        self.fleet_changed();
+    }
+
     /// Forgets endpoints that left and run nothing for this host.
     pub fn collect_endpoints(&self) {
         const KEEP: Duration = Duration::from_secs(10);
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -9,11 +9,13 @@
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_types::prelude::*;
+use rand::Rng;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
 use crate::boundary::{EndpointChange, Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
+use crate::serving_watch::DUTY;
 
 /// Time for which the registry is asked to wait for a change.
 const WAIT: Duration = Duration::from_millis(1000);
@@ -24,6 +26,10 @@
 const PACE: Duration = Duration::from_millis(120);
 /// Time to wait after a failure.
 const RETRY_STEP: Duration = Duration::from_millis(200);
+/// The same for hosts that another one reads for.
+const OTHERS_RETRY_STEP: Duration = Duration::from_millis(1000);
+/// Time between two looks whether another host still reads for this one.
+const TOLD_STEP: Duration = Duration::from_millis(100);
 /// Time after the return of the registry in which lapsed entries come back.
 const LAPSE_GRACE: Duration = Duration::from_millis(2200);
 
@@ -48,6 +54,13 @@
 {
     let mut list = ListState::default();
     loop {
+        if cx.list_is_told() {
+            cx.list_read_at.set(None);
+            list.revision = None;
+            expire_lapsed(&cx, &mut list);
+            sleep(TOLD_STEP).await;
+            continue;
+        }
         let result = match list.revision {
             None => read_all(&cx, &mut list).await,
             Some(after) => read_changes(&cx, &mut list, after).await,
@@ -56,7 +69,11 @@
         cx.metrics.registry_calls.with_label_values(&["endpoints", label]).inc();
         expire_lapsed(&cx, &mut list);
         match result {
-            Ok(()) => sleep(PACE).await,
+            Ok(()) => {
+                cx.list_read_at.set(Some(Instant::now()));
+                cx.state.borrow_mut().peers.list_was_read();
+                sleep(PACE).await;
+            }
             Err(RegistryError::HistoryLost) => {
                 info!(cx.log, "endpoint list read anew"; "reason" => "history lost");
                 list.revision = None;
@@ -67,12 +84,49 @@
                     warn!(cx.log, "registry lost"; "call" => "endpoints", "error" => %err);
                 }
                 list.revision = None;
-                sleep(RETRY_STEP).await;
+                sleep(cx.registry_retry()).await;
             }
         }
     }
 }
 
+impl<W, R> Host<W, R> {
+    /// Returns true while another host of the region keeps this host's endpoint list complete.
+    fn list_is_told(&self) -> bool {
+        let state = self.state.borrow();
+        !state.peers.holds_duty(DUTY) && state.peers.list_is_told(Instant::now())
+    }
+
+    /// Returns the time to wait after a failed call to the registry. Hosts whose duty it is not
+    /// wait longer, so that an outage is not met with a storm of calls.
+    pub fn registry_retry(&self) -> Duration {
+        let mut guard = self.state.borrow_mut();
+        let state = &mut *guard;
+        let jitter = state.rng.random_range(0.8..1.2);
+        let step = if state.peers.holds_duty(DUTY) { RETRY_STEP } else { OTHERS_RETRY_STEP };
+        step.mul_f64(jitter)
+    }
+}
+
+/// Takes changes of the list that another host told of.
+pub fn apply<W, R, Changes>(cx: &Rc<Host<W, R>>, changes: Changes, now: Instant, source: &str)
+where
+    Changes: Iterator<Item = EndpointChange>,
+{
+    let mut changed = Vec::new();
+    for change in changes {
+        let fleet = &mut cx.state.borrow_mut().fleet;
+        match change {
+            // Told again, a change may be older than what this host knows: an endpoint that leaves
+            // does not return by hearsay.
+            EndpointChange::Listed(entry) if fleet.is_leaving(&entry) && !entry.leaving => {}
+            EndpointChange::Listed(entry) => fleet.list(entry, now, &mut changed),
+            EndpointChange::Delisted(name) => fleet.delist(&name, now, &mut changed),
+        }
+    }
+    cx.note_fleet_changes(&changed, source);
+}
+
 async fn within<Answer, Asked>(time: Duration, asked: Asked) -> Result<Answer, RegistryError>
 where
     Asked: Future<Output = Result<Answer, RegistryError>>,
@@ -107,6 +161,7 @@
         delist(cx, list, name, now, &mut changes);
     }
     cx.note_fleet_changes(&changes, "registry_list");
+    cx.tell_changes(&changes);
     list.revision = Some(listing.revision);
     Ok(())
 }
@@ -133,6 +188,7 @@
         }
     }
     cx.note_fleet_changes(&changes, "registry_change");
+    cx.tell_changes(&changes);
     list.revision = Some(after.max(revision));
     Ok(())
 }
@@ -166,6 +222,7 @@
         !expired
     });
     cx.note_fleet_changes(&changes, "lapsed");
+    cx.tell_changes(&changes);
 }
 
 fn note_regained<W, R>(cx: &Rc<Host<W, R>>, list: &mut ListState) {
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -23,6 +23,10 @@
 //! - [`serving_watch`]: follows the version in force.
 //! - [`endpoint_watch`]: follows the endpoint list.
 //! - [`report_poll`]: asks engines for their load.
+//! - [`peers`]: what a host knows of the others.
+//! - [`peer_link`]: joins the other hosts and carries datagrams between them.
+//! - [`peer_news`]: what hosts tell each other, to and from the wire.
+//! - [`config_exchange`]: hands the version in force from host to host.
 //! - [`probes`]: readiness and metrics over HTTP.
 //! - [`lifecycle`]: start, signals and the end of the process.
 //! - [`metrics`]: counters and histograms.
@@ -31,6 +35,7 @@
 pub mod answer_body;
 pub mod boundary;
 pub mod call;
+pub mod config_exchange;
 pub mod connection;
 pub mod context;
 pub mod endpoint_watch;
@@ -41,6 +46,9 @@
 pub mod listener;
 pub mod metrics;
 pub mod own_answer;
+pub mod peer_link;
+pub mod peer_news;
+pub mod peers;
 pub mod plain_call;
 pub mod probes;
 pub mod report_poll;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -14,7 +14,7 @@
 use crate::context::{Host, Stage};
 use crate::listener::{accept_all, bind, serve_caller};
 use crate::probes::{Probe, serve_probe};
-use crate::{endpoint_watch, report_poll, serving_watch};
+use crate::{endpoint_watch, peer_link, report_poll, serving_watch};
 
 /// Time after the signal after which idle connections are closed: the balancer has noticed by
 /// then that the host is not ready.
@@ -72,6 +72,7 @@
     }
     let began = Instant::now();
     cx.drain();
+    cx.with_link(|link, out| link.leave(out));
     info!(cx.log, "draining"; "callers" => Rc::strong_count(&callers) - 1,
         "grace_ms" => cx.settings.grace.as_millis() as u64);
     let by = began + cx.settings.grace.saturating_sub(GRACE_MARGIN);
@@ -114,6 +115,7 @@
     spawn_local(serving_watch::follow(cx.clone()));
     spawn_local(endpoint_watch::follow(cx.clone()));
     spawn_local(report_poll::poll_all(cx.clone()));
+    spawn_local(peer_link::run(cx.clone()));
     spawn_local(sweep(cx.clone()));
     Ok(callers)
 }
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -28,6 +28,8 @@
     pub registry_calls: IntCounterVec,
     /// Reports of engines by result.
     pub reports: IntCounterVec,
+    /// Datagrams between hosts by result.
+    pub datagrams: IntCounterVec,
     /// Time to the answer of a call, or to the first event of a stream, by kind.
     pub answer_seconds: HistogramVec,
     /// Longest pause between the events of a stream.
@@ -108,6 +110,12 @@
                 "Reports asked of engines",
                 &[result],
             ),
+            datagrams: counters(
+                r,
+                "camphorloft_peer_datagrams_total",
+                "Datagrams between hosts by result",
+                &[result],
+            ),
             answer_seconds,
             pause_seconds,
             serving_version: gauge(r, "camphorloft_serving_version", "Version in force"),
--- /dev/null
+++ b/crates/host/src/peer_link.rs
@@ -0,0 +1,349 @@
+//! Joins the other hosts, and carries datagrams between them.
+
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use camphorloft_decide::poison::Blame;
+use camphorloft_dispatch::prelude::*;
+use camphorloft_membership::settings::MembershipSettings;
+use camphorloft_membership::{Member, MemberState};
+use camphorloft_peer::link::{Datagram, Link, LinkConfig, Received};
+use camphorloft_peer::seal::FrameKeys;
+use camphorloft_peer::wire::{WireBlame, WirePlacement, WireRegistryState};
+use camphorloft_types::prelude::*;
+use rand::Rng;
+use slog::{info, warn};
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::boundary::{HostRecord, Registry, RegistryError, Wire};
+use crate::config_exchange;
+use crate::context::Host;
+use crate::endpoint_watch;
+use crate::listener::bind;
+use crate::peer_news::{change_from_wire, change_to_wire, report_from_wire, report_to_wire};
+use crate::peers::Audience;
+
+/// Time between two ticks of the protocols.
+const TICK: Duration = Duration::from_millis(100);
+/// Ticks between two statements of a reader of the registry.
+const STATE_TICKS: u64 = 2;
+/// Time between two attempts to find other hosts by the addresses known.
+const SEED_RETRY: Duration = Duration::from_secs(1);
+/// Time for a call to the registry.
+const CALL_WITHIN: Duration = Duration::from_millis(900);
+/// Time to wait after a failed call, at first. Doubles up to the longest.
+const FIRST_RETRY: Duration = Duration::from_millis(150);
+/// Longest time to wait after a failed call.
+const MAX_RETRY: Duration = Duration::from_millis(1200);
+/// Largest datagram.
+const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
+/// Bytes of the secret that hosts share.
+const SECRET_BYTES: usize = 32;
+
+/// Joins the other hosts and stays among them.
+pub async fn run<W, R>(cx: Rc<Host<W, R>>)
+where
+    W: Wire,
+    R: Registry,
+{
+    let secret = until_answered(&cx, "secret", || {
+        let proposal: [u8; SECRET_BYTES] = cx.state.borrow_mut().rng.random();
+        let registry = &cx.registry;
+        async move { registry.shared_secret(&proposal).await }
+    })
+    .await;
+    let known = until_answered(&cx, "hosts", || cx.registry.announced()).await;
+    let started_ms = started_ms(&cx, &known);
+    let record = HostRecord { host: cx.settings.host.clone(), addr: cx.settings.peers, started_ms };
+    until_answered(&cx, "announce", || cx.registry.announce(&record)).await;
+    let keys = FrameKeys::derive(&[secret]);
+    if let Err(err) = open(&cx, keys, started_ms).await {
+        warn!(cx.log, "other hosts cannot be reached"; "error" => %err);
+        return;
+    }
+    let mut addresses = cx.settings.seeds.clone();
+    addresses.extend(known.iter().map(|record| record.addr));
+    addresses.retain(|addr| *addr != cx.settings.peers);
+    addresses.sort_unstable();
+    addresses.dedup();
+    info!(cx.log, "joining other hosts"; "addresses" => addresses.len());
+    loop {
+        if cx.state.borrow().peers.live().next().is_none() {
+            cx.with_link(|link, out| link.ask_addresses(&addresses, out));
+        }
+        sleep(SEED_RETRY).await;
+    }
+}
+
+/// Returns the start of this process, larger than for any process of this host before even if the
+/// clock was set back meanwhile.
+fn started_ms<W, R>(cx: &Rc<Host<W, R>>, known: &[HostRecord]) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let before = known.iter().find(|record| record.host == cx.settings.host);
+    let now_ms = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+    now_ms.max(before.map_or(0, |record| record.started_ms.saturating_add(1)))
+}
+
+/// Repeats a call to the registry until it is answered.
+async fn until_answered<W, R, Answer, Ask, Asked>(
+    cx: &Rc<Host<W, R>>,
+    call: &'static str,
+    ask: Ask,
+) -> Answer
+where
+    Ask: Fn() -> Asked,
+    Asked: Future<Output = Result<Answer, RegistryError>>,
+{
+    let mut wait = FIRST_RETRY;
+    loop {
+        let err = match timeout(CALL_WITHIN, ask()).await {
+            Ok(Ok(answer)) => {
+                cx.metrics.registry_calls.with_label_values(&[call, "ok"]).inc();
+                return answer;
+            }
+            Ok(Err(err)) => err.to_string(),
+            Err(_) => "no answer in time".to_owned(),
+        };
+        cx.metrics.registry_calls.with_label_values(&[call, "failed"]).inc();
+        info!(cx.log, "registry call failed"; "call" => call, "error" => err);
+        let jitter = cx.state.borrow_mut().rng.random_range(0.5..1.0);
+        sleep(wait.mul_f64(jitter)).await;
+        wait = (wait * 2).min(MAX_RETRY);
+    }
+}
+
+/// Opens the sockets and starts to exchange datagrams.
+async fn open<W, R>(cx: &Rc<Host<W, R>>, keys: FrameKeys, started_ms: u64) -> io::Result<()>
+where
+    W: Wire,
+    R: Registry,
+{
+    let socket = Rc::new(UdpSocket::bind(cx.settings.peers).await?);
+    let listener = bind(cx.settings.peers)?;
+    let own = Member {
+        host: cx.settings.host.clone(),
+        addr: cx.settings.peers,
+        http_addr: cx.settings.callers,
+        region: cx.settings.locality.region.clone(),
+        zone: cx.settings.locality.zone.clone(),
+        incarnation: Incarnation(started_ms),
+        started_ms,
+        state: MemberState::Alive,
+        accuser: None,
+    };
+    let config = LinkConfig {
+        own,
+        membership: MembershipSettings::default(),
+        keys: keys.clone(),
+        started_ms,
+        seed: cx.state.borrow_mut().rng.random(),
+    };
+    let link = Link::new(config, Instant::now());
+    cx.state.borrow_mut().peers.connect(link, socket.clone());
+    spawn_local(config_exchange::serve(cx.clone(), listener, keys.clone()));
+    spawn_local(receive_all(cx.clone(), socket, keys));
+    spawn_local(tick_all(cx.clone()));
+    Ok(())
+}
+
+async fn tick_all<W, R>(cx: Rc<Host<W, R>>)
+where
+    W: Wire,
+    R: Registry,
+{
+    for ticks in 0_u64.. {
+        sleep(TICK).await;
+        let now = Instant::now();
+        let version = cx.serving().map(|serving| serving.version);
+        cx.with_link(|link, out| {
+            link.set_config_version(version.unwrap_or_default());
+            link.tick(now, out);
+        });
+        {
+            let mut guard = cx.state.borrow_mut();
+            let state = &mut *guard;
+            state.quota.set_hosts(state.peers.hosts(now));
+        }
+        if ticks % STATE_TICKS == 0 {
+            cx.tell_registry_state(now);
+        }
+    }
+}
+
+async fn receive_all<W, R>(cx: Rc<Host<W, R>>, socket: Rc<UdpSocket>, keys: FrameKeys)
+where
+    W: Wire,
+    R: Registry,
+{
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(err) => {
+                warn!(cx.log, "datagram not received"; "error" => %err);
+                sleep(TICK).await;
+                continue;
+            }
+        };
+        let now = Instant::now();
+        let mut received = None;
+        cx.with_link(|link, out| received = link.receive(from, &buf[..length], now, out).ok());
+        // The link counts what it drops.
+        let Some(received) = received else { continue };
+        cx.metrics.datagrams.with_label_values(&["received"]).inc();
+        take(&cx, &received, &keys, now);
+    }
+}
+
+/// Takes what a datagram says beside membership.
+fn take<W, R>(cx: &Rc<Host<W, R>>, received: &Received, keys: &FrameKeys, now: Instant)
+where
+    W: Wire,
+    R: Registry,
+{
+    let datagram = &received.datagram;
+    for blame in &datagram.blames {
+        let crashes = u8::try_from(blame.crashes).unwrap_or(u8::MAX);
+        let blame = Blame { fingerprint: blame.fingerprint, crashes };
+        cx.state.borrow_mut().poison.learn(blame, now);
+    }
+    for placement in &datagram.placements {
+        let mut state = cx.state.borrow_mut();
+        if let Some(ix) = state.fleet.find_digest(placement.endpoint)
+            && let Some(endpoint) = state.fleet.get_mut(ix)
+        {
+            endpoint.load.take_foreign(placement.kv, placement.unread, now);
+        }
+    }
+    for wire in &datagram.reports {
+        let (report, as_of) = report_from_wire(wire, now);
+        let ix = cx.state.borrow().fleet.find_digest(wire.endpoint);
+        if let Some(ix) = ix {
+            cx.take_report(ix, report, as_of, "host");
+        }
+    }
+    let changes = datagram.endpoint_changes.iter().filter_map(change_from_wire);
+    endpoint_watch::apply(cx, changes, now, "host");
+    if let Some(registry) = &datagram.registry {
+        let mut guard = cx.state.borrow_mut();
+        let state = &mut *guard;
+        let digest = state.fleet.list_digest();
+        state.peers.take_registry_state(registry, digest, now);
+    }
+    let known = cx.serving().map_or(ConfigVersion(0), |serving| serving.version);
+    if received.message.config_version > known && cx.begin_fetch(now) {
+        let addr = received.message.sender.addr;
+        spawn_local(config_exchange::fetch(cx.clone(), addr, keys.clone()));
+    }
+}
+
+impl<W, R> Host<W, R> {
+    /// Lets the link act, and sends what it has to say.
+    pub fn with_link<Act>(&self, act: Act)
+    where
+        Act: FnOnce(&mut Link, &mut Vec<Datagram>),
+    {
+        let mut out = Vec::new();
+        {
+            let mut state = self.state.borrow_mut();
+            let Some((link, _)) = state.peers.link_mut() else { return };
+            act(link, &mut out);
+        }
+        self.send_datagrams(&out);
+    }
+
+    fn send_datagrams(&self, datagrams: &[Datagram]) {
+        let socket = self.state.borrow_mut().peers.link_mut().map(|(_, socket)| socket);
+        let Some(socket) = socket else { return };
+        for datagram in datagrams {
+            // Datagrams may be lost; what matters is told again.
+            let result = match socket.try_send_to(&datagram.frame, datagram.to) {
+                Ok(_) => "sent",
+                Err(_) => "not_sent",
+            };
+            self.metrics.datagrams.with_label_values(&[result]).inc();
+        }
+    }
+
+    /// Tells other hosts that a generation was placed.
+    pub fn tell_placement(&self, endpoint: EndpointIx, held: u32, unread: u32) {
+        let datagrams = {
+            let mut guard = self.state.borrow_mut();
+            let state = &mut *guard;
+            let Some(digest) = state.fleet.get(endpoint).map(|e| e.digest) else { return };
+            let placement = WirePlacement { endpoint: digest, kv: held, unread };
+            state.peers.seal_for(Audience::All, |datagram| datagram.placements.push(placement))
+        };
+        self.send_datagrams(&datagrams);
+    }
+
+    /// Tells other hosts of a report.
+    pub fn tell_report(&self, endpoint: EndpointIx, report: &LoadReport, as_of: Instant) {
+        let datagrams = {
+            let mut guard = self.state.borrow_mut();
+            let state = &mut *guard;
+            let Some(digest) = state.fleet.get(endpoint).map(|e| e.digest) else { return };
+            let wire = report_to_wire(digest, report, as_of, Instant::now());
+            state.peers.seal_for(Audience::All, |datagram| datagram.reports.push(wire))
+        };
+        self.send_datagrams(&datagrams);
+    }
+
+    /// Tells other hosts of blame.
+    pub fn tell_blames(&self, blames: &[Blame]) {
+        for blame in blames {
+            let wire =
+                WireBlame { fingerprint: blame.fingerprint, crashes: u32::from(blame.crashes) };
+            self.with_link(|link, out| link.spread_blame(wire, out));
+        }
+    }
+
+    /// Tells the hosts of the region of changes of the endpoint list that the registry told.
+    pub fn tell_changes(&self, changes: &[FleetChange]) {
+        if changes.is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let datagrams = {
+            let mut guard = self.state.borrow_mut();
+            let state = &mut *guard;
+            let wire = changes.iter().filter_map(|change| {
+                let entry = &state.fleet.get(change.endpoint())?.entry;
+                let listed = !matches!(change, FleetChange::Gone(_));
+                Some(change_to_wire(&entry.name, listed.then_some(entry)))
+            });
+            let told = state.peers.changes_to_tell(wire.collect(), now);
+            state
+                .peers
+                .seal_for(Audience::Region, |datagram| datagram.endpoint_changes.clone_from(&told))
+        };
+        self.send_datagrams(&datagrams);
+    }
+
+    /// Tells the hosts of the region what this host knows of the registry, if it reads it.
+    fn tell_registry_state(&self, now: Instant) {
+        let Some((list_at, version_at)) = self.registry_known_at() else { return };
+        let age = |at: Instant| {
+            let age = now.saturating_duration_since(at).as_millis();
+            u32::try_from(age).unwrap_or(u32::MAX)
+        };
+        let datagrams = {
+            let mut guard = self.state.borrow_mut();
+            let state = &mut *guard;
+            let registry = WireRegistryState {
+                list_digest: state.fleet.list_digest(),
+                list_age_ms: age(list_at),
+                version_age_ms: age(version_at),
+            };
+            let told = state.peers.changes_to_tell(Vec::new(), now);
+            state.peers.seal_for(Audience::Region, |datagram| {
+                datagram.registry = Some(registry);
+                datagram.endpoint_changes.clone_from(&told);
+            })
+        };
+        self.send_datagrams(&datagrams);
+    }
+}
--- /dev/null
+++ b/crates/host/src/peer_news.rs
@@ -0,0 +1,89 @@
+//! What hosts tell each other of endpoints, to and from the wire of the peers.
+
+use std::time::{Duration, Instant};
+
+use camphorloft_dispatch::prelude::*;
+use camphorloft_peer::wire::{WireEndpoint, WireEndpointChange, WireReport};
+use camphorloft_types::prelude::EndpointName;
+
+use crate::boundary::EndpointChange;
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Returns the wire form of a change of the endpoint list.
+pub fn change_to_wire(name: &EndpointName, entry: Option<&EndpointEntry>) -> WireEndpointChange {
+    WireEndpointChange {
+        name: name.to_string(),
+        entry: entry.map(|entry| WireEndpoint {
+            born: entry.born.0,
+            addr: entry.addr.to_string(),
+            service: entry.service.to_string(),
+            zone: entry.zone.to_string(),
+            slots: entry.slots,
+            leaving: entry.leaving,
+            cold_left_ms: millis(entry.cold_left),
+        }),
+    }
+}
+
+/// Checks the wire form of a change. `None` for any part that is not valid.
+///
+/// ```
+/// use camphorloft_host::peer_news::{change_from_wire, change_to_wire};
+/// let name = "i-1".parse().unwrap();
+/// let wire = change_to_wire(&name, None);
+/// assert!(change_from_wire(&wire).is_some());
+/// ```
+pub fn change_from_wire(wire: &WireEndpointChange) -> Option<EndpointChange> {
+    let name: EndpointName = wire.name.parse().ok()?;
+    let Some(entry) = &wire.entry else { return Some(EndpointChange::Delisted(name)) };
+    Some(EndpointChange::Listed(EndpointEntry {
+        name,
+        born: Born(entry.born),
+        addr: entry.addr.parse().ok()?,
+        service: entry.service.parse().ok()?,
+        zone: entry.zone.parse().ok()?,
+        slots: entry.slots,
+        leaving: entry.leaving,
+        cold_left: Duration::from_millis(u64::from(entry.cold_left_ms)),
+    }))
+}
+
+/// Returns the wire form of a report that was true at `as_of`.
+pub fn report_to_wire(
+    endpoint: u64,
+    report: &LoadReport,
+    as_of: Instant,
+    now: Instant,
+) -> WireReport {
+    WireReport {
+        endpoint,
+        age_ms: millis(now.saturating_duration_since(as_of)),
+        used_tokens: report.used_tokens,
+        total_tokens: report.total_tokens,
+        running: report.running,
+        waiting: report.waiting,
+        next_tokens: report.next_tokens,
+        copies: report.copies,
+        leaving: report.leaving,
+        leaves_ms: report.leaves_in.map(millis),
+    }
+}
+
+/// Returns a report and when it was true, from its wire form.
+pub fn report_from_wire(wire: &WireReport, now: Instant) -> (LoadReport, Instant) {
+    let report = LoadReport {
+        used_tokens: wire.used_tokens,
+        total_tokens: wire.total_tokens,
+        running: wire.running,
+        waiting: wire.waiting,
+        next_tokens: wire.next_tokens,
+        copies: wire.copies,
+        leaving: wire.leaving,
+        leaves_in: wire.leaves_ms.map(|ms| Duration::from_millis(u64::from(ms))),
+    };
+    let age = Duration::from_millis(u64::from(wire.age_ms));
+    (report, now.checked_sub(age).unwrap_or(now))
+}
--- /dev/null
+++ b/crates/host/src/peers.rs
@@ -0,0 +1,190 @@
+//! What a host knows of the others, and what they told it lately.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use camphorloft_dispatch::duty;
+use camphorloft_membership::Member;
+use camphorloft_peer::link::{Datagram, Link};
+use camphorloft_peer::wire::{WireDatagram, WireEndpointChange, WireRegistryState};
+use camphorloft_types::prelude::*;
+use tokio::net::UdpSocket;
+
+/// Age up to which another host's knowledge of the endpoint list is relied on. Readers tell
+/// several times in this time.
+const LIST_FRESH: Duration = Duration::from_millis(1100);
+/// Age up to which another host's knowledge of the version in force is relied on. Readers wait two
+/// seconds for a new version at a time.
+const VERSION_FRESH: Duration = Duration::from_millis(3600);
+/// Time for which a list may differ from the reader's: changes are on their way.
+const MISMATCH_ALLOWED: Duration = Duration::from_millis(600);
+/// Time for which a change of the list is told again, as datagrams may be lost.
+const RETELL_CHANGES: Duration = Duration::from_millis(1500);
+/// Time for which the largest number of hosts counts, so that a partition does not let each side
+/// spend the whole quota.
+const HOSTS_REMEMBERED: Duration = Duration::from_secs(60);
+/// Hosts up to which each is told of placements and reports. Larger fleets share endpoints between
+/// a few hosts each.
+pub const MAX_TOLD_HOSTS: usize = 128;
+
+/// Which hosts are told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Audience {
+    /// All hosts.
+    All,
+    /// The hosts of this host's region.
+    Region,
+}
+
+/// What a host knows of the others.
+#[derive(Debug)]
+pub struct Peers {
+    own: HostName,
+    region: Region,
+    link: Option<(Link, Rc<UdpSocket>)>,
+    /// When a reader last knew the list to be complete.
+    list_known_at: Option<Instant>,
+    /// Since when the list differs from the reader's.
+    mismatch_since: Option<Instant>,
+    /// When a reader last knew the version in force to be the newest.
+    version_known_at: Option<Instant>,
+    /// Changes that this host told lately, and when it learned of them.
+    told: VecDeque<(Instant, WireEndpointChange)>,
+    most_hosts: (u32, Option<Instant>),
+}
+
+impl Peers {
+    /// Builds the state of a host that knows no other. `assumed` is the number of hosts to assume.
+    pub fn new(own: HostName, region: Region, assumed: u32) -> Self {
+        Self {
+            own,
+            region,
+            link: None,
+            list_known_at: None,
+            mismatch_since: None,
+            version_known_at: None,
+            told: VecDeque::new(),
+            most_hosts: (assumed.max(1), None),
+        }
+    }
+
+    /// Sets the link to the other hosts.
+    pub fn connect(&mut self, link: Link, socket: Rc<UdpSocket>) {
+        self.link = Some((link, socket));
+    }
+
+    /// Returns the link and its socket.
+    pub fn link_mut(&mut self) -> Option<(&mut Link, Rc<UdpSocket>)> {
+        self.link.as_mut().map(|(link, socket)| (link, socket.clone()))
+    }
+
+    /// Returns the other live hosts.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.link.iter().flat_map(|(link, _)| link.membership().live())
+    }
+
+    /// Returns the address of a live host.
+    pub fn addr(&self, host: &HostName) -> Option<SocketAddr> {
+        self.live().find(|member| member.host == *host).map(|member| member.addr)
+    }
+
+    /// Returns the number of hosts to share a quota with, this one included.
+    pub fn hosts(&mut self, now: Instant) -> u32 {
+        let live = self.live().count() as u32 + 1;
+        let (most, seen_at) = self.most_hosts;
+        let expired =
+            seen_at.is_some_and(|at| now.saturating_duration_since(at) > HOSTS_REMEMBERED);
+        // The number assumed at the start stands until others were heard of.
+        let first = seen_at.is_none() && live > 1;
+        if live >= most || expired || first {
+            self.most_hosts = (live, Some(now));
+        }
+        self.most_hosts.0
+    }
+
+    /// Returns true when this host does a duty for the hosts of its region.
+    pub fn holds_duty(&self, duty: &str) -> bool {
+        let region = self.live().filter(|member| member.region == self.region);
+        duty::holds(duty, &self.own, region.map(|member| &member.host))
+    }
+
+    /// Takes what a reader knows of the registry. `own_digest` is of this host's list.
+    pub fn take_registry_state(
+        &mut self,
+        state: &WireRegistryState,
+        own_digest: u64,
+        now: Instant,
+    ) {
+        let at = |age_ms: u32| now.checked_sub(Duration::from_millis(u64::from(age_ms)));
+        let newer = |known: Option<Instant>, told: Option<Instant>| known.max(told);
+        self.list_known_at = newer(self.list_known_at, at(state.list_age_ms));
+        self.version_known_at = newer(self.version_known_at, at(state.version_age_ms));
+        if state.list_digest == own_digest {
+            self.mismatch_since = None;
+        } else if self.mismatch_since.is_none() {
+            self.mismatch_since = Some(now);
+        }
+    }
+
+    /// Returns true while a reader of the region keeps this host's endpoint list complete.
+    pub fn list_is_told(&self, now: Instant) -> bool {
+        let fresh = is_fresh(self.list_known_at, LIST_FRESH, now);
+        let same = self
+            .mismatch_since
+            .is_none_or(|since| now.saturating_duration_since(since) < MISMATCH_ALLOWED);
+        fresh && same
+    }
+
+    /// Forgets that the list differed: it was read anew.
+    pub fn list_was_read(&mut self) {
+        self.mismatch_since = None;
+    }
+
+    /// Returns true while a reader of the region tells of new versions.
+    pub fn version_is_told(&self, now: Instant) -> bool {
+        is_fresh(self.version_known_at, VERSION_FRESH, now)
+    }
+
+    /// Remembers changes to tell, and returns all that are told now.
+    pub fn changes_to_tell(
+        &mut self,
+        new: Vec<WireEndpointChange>,
+        now: Instant,
+    ) -> Vec<WireEndpointChange> {
+        let old = |told: &(Instant, WireEndpointChange)| {
+            now.saturating_duration_since(told.0) > RETELL_CHANGES
+        };
+        while self.told.front().is_some_and(old) {
+            self.told.pop_front();
+        }
+        for change in new {
+            self.told.retain(|(_, told)| told.name != change.name);
+            self.told.push_back((now, change));
+        }
+        self.told.iter().map(|(_, change)| change.clone()).collect()
+    }
+
+    /// Seals a datagram for each host of the audience. `fill` adds to the empty datagram.
+    pub fn seal_for<Fill>(&mut self, audience: Audience, fill: Fill) -> Vec<Datagram>
+    where
+        Fill: Fn(&mut WireDatagram),
+    {
+        let Some((link, _)) = &mut self.link else { return Vec::new() };
+        let all = audience == Audience::All;
+        let told = link.membership().live().filter(|member| all || member.region == self.region);
+        let told: Vec<SocketAddr> = told.map(|member| member.addr).take(MAX_TOLD_HOSTS).collect();
+        let mut out = Vec::with_capacity(told.len());
+        let mut datagram = link.empty_datagram();
+        fill(&mut datagram);
+        for to in told {
+            link.send(to, datagram.clone(), &mut out);
+        }
+        out
+    }
+}
+
+fn is_fresh(known_at: Option<Instant>, fresh: Duration, now: Instant) -> bool {
+    known_at.is_some_and(|at| now.saturating_duration_since(at) < fresh)
+}
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -5,7 +5,7 @@
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_types::prelude::*;
-use slog::{debug, info};
+use slog::debug;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -21,6 +21,8 @@
 /// Age of a report when it arrives, beyond the way: engines say that it is some hundred
 /// milliseconds.
 const REPORT_LAG: Duration = Duration::from_millis(400);
+/// Age of a report at which a host asks by itself: several of another host's were lost.
+const MISSED_AGE: Duration = Duration::from_millis(1900);
 /// Largest report, in bytes.
 const MAX_REPORT_BYTES: usize = 256 << 10;
 
@@ -43,16 +45,24 @@
     }
 }
 
-/// Returns the engines that this host may place on, or has generations on.
+/// Returns the engines that this host asks: those of its region that are its duty, and any whose
+/// reports do not arrive.
 fn engines<W, R>(cx: &Rc<Host<W, R>>) -> Vec<(EndpointIx, EndpointEntry)> {
     let Some(serving) = cx.serving() else { return Vec::new() };
     let state = cx.state.borrow();
+    let now = Instant::now();
     let generates = |service: &ServiceName| {
         serving.services.values().any(|known| known.name == *service && known.engine.is_some())
     };
     let engines = state.fleet.iter().filter(|(_, endpoint)| {
         let of_interest = endpoint.is_ready() || !endpoint.runs.is_empty();
-        of_interest && generates(&endpoint.entry.service)
+        if !of_interest || !generates(&endpoint.entry.service) {
+            return false;
+        }
+        let near = endpoint.distance != Distance::Remote;
+        let duty = near && state.peers.holds_duty(endpoint.entry.name.as_str());
+        let age = endpoint.load.report(now).map(|(_, age)| age);
+        duty || age.is_none_or(|age| age > MISSED_AGE)
     });
     engines.map(|(ix, endpoint)| (ix, endpoint.entry.clone())).collect()
 }
@@ -72,12 +82,7 @@
     let result = match answer {
         Ok(Ok((head, body))) => match cx.wire.read_report(head.status, &body) {
             Some(report) => {
-                let news = take(&cx, ix, &entry, report, now);
-                if news {
-                    info!(cx.log, "endpoint changed"; "endpoint" => %entry.name,
-                        "change" => "leaving", "source" => "report");
-                    cx.fleet_changed();
-                }
+                take(&cx, ix, &entry, report, now);
                 "ok"
             }
             None => "not_understood",
@@ -91,15 +96,18 @@
     cx.metrics.reports.with_label_values(&[result]).inc();
 }
 
-/// Takes a report, unless another process has the endpoint's place by now.
+/// Takes a report, unless another process has the endpoint's place by now, and tells others.
 fn take<W, R>(
     cx: &Rc<Host<W, R>>,
     ix: EndpointIx,
     entry: &EndpointEntry,
     report: LoadReport,
     now: Instant,
-) -> bool {
-    let mut state = cx.state.borrow_mut();
-    let same = state.fleet.get(ix).is_some_and(|e| e.entry.is_same_process(entry));
-    same && state.fleet.report(ix, report, now - REPORT_LAG)
+) {
+    let same = cx.state.borrow().fleet.get(ix).is_some_and(|e| e.entry.is_same_process(entry));
+    if same {
+        let as_of = now - REPORT_LAG;
+        cx.take_report(ix, report, as_of, "engine");
+        cx.tell_report(ix, &report, as_of);
+    }
 }
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -36,6 +36,9 @@
         let now = Instant::now();
         let run =
             cx.state.borrow_mut().fleet.begin(endpoint, &call.id, call.fingerprint, work, now);
+        if let RunWork::Generation { held, unread, .. } = work {
+            cx.tell_placement(endpoint, held, unread);
+        }
         Self { cx: cx.clone(), endpoint, run }
     }
 }
@@ -104,7 +107,8 @@
         }
     }
     if connected.is_err() {
-        cx.endpoint_crashed(ix, now);
+        let blames = cx.endpoint_crashed(ix, now);
+        cx.tell_blames(&blames);
     }
     connected
 }
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -14,8 +14,10 @@
 const WAIT: Duration = Duration::from_millis(2000);
 /// Time for an answer beyond the time that it may wait.
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
-/// Time to wait after a failure.
-const RETRY_STEP: Duration = Duration::from_millis(250);
+/// Time between two looks whether another host still reads for this one.
+const TOLD_STEP: Duration = Duration::from_millis(200);
+/// Duty of the host that reads the registry for its region.
+pub const DUTY: &str = "registry";
 
 /// Follows the version in force.
 pub async fn follow<W, R>(cx: Rc<Host<W, R>>)
@@ -26,6 +28,12 @@
     let mut revision: Option<Revision> = None;
     let mut lost_at: Option<Instant> = None;
     loop {
+        if cx.version_is_told() {
+            cx.version_read_at.set(None);
+            revision = None;
+            sleep(TOLD_STEP).await;
+            continue;
+        }
         let answer = ask(&cx, revision).await;
         let result = if answer.is_ok() { "ok" } else { "failed" };
         cx.metrics.registry_calls.with_label_values(&["serving", result]).inc();
@@ -36,7 +44,10 @@
                         "after_ms" => at.elapsed().as_millis() as u64);
                 }
                 revision = Some(revision.unwrap_or_default().max(listing.revision));
-                take(&cx, &listing);
+                cx.version_read_at.set(Some(Instant::now()));
+                for encoded in listing.items {
+                    cx.take_encoded_serving(encoded, "registry");
+                }
             }
             Err(err) => {
                 if lost_at.is_none() {
@@ -45,7 +56,7 @@
                 }
                 // The version in force is read whole after each failure.
                 revision = None;
-                sleep(RETRY_STEP).await;
+                sleep(cx.registry_retry()).await;
             }
         }
     }
@@ -71,17 +82,11 @@
     }
 }
 
-fn take<W, R>(cx: &Rc<Host<W, R>>, listing: &Listing<bytes::Bytes>)
-where
-    W: Wire,
-    R: Registry,
-{
-    for encoded in &listing.items {
-        match cx.registry.decode_serving(encoded) {
-            Ok(raw) => {
-                cx.take_serving(raw, "registry");
-            }
-            Err(err) => warn!(cx.log, "version not understood"; "error" => %err),
-        }
+impl<W, R> Host<W, R> {
+    /// Returns true while another host of the region reads the version in force for this one.
+    fn version_is_told(&self) -> bool {
+        let state = self.state.borrow();
+        let known = state.serving.is_some();
+        known && !state.peers.holds_duty(DUTY) && state.peers.version_is_told(Instant::now())
     }
 }
