Choose where generations move by a model of the engines' links, within the region

All hosts chose the same destination in the same millisecond, copies queued on its link, and copies to another region took over 1.4 s and held up every other copy of both engines.

Change: each copy is told to all hosts, which keep for each engine when its link is free; a destination is chosen by when the copy would be complete and by its room, within the region only; generations of one engine begin in turn; the last copy waits for the link, up to the time that the engine has told.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -244,6 +244,28 @@
         self.get_mut(ix)?.runs.iter_mut().find(|run| run.id == id)
     }
 
+    /// Records that a generation's memory of `held` tokens is copied between two engines. Copies
+    /// queue on the links of both.
+    pub fn begin_copy(
+        &mut self,
+        from: EndpointIx,
+        to: EndpointIx,
+        held: u32,
+        takes: Duration,
+        now: Instant,
+    ) {
+        let free_at = |ix| self.get(ix).map_or(now, |endpoint| endpoint.load.link_free_at(now));
+        let until = free_at(from).max(free_at(to)) + takes;
+        for ix in [from, to] {
+            if let Some(endpoint) = self.get_mut(ix) {
+                endpoint.load.take_copy(until);
+            }
+        }
+        if let Some(endpoint) = self.get_mut(to) {
+            endpoint.load.take_foreign(held, 0, now);
+        }
+    }
+
     /// Records the tokens that a run has generated.
     pub fn progress(&mut self, ix: EndpointIx, id: RunId, tokens: u32) {
         if let Some(run) = self.run_mut(ix, id)
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -18,6 +18,10 @@
 /// output on the sheets.
 const FOREIGN_TOKENS_LEFT: u32 = 500;
 
+/// Time for which an engine that refused a copy is not asked again: sequences end there a few
+/// times in it.
+const REFUSED_COPY_REMEMBERED: Duration = Duration::from_millis(500);
+
 /// The load that an endpoint added to an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadHint {
@@ -69,6 +73,10 @@
     foreign: Vec<(Instant, u32)>,
     /// Prompt tokens that were still to be read at a moment.
     unread: Option<Taken<f64>>,
+    /// When the link is free of the copies that are known.
+    link_busy_until: Option<Instant>,
+    /// When a copy was last refused for want of room.
+    refused_copy_at: Option<Instant>,
 }
 
 /// Memory and work of an engine, as estimated for now.
@@ -115,6 +123,27 @@
         }
     }
 
+    /// Returns when the link is free of the copies that are known.
+    pub fn link_free_at(&self, now: Instant) -> Instant {
+        self.link_busy_until.map_or(now, |until| until.max(now))
+    }
+
+    /// Takes a copy that keeps the link busy until a moment.
+    pub fn take_copy(&mut self, until: Instant) {
+        self.link_busy_until = self.link_busy_until.max(Some(until));
+    }
+
+    /// Takes that a copy was refused for want of room.
+    pub fn refused_copy(&mut self, now: Instant) {
+        self.refused_copy_at = Some(now);
+    }
+
+    /// Returns true for a while after a copy was refused.
+    pub fn refuses_copies(&self, now: Instant) -> bool {
+        self.refused_copy_at
+            .is_some_and(|at| now.saturating_duration_since(at) < REFUSED_COPY_REMEMBERED)
+    }
+
     /// Returns the prompt tokens that are still to be read: those of the placements since, less
     /// what the engine reads in the meantime.
     pub fn unread_tokens(&self, now: Instant) -> f64 {
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -21,13 +21,18 @@
 /// is about one and a half seconds.
 const ASSUMED_NOTICE: Duration = Duration::from_millis(1500);
 /// Time kept for the last copy and for the generation to go on elsewhere.
-const HANDOVER_MARGIN: Duration = Duration::from_millis(350);
+pub const HANDOVER_MARGIN: Duration = Duration::from_millis(180);
 /// Part of the time left in which a generation must be expected to end to be left alone.
 const FINISH_PART: f64 = 0.7;
+/// Time that a copy takes beside its bytes.
+const COPY_SETUP: Duration = Duration::from_millis(2);
 /// Factor of the time of a copy between availability zones.
 const CROSS_ZONE_FACTOR: u32 = 2;
-/// Expected share of memory up to which an engine is a destination.
-const DESTINATION_FILL: f64 = 1.05;
+/// Share of the memory in use, with the copy, up to which an engine is a destination.
+const DESTINATION_USED: f64 = 0.94;
+/// Cost of a destination whose whole memory is expected to be needed, in milliseconds: a copy that
+/// ends that much sooner elsewhere is preferred.
+const FULL_MS: f64 = 400.0;
 
 /// What becomes of a generation on an engine that leaves.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -38,13 +43,22 @@
     Move {
         /// Destination.
         to: EndpointIx,
-        /// When its last part is copied, at the earliest: the link is busy until then.
-        stop_at: Instant,
-        /// When its last part is copied, at the latest.
-        stop_by: Instant,
+        /// Time that the copy takes once the links are free.
+        takes: Duration,
     },
-    /// No engine has room for it.
-    NoDestination,
+    /// No engine has room for it, or no copy would be complete in time.
+    NoDestination(NoDestination),
+}
+
+/// Why a generation has no destination: the engines by what keeps them from being one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoDestination {
+    /// Engines without room.
+    pub full: u32,
+    /// Engines to which the copy would not be complete in time.
+    pub too_late: u32,
+    /// Engines that refused a copy lately.
+    pub refusing: u32,
 }
 
 /// Returns when an engine is expected to leave. Meant for one that is known to leave.
@@ -63,25 +77,19 @@
     tried: &[EndpointIx],
     now: Instant,
 ) -> Fate {
-    let Some(source) = fleet.get(from) else { return Fate::NoDestination };
+    let Some(source) = fleet.get(from) else {
+        return Fate::NoDestination(NoDestination::default());
+    };
     let left = leaves_at(source, now).saturating_duration_since(now);
     let to_finish = f64::from(run.expected_left()) / TOKENS_PER_SECOND;
     if to_finish < left.as_secs_f64() * FINISH_PART {
         return Fate::Finish;
     }
-    let Some((to, distance)) = destination(fleet, spec, source, run, tried, now) else {
-        return Fate::NoDestination;
-    };
-    let factor = if distance == Distance::Zone { 1 } else { CROSS_ZONE_FACTOR };
-    let since = source.leaving_since().unwrap_or(now);
-    let copies = spec.copy_time(TokenCount(tokens_on(source, now))) * factor;
-    let stop_by = leaves_at(source, now) - HANDOVER_MARGIN;
-    Fate::Move { to, stop_at: (since + copies).min(stop_by), stop_by }
-}
-
-/// Returns the tokens of all generations on an engine.
-fn tokens_on(endpoint: &Endpoint, now: Instant) -> u32 {
-    endpoint.load.engine(&endpoint.runs, now).used
+    let by = leaves_at(source, now) - HANDOVER_MARGIN;
+    match destination(fleet, spec, source, run, tried, by, now) {
+        Ok((to, takes)) => Fate::Move { to, takes },
+        Err(reasons) => Fate::NoDestination(reasons),
+    }
 }
 
 fn destination(
@@ -90,25 +98,51 @@
     source: &Endpoint,
     run: &Run,
     tried: &[EndpointIx],
+    by: Instant,
     now: Instant,
-) -> Option<(EndpointIx, Distance)> {
-    let need = Need { held: run.held_tokens(), unread: 0, expected: run.expected_left() };
-    let mut best: Option<(Distance, f64, EndpointIx)> = None;
+) -> Result<(EndpointIx, Duration), NoDestination> {
+    let held = run.held_tokens();
+    let need = Need { held, unread: 0, expected: run.expected_left() };
+    let link_free_at = source.load.link_free_at(now);
+    let mut best: Option<(f64, EndpointIx, Duration)> = None;
+    let mut reasons = NoDestination::default();
     for (ix, endpoint) in fleet.of_service(&source.entry.service) {
         let is_source = endpoint.entry.name == source.entry.name;
-        if is_source || tried.contains(&ix) || !endpoint.is_usable(now) {
+        let distance = fleet.locality().between(&source.entry.zone, &endpoint.entry.zone);
+        // A copy to another region takes longer than any notice and holds up both links.
+        let excluded = is_source || distance == Distance::Remote || tried.contains(&ix);
+        if excluded || !endpoint.is_usable(now) {
             continue;
         }
         let load = endpoint.load.engine(&endpoint.runs, now);
-        let fill = expected_fill(&load, &need, spec);
-        if fill > DESTINATION_FILL || load.sequences >= spec.slots {
+        let used = f64::from(load.used + held) / f64::from(spec.memory.0.max(1));
+        let full = used > DESTINATION_USED || load.sequences >= spec.slots;
+        if endpoint.load.refuses_copies(now) {
+            reasons.refusing += 1;
             continue;
         }
-        let distance = fleet.locality().between(&source.entry.zone, &endpoint.entry.zone);
-        let rank = (distance, fill + endpoint.health.failure_share(now), ix);
-        if best.is_none_or(|best| (rank.0, rank.1) < (best.0, best.1)) {
-            best = Some(rank);
+        if full {
+            reasons.full += 1;
+            continue;
+        }
+        let takes = copy_time(spec, distance, held);
+        let done_at = link_free_at.max(endpoint.load.link_free_at(now)) + takes;
+        if done_at > by {
+            reasons.too_late += 1;
+            continue;
+        }
+        let wait_ms = done_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+        let cost = wait_ms
+            + expected_fill(&load, &need, spec) * FULL_MS
+            + endpoint.health.failure_share(now) * FULL_MS;
+        if best.is_none_or(|best| cost < best.0) {
+            best = Some((cost, ix, takes));
         }
     }
-    best.map(|(distance, _, ix)| (ix, distance))
+    best.map(|(_, ix, takes)| (ix, takes)).ok_or(reasons)
+}
+
+fn copy_time(spec: &EngineSpec, distance: Distance, held: u32) -> Duration {
+    let factor = if distance == Distance::Zone { 1 } else { CROSS_ZONE_FACTOR };
+    COPY_SETUP + spec.copy_time(TokenCount(held)) * factor
 }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -10,7 +10,7 @@
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::link::{Datagram, Link, LinkConfig, Received};
 use camphorloft_peer::seal::FrameKeys;
-use camphorloft_peer::wire::{WireBlame, WirePlacement, WireRegistryState};
+use camphorloft_peer::wire::{WireBlame, WireCopy, WirePlacement, WireRegistryState};
 use camphorloft_types::prelude::*;
 use rand::Rng;
 use slog::{info, warn};
@@ -218,6 +218,15 @@
             endpoint.load.take_foreign(placement.kv, placement.unread, now);
         }
     }
+    for copy in &datagram.copies {
+        let mut state = cx.state.borrow_mut();
+        let from = state.fleet.find_digest(copy.from);
+        let to = state.fleet.find_digest(copy.to);
+        if let (Some(from), Some(to)) = (from, to) {
+            let takes = Duration::from_millis(u64::from(copy.takes_ms));
+            state.fleet.begin_copy(from, to, copy.kv, takes, now);
+        }
+    }
     for wire in &datagram.reports {
         let (report, as_of) = report_from_wire(wire, now);
         let ix = cx.state.borrow().fleet.find_digest(wire.endpoint);
@@ -280,6 +289,20 @@
         self.send_datagrams(&datagrams);
     }
 
+    /// Tells other hosts that a generation's memory is copied.
+    pub fn tell_copy(&self, from: EndpointIx, to: EndpointIx, held: u32, takes: Duration) {
+        let datagrams = {
+            let mut guard = self.state.borrow_mut();
+            let state = &mut *guard;
+            let digest = |ix| state.fleet.get(ix).map(|endpoint| endpoint.digest);
+            let (Some(from), Some(to)) = (digest(from), digest(to)) else { return };
+            let takes_ms = u32::try_from(takes.as_millis()).unwrap_or(u32::MAX);
+            let copy = WireCopy { from, to, kv: held, takes_ms };
+            state.peers.seal_for(Audience::All, |datagram| datagram.copies.push(copy))
+        };
+        self.send_datagrams(&datagrams);
+    }
+
     /// Tells other hosts of a report.
     pub fn tell_report(&self, endpoint: EndpointIx, report: &LoadReport, as_of: Instant) {
         let datagrams = {
--- a/crates/host/src/stream_pump.rs
+++ b/crates/host/src/stream_pump.rs
@@ -26,6 +26,11 @@
 
 /// Time between two looks at a generation on an engine that leaves.
 const REVIEW_STEP: Duration = Duration::from_millis(100);
+/// Time between the turns in which generations of one engine begin to move: news cross a region in
+/// less.
+const STAGGER_STEP: Duration = Duration::from_millis(3);
+/// Turns; more than generations usually run on one engine.
+const STAGGER_TURNS: u64 = 16;
 /// Time for the events of a stopped generation that are still on their way.
 const DRAIN_WITHIN: Duration = Duration::from_millis(150);
 /// Time for the destination to go on with a stopped generation.
@@ -90,12 +95,15 @@
     /// Last event that the caller was sent.
     last_event: Option<u64>,
     events: u64,
+    first_event_at: Option<Instant>,
     last_event_at: Option<Instant>,
     longest_pause: Duration,
     moves: u32,
     /// Engines that refused a copy or broke off.
     tried: Vec<EndpointIx>,
     transfer: Option<OwnedTask<Result<Handover, TransferError>>>,
+    /// Destination of the transfer.
+    transfer_to: Option<EndpointIx>,
     /// When a generation on an engine that leaves is looked at again.
     review_at: Option<Instant>,
 }
@@ -128,6 +136,8 @@
             moves: 0,
             tried: Vec::new(),
             transfer: None,
+            transfer_to: None,
+            first_event_at: None,
             review_at: None,
         }
     }
@@ -169,7 +179,7 @@
                         return end;
                     }
                 }
-                _ = self.news.changed() => self.review(),
+                _ = self.news.changed() => self.schedule_review(),
                 () = sleep_until(review_at), if self.review_at.is_some() => self.review(),
             }
         }
@@ -232,7 +242,10 @@
         let now = Instant::now();
         match self.last_event_at {
             Some(at) => self.longest_pause = self.longest_pause.max(now - at),
-            None => self.cx.metrics.answered("first_event", now - self.call.arrived_at),
+            None => {
+                self.first_event_at = Some(now);
+                self.cx.metrics.answered("first_event", now - self.call.arrived_at);
+            }
         }
         self.last_event_at = Some(now);
         let tokens = self.events as u32 * self.tokens_per_event();
@@ -244,6 +257,19 @@
         self.call.service().engine.as_ref().map_or(1, |engine| engine.tokens_per_event)
     }
 
+    /// Schedules a look at a generation whose engine may have begun to leave. Generations of one
+    /// engine begin to move one after the other, so that each host sees what the others began.
+    fn schedule_review(&mut self) {
+        let leaves = {
+            let state = self.cx.state.borrow();
+            state.fleet.get(self.source.guard.endpoint).is_some_and(|e| !e.is_ready())
+        };
+        if leaves && self.review_at.is_none() {
+            let turn = self.call.fingerprint % STAGGER_TURNS;
+            self.review_at = Some(Instant::now() + STAGGER_STEP * turn as u32);
+        }
+    }
+
     /// Looks whether the generation must leave its engine, and begins to move it.
     fn review(&mut self) {
         self.review_at = None;
@@ -263,27 +289,48 @@
             reclaim::decide(&state.fleet, spec, from, run, &self.tried, now)
         };
         self.review_at = Some(now + REVIEW_STEP);
-        if let Fate::Move { to, stop_at, stop_by } = fate {
-            self.begin_transfer(TransferPlan { from, to, stop_at, stop_by }, now);
+        match fate {
+            Fate::Move { to, takes } => self.begin_transfer(TransferPlan { from, to }, takes),
+            Fate::NoDestination(reasons) => self.log_no_destination(reasons),
+            Fate::Finish => {}
         }
     }
 
-    fn begin_transfer(&mut self, plan: TransferPlan, now: Instant) {
-        let name = {
-            let state = self.cx.state.borrow();
-            state.fleet.get(plan.to).map(|endpoint| endpoint.entry.name.to_string())
+    fn log_no_destination(&self, reasons: NoDestination) {
+        info!(self.cx.log, "generation cannot move"; "call" => %self.call.id,
+            "from" => %self.source.name, "events" => self.events, "full" => reasons.full,
+            "too_late" => reasons.too_late, "refusing" => reasons.refusing);
+    }
+
+    fn begin_transfer(&mut self, plan: TransferPlan, takes: Duration) {
+        let (from, run) = (plan.from, self.source.guard.run);
+        let (name, held, wait) = {
+            let mut guard = self.cx.state.borrow_mut();
+            let fleet = &mut guard.fleet;
+            let now = Instant::now();
+            let held = fleet.run_mut(from, run).map_or(0, |run| run.held_tokens());
+            fleet.begin_copy(from, plan.to, held, takes, now);
+            let done_at = fleet.get(from).map_or(now, |e| e.load.link_free_at(now));
+            let name = fleet.get(plan.to).map(|endpoint| endpoint.entry.name.to_string());
+            (name, held, done_at - now)
         };
+        self.cx.tell_copy(plan.from, plan.to, held, takes);
         info!(self.cx.log, "generation moves"; "call" => %self.call.id,
             "from" => %self.source.name, "to" => name, "events" => self.events,
-            "stop_in_ms" => plan.stop_at.saturating_duration_since(now).as_millis() as u64,
-            "stop_by_ms" => plan.stop_by.saturating_duration_since(now).as_millis() as u64);
-        self.tried.push(plan.to);
+            "held" => held, "takes_ms" => takes.as_millis() as u64,
+            "expected_ms" => wait.as_millis() as u64);
+        self.transfer_to = Some(plan.to);
         self.transfer = Some(OwnedTask::spawn(transfer(self.cx.clone(), self.call.clone(), plan)));
     }
 
     fn not_moved(&mut self, err: &TransferError) {
+        let to = self.transfer_to.take();
+        if let Some(to) = to {
+            self.tried.push(to);
+        }
         let result = match err {
             TransferError::Refused => "refused",
+            TransferError::Unreachable => "unreachable",
             TransferError::Ended => "ended",
             TransferError::TooLate => "too_late",
             TransferError::Unclear(_) => "unclear",
@@ -292,6 +339,11 @@
         info!(self.cx.log, "generation not moved"; "call" => %self.call.id,
             "from" => %self.source.name, "error" => %err);
         if *err == TransferError::Refused {
+            if let Some(to) = to
+                && let Some(endpoint) = self.cx.state.borrow_mut().fleet.get_mut(to)
+            {
+                endpoint.load.refused_copy(Instant::now());
+            }
             self.review();
         }
     }
@@ -428,6 +480,8 @@
         info!(self.cx.log, "stream ended"; "call" => %self.call.id,
             "route" => %self.call.route().name, "outcome" => %outcome, "end" => end.as_str(),
             "endpoint" => %self.source.name, "events" => self.events, "moves" => self.moves,
+            "first_event_ms" => self.first_event_at
+                .map(|at| (at - self.call.arrived_at).as_millis() as u64),
             "longest_pause_ms" => self.longest_pause.as_millis() as u64,
             "took_ms" => self.call.arrived_at.elapsed().as_millis() as u64);
     }
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
+use camphorloft_dispatch::reclaim::{self, HANDOVER_MARGIN};
 use camphorloft_types::prelude::*;
 use quick_error::quick_error;
 use slog::info;
@@ -22,6 +23,8 @@
 const CONNECT_WITHIN: Duration = Duration::from_millis(300);
 /// Largest answer to a copy, in bytes.
 const MAX_REPLY_BYTES: usize = 16 << 10;
+/// Time before the end of an engine up to which a first copy is still of use.
+const LAST_COPY_MARGIN: Duration = Duration::from_millis(60);
 /// Time for the last copy, which holds what was generated since the first.
 const LAST_COPY_WITHIN: Duration = Duration::from_millis(1500);
 
@@ -32,10 +35,6 @@
     pub from: EndpointIx,
     /// Destination.
     pub to: EndpointIx,
-    /// When its last part is copied, at the earliest.
-    pub stop_at: Instant,
-    /// When its last part is copied, at the latest.
-    pub stop_by: Instant,
 }
 
 /// A generation that has stopped and can go on.
@@ -57,10 +56,14 @@
     /// Reason that a generation was not moved. It runs on where it was.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum TransferError {
-        /// The destination has no room or cannot be reached.
+        /// The destination has no room.
         Refused {
             display("the destination refused the copy")
         }
+        /// The destination cannot be reached.
+        Unreachable {
+            display("the destination cannot be reached")
+        }
         /// It no longer runs at the source.
         Ended {
             display("the generation has ended")
@@ -100,11 +103,11 @@
         )
     };
     let order = CopyOrder { cx: &cx, call: &call, from: &from, to: &to };
-    order.first(plan.stop_by).await?;
+    order.first(plan.from).await?;
     let first_took = began.elapsed();
-    sleep_until(plan.stop_at.into()).await;
+    wait_for_link(&cx, plan.from).await;
     let connected = connect_to(&cx, plan.to, CONNECT_WITHIN).await;
-    let Ok(connected) = connected else { return Err(TransferError::Refused) };
+    let Ok(connected) = connected else { return Err(TransferError::Unreachable) };
     let stop_began = Instant::now();
     let (handle, events, copied) = order.last().await?;
     info!(cx.log, "generation stopped for a move"; "call" => %call.id, "from" => %from.name,
@@ -120,6 +123,30 @@
     Ok(Handover { to, connected, from: plan.from, copy, events })
 }
 
+/// Returns when an engine is expected to leave.
+fn leaves_at<W, R>(cx: &Rc<Host<W, R>>, from: EndpointIx) -> Instant {
+    let now = Instant::now();
+    let state = cx.state.borrow();
+    state.fleet.get(from).map_or(now, |endpoint| reclaim::leaves_at(endpoint, now))
+}
+
+/// Waits until the first copies of other generations have left the engine's link, as far as the
+/// time of the engine allows.
+async fn wait_for_link<W, R>(cx: &Rc<Host<W, R>>, from: EndpointIx) {
+    loop {
+        let now = Instant::now();
+        let free_at = {
+            let state = cx.state.borrow();
+            state.fleet.get(from).map_or(now, |endpoint| endpoint.load.link_free_at(now))
+        };
+        let until = free_at.min(leaves_at(cx, from) - HANDOVER_MARGIN);
+        if until <= now {
+            return;
+        }
+        sleep_until(until.into()).await;
+    }
+}
+
 /// A copy between two engines.
 struct CopyOrder<'a, W, R> {
     cx: &'a Rc<Host<W, R>>,
@@ -145,8 +172,9 @@
     }
 
     /// Copies while the generation runs.
-    async fn first(&self, by: Instant) -> Result<(), TransferError> {
+    async fn first(&self, from: EndpointIx) -> Result<(), TransferError> {
         loop {
+            let by = leaves_at(self.cx, from) - LAST_COPY_MARGIN;
             let left = by.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Err(TransferError::TooLate);
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -96,6 +96,23 @@
     pub unread: u32,
 }
 
+/// A copy of a generation's memory that has begun.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireCopy {
+    /// Digest of the engine that runs the generation.
+    #[prost(fixed64, tag = "1")]
+    pub from: u64,
+    /// Digest of the destination.
+    #[prost(fixed64, tag = "2")]
+    pub to: u64,
+    /// Memory that is copied, in tokens.
+    #[prost(uint32, tag = "3")]
+    pub kv: u32,
+    /// Time that it takes, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub takes_ms: u32,
+}
+
 /// An engine's report, told by the host that asked for it.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub struct WireReport {
@@ -218,6 +235,9 @@
     /// What the sender knows of the registry, if it reads it for others.
     #[prost(message, optional, tag = "16")]
     pub registry: Option<WireRegistryState>,
+    /// Copies that the sender ordered.
+    #[prost(message, repeated, tag = "17")]
+    pub copies: Vec<WireCopy>,
     /// Question or answer.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
