Prefer engines of the own region; ask the store less often before joining; log the state regularly

Cause: within 50 ms hosts of all regions chose the same engine, since news of placements cross regions in 20 ms and the own region was preferred by 250 ms only. At the start every host polled the list.

Change: another region costs 900 ms and is drawn with more jitter; a cold engine costs a part of the time that it says; hosts that have not joined ask every 500 ms; readers pace at 180 ms.

--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -24,10 +24,16 @@
 /// Cost of each sequence beside which a generation runs, in milliseconds: every step takes longer,
 /// and a prompt that is read delays the tokens of all.
 const NEIGHBOUR_MS: f64 = 40.0;
-/// Cost of an engine in another region, in milliseconds: the way there, and bytes paid by volume.
-const REMOTE_MS: f64 = 250.0;
+/// Cost of an engine in another region, in milliseconds: the way there, bytes paid by volume, and
+/// the placements of its own hosts, of which this host hears late.
+const REMOTE_MS: f64 = 900.0;
+/// Random part of the cost of an engine in another region, in milliseconds: hosts of other regions
+/// would choose the same one before they hear of each other.
+const REMOTE_JITTER_MS: f64 = 600.0;
 /// Cost of an engine in another zone of the region, in milliseconds.
 const REGION_MS: f64 = 20.0;
+/// Part of the time for which an engine says that it is still slow that a generation loses there.
+const COLD_PART: f64 = 0.3;
 /// Cost of a generation that fails, in milliseconds.
 const FAILURE_MS: f64 = 6000.0;
 /// Random part of a cost, so that hosts with the same view do not all choose the same engine.
@@ -73,10 +79,14 @@
         }
         let load = endpoint.load.engine(&endpoint.runs, now);
         let fill = expected_fill(&load, need, spec);
+        let jitter = match endpoint.distance {
+            Distance::Zone | Distance::Region => JITTER_MS,
+            Distance::Remote => REMOTE_JITTER_MS,
+        };
         let cost = expected_ms(endpoint, &load, fill, need, now);
         cheapest.offer(Choice {
             endpoint: ix,
-            cost_ms: cost + JITTER_MS * rng.random::<f64>(),
+            cost_ms: cost + jitter * rng.random::<f64>(),
             failure_share: endpoint.health.failure_share(now),
             fill,
             report_age: endpoint.load.report(now).map(|(_, age)| age),
@@ -97,7 +107,7 @@
     let reading = f64::from(load.unread + need.unread) / READ_PER_SECOND * 1e3;
     let crowding = (fill - CROWDED_FILL).max(0.0) / (1.0 - CROWDED_FILL) * FULL_MS;
     let neighbours = f64::from(load.sequences) * NEIGHBOUR_MS;
-    let cold = endpoint.warm_at.saturating_duration_since(now).as_secs_f64() * 1e3;
+    let cold = endpoint.warm_at.saturating_duration_since(now).as_secs_f64() * 1e3 * COLD_PART;
     let way = match endpoint.distance {
         Distance::Zone => 0.0,
         Distance::Region => REGION_MS,
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -23,7 +23,9 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 /// Time between two questions: endpoints write a sign of life about every second each, and every
 /// call is paid.
-const PACE: Duration = Duration::from_millis(120);
+const PACE: Duration = Duration::from_millis(180);
+/// The same before other hosts were heard of.
+const UNJOINED_PACE: Duration = Duration::from_millis(500);
 /// Time to wait after a failure.
 const RETRY_STEP: Duration = Duration::from_millis(200);
 /// The same for hosts that another one reads for.
@@ -72,7 +74,7 @@
             Ok(()) => {
                 cx.list_read_at.set(Some(Instant::now()));
                 cx.state.borrow_mut().peers.list_was_read();
-                sleep(PACE).await;
+                sleep(cx.list_pace()).await;
             }
             Err(RegistryError::HistoryLost) => {
                 info!(cx.log, "endpoint list read anew"; "reason" => "history lost");
@@ -97,6 +99,13 @@
         !state.peers.holds_duty(DUTY) && state.peers.list_is_told(Instant::now())
     }
 
+    /// Returns the time between two questions. A host that has not joined the others yet asks less
+    /// often: at the start of a fleet all hosts ask.
+    fn list_pace(&self) -> Duration {
+        let joined = self.state.borrow().peers.live().next().is_some();
+        if joined { PACE } else { UNJOINED_PACE }
+    }
+
     /// Returns the time to wait after a failed call to the registry. Hosts whose duty it is not
     /// wait longer, so that an outage is not met with a storm of calls.
     pub fn registry_retry(&self) -> Duration {
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -124,5 +124,20 @@
     loop {
         sleep(SWEEP_STEP).await;
         cx.collect_endpoints();
+        log_state(&cx);
     }
 }
+
+/// Logs what the host believes, for those who look at one moment of a day.
+fn log_state<W, R>(cx: &Rc<Host<W, R>>) {
+    let now = Instant::now();
+    let calls = cx.metrics.registry_call_counts();
+    let version = cx.serving().map(|serving| serving.version.to_string());
+    let known = cx.registry_known_at();
+    let state = cx.state.borrow();
+    let ready = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
+    info!(cx.log, "state"; "version" => version, "endpoints_ready" => ready,
+        "hosts_live" => state.peers.live().count() + 1, "reads_registry" => known.is_some(),
+        "list_age_ms" => known.map(|(at, _)| (now - at).as_millis() as u64),
+        "registry_calls" => calls);
+}
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry,
     TextEncoder,
@@ -132,6 +133,18 @@
         self.answer_seconds.with_label_values(&[kind]).observe(took.as_secs_f64());
     }
 
+    /// Returns the calls to the registry so far, as `call:result=count` separated by spaces.
+    pub fn registry_call_counts(&self) -> String {
+        let mut counts = Vec::new();
+        for family in self.registry_calls.collect() {
+            for metric in family.get_metric() {
+                let labels: Vec<&str> = metric.get_label().iter().map(|l| l.value()).collect();
+                counts.push(format!("{}={}", labels.join(":"), metric.get_counter().get_value()));
+            }
+        }
+        counts.join(" ")
+    }
+
     /// Returns all metrics in the text format of Prometheus.
     ///
     /// ```
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -19,7 +19,7 @@
 /// seconds for a new version at a time.
 const VERSION_FRESH: Duration = Duration::from_millis(3600);
 /// Time for which a list may differ from the reader's: changes are on their way.
-const MISMATCH_ALLOWED: Duration = Duration::from_millis(600);
+const MISMATCH_ALLOWED: Duration = Duration::from_millis(1000);
 /// Time for which a change of the list is told again, as datagrams may be lost.
 const RETELL_CHANGES: Duration = Duration::from_millis(1500);
 /// Time for which the largest number of hosts counts, so that a partition does not let each side
