Ask engines faster while the endpoint list is unknown

Change: reports are asked every 200 ms while neither this host nor another of its region knows the list.

--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -158,6 +158,16 @@
         Some((self.list_read_at.get()?, self.version_read_at.get()?))
     }
 
+    /// Returns true when this host or another one of the region knows the endpoint list to be
+    /// complete.
+    pub fn list_is_known(&self) -> bool {
+        const FRESH: Duration = Duration::from_millis(1500);
+        let now = Instant::now();
+        let own = self.list_read_at.get();
+        let read = own.is_some_and(|at| now.saturating_duration_since(at) < FRESH);
+        read || self.state.borrow().peers.list_is_told(now)
+    }
+
     /// Returns true when a version may be asked of another host now.
     pub fn begin_fetch(&self, now: Instant) -> bool {
         const PAUSE: Duration = Duration::from_millis(150);
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -16,6 +16,9 @@
 /// Time between two reports of an engine. A report is paid for, and is some hundred milliseconds
 /// old when it arrives.
 const INTERVAL: Duration = Duration::from_millis(500);
+/// The same while the endpoint list is not known to be complete: reports are then the only notice
+/// of an engine that leaves.
+const BLIND_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for a report to arrive.
 const WITHIN: Duration = Duration::from_millis(400);
 /// Age of a report when it arrives, beyond the way: engines say that it is some hundred
@@ -34,9 +37,10 @@
 {
     loop {
         let engines = engines(&cx);
-        let pause = INTERVAL / engines.len().max(1) as u32;
+        let interval = if cx.list_is_known() { INTERVAL } else { BLIND_INTERVAL };
+        let pause = interval / engines.len().max(1) as u32;
         if engines.is_empty() {
-            sleep(INTERVAL).await;
+            sleep(interval).await;
         }
         for (ix, entry) in engines {
             spawn_local(poll(cx.clone(), ix, entry));
