Keep an engine that leaves as leaving; wait longer for a destination; log once why none is found

Cause: after an outage of the store, list entries written before it showed engines as ready that their own reports had shown to leave. A generation was given up after 1.5 s at a destination that was slow to take it up. A generation without destination logged ten lines a second.

Change: a process that leaves stays leaving; the destination has 6 s; the reason is logged when it changes.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -22,18 +22,13 @@
     Leaving(EndpointIx),
     /// It is no longer listed.
     Gone(EndpointIx),
-    /// It is listed again.
-    Returned(EndpointIx),
 }
 
 impl FleetChange {
     /// Returns the endpoint.
     pub fn endpoint(self) -> EndpointIx {
         match self {
-            FleetChange::Joined(ix)
-            | FleetChange::Leaving(ix)
-            | FleetChange::Gone(ix)
-            | FleetChange::Returned(ix) => ix,
+            FleetChange::Joined(ix) | FleetChange::Leaving(ix) | FleetChange::Gone(ix) => ix,
         }
     }
 }
@@ -44,7 +39,6 @@
             FleetChange::Joined(_) => "joined",
             FleetChange::Leaving(_) => "leaving",
             FleetChange::Gone(_) => "gone",
-            FleetChange::Returned(_) => "returned",
         })
     }
 }
@@ -97,12 +91,6 @@
         self.by_name.get(name).copied()
     }
 
-    /// Returns true when the process that an entry describes is known to leave.
-    pub fn is_leaving(&self, entry: &EndpointEntry) -> bool {
-        let known = self.find(&entry.name).and_then(|ix| self.get(ix));
-        known.is_some_and(|known| known.entry.is_same_process(entry) && !known.is_ready())
-    }
-
     /// Returns the listed endpoint of a digest.
     pub fn find_digest(&self, digest: u64) -> Option<EndpointIx> {
         self.by_digest.get(&digest).copied()
@@ -166,14 +154,10 @@
         changes: &mut Vec<FleetChange>,
     ) {
         let Some(endpoint) = self.get_mut(ix) else { return };
-        let was_leaving = endpoint.state != EndpointState::Ready;
-        if entry.leaving && !was_leaving {
+        // A process that leaves does not return: an entry that still says so was written before.
+        if entry.leaving && endpoint.state == EndpointState::Ready {
             endpoint.state = EndpointState::Leaving { since: now };
             changes.push(FleetChange::Leaving(ix));
-        } else if !entry.leaving && was_leaving {
-            endpoint.state = EndpointState::Ready;
-            endpoint.leaves_at = None;
-            changes.push(FleetChange::Returned(ix));
         }
         endpoint.warm_at = now + entry.cold_left;
         endpoint.entry = entry;
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -126,9 +126,6 @@
     for change in changes {
         let fleet = &mut cx.state.borrow_mut().fleet;
         match change {
-            // Told again, a change may be older than what this host knows: an endpoint that leaves
-            // does not return by hearsay.
-            EndpointChange::Listed(entry) if fleet.is_leaving(&entry) && !entry.leaving => {}
             EndpointChange::Listed(entry) => fleet.list(entry, now, &mut changed),
             EndpointChange::Delisted(name) => fleet.delist(&name, now, &mut changed),
         }
--- a/crates/host/src/stream_pump.rs
+++ b/crates/host/src/stream_pump.rs
@@ -33,8 +33,8 @@
 const STAGGER_TURNS: u64 = 16;
 /// Time for the events of a stopped generation that are still on their way.
 const DRAIN_WITHIN: Duration = Duration::from_millis(150);
-/// Time for the destination to go on with a stopped generation.
-const CONTINUE_WITHIN: Duration = Duration::from_millis(1500);
+/// Time for the destination to go on with a stopped generation. Its memory lasts a few seconds.
+const CONTINUE_WITHIN: Duration = Duration::from_secs(6);
 
 /// Where the events come from.
 #[derive(Debug)]
@@ -104,6 +104,8 @@
     transfer: Option<OwnedTask<Result<Handover, TransferError>>>,
     /// Destination of the transfer.
     transfer_to: Option<EndpointIx>,
+    /// Why it had no destination when that was last logged.
+    no_destination: Option<NoDestination>,
     /// When a generation on an engine that leaves is looked at again.
     review_at: Option<Instant>,
 }
@@ -137,6 +139,7 @@
             tried: Vec::new(),
             transfer: None,
             transfer_to: None,
+            no_destination: None,
             first_event_at: None,
             review_at: None,
         }
@@ -291,12 +294,17 @@
         self.review_at = Some(now + REVIEW_STEP);
         match fate {
             Fate::Move { to, takes } => self.begin_transfer(TransferPlan { from, to }, takes),
-            Fate::NoDestination(reasons) => self.log_no_destination(reasons),
+            Fate::NoDestination(reasons) => self.no_destination(reasons),
             Fate::Finish => {}
         }
     }
 
-    fn log_no_destination(&self, reasons: NoDestination) {
+    /// Logs why a generation has no destination, when the reason is a new one.
+    fn no_destination(&mut self, reasons: NoDestination) {
+        if self.no_destination == Some(reasons) {
+            return;
+        }
+        self.no_destination = Some(reasons);
         info!(self.cx.log, "generation cannot move"; "call" => %self.call.id,
             "from" => %self.source.name, "events" => self.events, "full" => reasons.full,
             "too_late" => reasons.too_late, "refusing" => reasons.refusing);
