Plan moves around each other on all hosts

Cause: on the grown sites 29 to 60 of about 160 moved generations paused for over 180 ms: their last copy queued behind the first copy of another generation, often of another host, on one of the two links.

Change: a move is planned with begin and end behind the plans that are known, told to all hosts, and begins after a lead in which crossing plans are heard; the later one is postponed, near ties go by identity. Each generation stops right after its first copy. Engines that left the list stay known by their digest. Datagrams to many hosts are sealed once.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -11,6 +11,7 @@
 use crate::endpoint::{Endpoint, EndpointState};
 use crate::entry::EndpointEntry;
 use crate::load::LoadReport;
+use crate::moves::{MovePlans, PlannedMove};
 use crate::run::{CallId, Run, RunId, RunWork};
 
 /// A change of what this host believes of an endpoint.
@@ -54,7 +55,10 @@
     free: Vec<EndpointIx>,
     /// Listed endpoints.
     by_name: HashMap<EndpointName, EndpointIx>,
+    /// All endpoints in the table: one that left the list may still run generations.
     by_digest: HashMap<u64, EndpointIx>,
+    /// Moves of generations between endpoints.
+    pub moves: MovePlans,
     next_run: u64,
 }
 
@@ -67,6 +71,7 @@
             free: Vec::new(),
             by_name: HashMap::new(),
             by_digest: HashMap::new(),
+            moves: MovePlans::default(),
             next_run: 0,
         }
     }
@@ -91,7 +96,7 @@
         self.by_name.get(name).copied()
     }
 
-    /// Returns the listed endpoint of a digest.
+    /// Returns the endpoint of a digest.
     pub fn find_digest(&self, digest: u64) -> Option<EndpointIx> {
         self.by_digest.get(&digest).copied()
     }
@@ -169,8 +174,6 @@
         if let Some(endpoint) = self.get_mut(ix) {
             let since = endpoint.leaving_since().unwrap_or(now);
             endpoint.state = EndpointState::Gone { since };
-            let digest = endpoint.digest;
-            self.by_digest.remove(&digest);
         }
         changes.push(FleetChange::Gone(ix));
     }
@@ -182,6 +185,7 @@
             let Some(endpoint) = &self.slots[ix] else { continue };
             let EndpointState::Gone { since } = endpoint.state else { continue };
             if endpoint.runs.is_empty() && now.saturating_duration_since(since) > keep {
+                self.by_digest.remove(&endpoint.digest);
                 self.slots[ix] = None;
                 self.free.push(ix);
             }
@@ -228,24 +232,10 @@
         self.get_mut(ix)?.runs.iter_mut().find(|run| run.id == id)
     }
 
-    /// Records that a generation's memory of `held` tokens is copied between two engines. Copies
-    /// queue on the links of both.
-    pub fn begin_copy(
-        &mut self,
-        from: EndpointIx,
-        to: EndpointIx,
-        held: u32,
-        takes: Duration,
-        now: Instant,
-    ) {
-        let free_at = |ix| self.get(ix).map_or(now, |endpoint| endpoint.load.link_free_at(now));
-        let until = free_at(from).max(free_at(to)) + takes;
-        for ix in [from, to] {
-            if let Some(endpoint) = self.get_mut(ix) {
-                endpoint.load.take_copy(until);
-            }
-        }
-        if let Some(endpoint) = self.get_mut(to) {
+    /// Takes the plan of a move of a generation that holds `held` tokens.
+    pub fn learn_move(&mut self, plan: PlannedMove, held: u32, now: Instant) {
+        self.moves.learn(plan, now);
+        if let Some(endpoint) = self.get_mut(plan.to) {
             endpoint.load.take_foreign(held, 0, now);
         }
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`endpoint`]: all that is known of one endpoint.
 //! - [`fleet`]: the table of endpoints.
 //! - [`choice`]: an endpoint that was chosen, with the inputs that decided it.
+//! - [`moves`]: when generations are copied from engine to engine.
 //! - [`plain`]: chooses an endpoint for a call of a plain service.
 //! - [`generation`]: chooses an engine for a generation.
 //! - [`admission`]: places a generation, lets it wait or refuses it.
@@ -27,6 +28,7 @@
 pub mod generation;
 pub mod health;
 pub mod load;
+pub mod moves;
 pub mod plain;
 pub mod prelude;
 pub mod reclaim;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -73,8 +73,6 @@
     foreign: Vec<(Instant, u32)>,
     /// Prompt tokens that were still to be read at a moment.
     unread: Option<Taken<f64>>,
-    /// When the link is free of the copies that are known.
-    link_busy_until: Option<Instant>,
     /// When a copy was last refused for want of room.
     refused_copy_at: Option<Instant>,
 }
@@ -123,16 +121,6 @@
         }
     }
 
-    /// Returns when the link is free of the copies that are known.
-    pub fn link_free_at(&self, now: Instant) -> Instant {
-        self.link_busy_until.map_or(now, |until| until.max(now))
-    }
-
-    /// Takes a copy that keeps the link busy until a moment.
-    pub fn take_copy(&mut self, until: Instant) {
-        self.link_busy_until = self.link_busy_until.max(Some(until));
-    }
-
     /// Takes that a copy was refused for want of room.
     pub fn refused_copy(&mut self, now: Instant) {
         self.refused_copy_at = Some(now);
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -1,9 +1,9 @@
 //! Moves running generations off an engine that leaves.
 //!
 //! Answers engines that are reclaimed at short notice while they run several long generations.
-//! Copies of one engine share its link and are made one after the other, so each generation is
-//! copied while it still runs, in the engine's zone where the link is fastest, and stops only for
-//! what it generated meanwhile, after the first copies of all others.
+//! Each is copied while it still runs and stops right after that, for what it generated meanwhile.
+//! Smaller ones go first, since more of them fit into the notice, and copies stay in the zone where
+//! links are fastest. [`crate::moves`] keeps the copies of one engine apart.
 
 use std::time::{Duration, Instant};
 
@@ -20,12 +20,14 @@
 /// Time from the notice to the end of an engine that does not tell it: the shortest of the sheets
 /// is about one and a half seconds.
 const ASSUMED_NOTICE: Duration = Duration::from_millis(1500);
-/// Time kept for the last copy and for the generation to go on elsewhere.
-pub const HANDOVER_MARGIN: Duration = Duration::from_millis(180);
+/// Time kept for the generation to go on elsewhere.
+const HANDOVER_MARGIN: Duration = Duration::from_millis(80);
+/// Time of the last copy of a move: an exchange, and what was generated during the first copy.
+const LAST_COPY: Duration = Duration::from_millis(25);
 /// Part of the time left in which a generation must be expected to end to be left alone.
 const FINISH_PART: f64 = 0.7;
-/// Time that a copy takes beside its bytes.
-const COPY_SETUP: Duration = Duration::from_millis(2);
+/// Time that the first copy of a move takes beside its bytes.
+const COPY_SETUP: Duration = Duration::from_millis(8);
 /// Factor of the time of a copy between availability zones.
 const CROSS_ZONE_FACTOR: u32 = 2;
 /// Share of the memory in use, with the copy, up to which an engine is a destination.
@@ -43,7 +45,7 @@
     Move {
         /// Destination.
         to: EndpointIx,
-        /// Time that the copy takes once the links are free.
+        /// Time that the move takes once the links are free.
         takes: Duration,
     },
     /// No engine has room for it, or no copy would be complete in time.
@@ -67,6 +69,12 @@
     endpoint.leaves_at.unwrap_or(since + ASSUMED_NOTICE)
 }
 
+/// Returns the turn in which a generation begins to move: smaller ones first.
+pub fn turn(run: &Run) -> u32 {
+    const TOKENS_PER_TURN: u32 = 400;
+    run.held_tokens() / TOKENS_PER_TURN
+}
+
 /// Decides about a generation of this host on an engine that leaves. Engines in `tried` refused a
 /// copy of it.
 pub fn decide(
@@ -86,7 +94,7 @@
         return Fate::Finish;
     }
     let by = leaves_at(source, now) - HANDOVER_MARGIN;
-    match destination(fleet, spec, source, run, tried, by, now) {
+    match destination(fleet, spec, from, run, tried, by, now) {
         Ok((to, takes)) => Fate::Move { to, takes },
         Err(reasons) => Fate::NoDestination(reasons),
     }
@@ -95,15 +103,15 @@
 fn destination(
     fleet: &Fleet,
     spec: &EngineSpec,
-    source: &Endpoint,
+    from: EndpointIx,
     run: &Run,
     tried: &[EndpointIx],
     by: Instant,
     now: Instant,
 ) -> Result<(EndpointIx, Duration), NoDestination> {
+    let source = fleet.get(from).ok_or_else(NoDestination::default)?;
     let held = run.held_tokens();
     let need = Need { held, unread: 0, expected: run.expected_left() };
-    let link_free_at = source.load.link_free_at(now);
     let mut best: Option<(f64, EndpointIx, Duration)> = None;
     let mut reasons = NoDestination::default();
     for (ix, endpoint) in fleet.of_service(&source.entry.service) {
@@ -125,8 +133,8 @@
             reasons.full += 1;
             continue;
         }
-        let takes = copy_time(spec, distance, held);
-        let done_at = link_free_at.max(endpoint.load.link_free_at(now)) + takes;
+        let takes = move_time(spec, distance, held);
+        let done_at = fleet.moves.free_at(from, ix, now) + takes;
         if done_at > by {
             reasons.too_late += 1;
             continue;
@@ -142,7 +150,7 @@
     best.map(|(_, ix, takes)| (ix, takes)).ok_or(reasons)
 }
 
-fn copy_time(spec: &EngineSpec, distance: Distance, held: u32) -> Duration {
+fn move_time(spec: &EngineSpec, distance: Distance, held: u32) -> Duration {
     let factor = if distance == Distance::Zone { 1 } else { CROSS_ZONE_FACTOR };
-    COPY_SETUP + spec.copy_time(TokenCount(held)) * factor
+    COPY_SETUP + spec.copy_time(TokenCount(held)) * factor + LAST_COPY
 }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -10,7 +10,7 @@
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::link::{Datagram, Link, LinkConfig, Received};
 use camphorloft_peer::seal::FrameKeys;
-use camphorloft_peer::wire::{WireBlame, WireCopy, WirePlacement, WireRegistryState};
+use camphorloft_peer::wire::{WireBlame, WirePlacement, WireRegistryState};
 use camphorloft_types::prelude::*;
 use rand::Rng;
 use slog::{info, warn};
@@ -23,7 +23,10 @@
 use crate::context::Host;
 use crate::endpoint_watch;
 use crate::listener::bind;
-use crate::peer_news::{change_from_wire, change_to_wire, report_from_wire, report_to_wire};
+use crate::peer_news::{
+    change_from_wire, change_to_wire, move_from_wire, move_to_wire, report_from_wire,
+    report_to_wire,
+};
 use crate::peers::Audience;
 
 /// Time between two ticks of the protocols.
@@ -218,13 +221,12 @@
             endpoint.load.take_foreign(placement.kv, placement.unread, now);
         }
     }
-    for copy in &datagram.copies {
-        let mut state = cx.state.borrow_mut();
-        let from = state.fleet.find_digest(copy.from);
-        let to = state.fleet.find_digest(copy.to);
-        if let (Some(from), Some(to)) = (from, to) {
-            let takes = Duration::from_millis(u64::from(copy.takes_ms));
-            state.fleet.begin_copy(from, to, copy.kv, takes, now);
+    for wire in &datagram.moves {
+        let fleet = &mut cx.state.borrow_mut().fleet;
+        let ends = (fleet.find_digest(wire.from), fleet.find_digest(wire.to));
+        if let (Some(from), Some(to)) = ends {
+            let plan = move_from_wire(wire, from, to, now);
+            fleet.learn_move(plan, wire.kv, now);
         }
     }
     for wire in &datagram.reports {
@@ -249,6 +251,14 @@
     }
 }
 
+/// Returns the hosts that place on an endpoint: those of its region, and of this host's own.
+fn audience_of(fleet: &Fleet, endpoint: EndpointIx) -> Audience {
+    let locality = fleet.locality();
+    let zone = fleet.get(endpoint).map(|endpoint| &endpoint.entry.zone);
+    let region = zone.and_then(|zone| locality.regions.get(zone));
+    region.map_or(Audience::Region, |region| Audience::Regions(region.clone()))
+}
+
 impl<W, R> Host<W, R> {
     /// Lets the link act, and sends what it has to say.
     pub fn with_link<Act>(&self, act: Act)
@@ -284,21 +294,21 @@
             let state = &mut *guard;
             let Some(digest) = state.fleet.get(endpoint).map(|e| e.digest) else { return };
             let placement = WirePlacement { endpoint: digest, kv: held, unread };
-            state.peers.seal_for(Audience::All, |datagram| datagram.placements.push(placement))
+            let audience = audience_of(&state.fleet, endpoint);
+            state.peers.seal_for(&audience, |datagram| datagram.placements.push(placement))
         };
         self.send_datagrams(&datagrams);
     }
 
-    /// Tells other hosts that a generation's memory is copied.
-    pub fn tell_copy(&self, from: EndpointIx, to: EndpointIx, held: u32, takes: Duration) {
+    /// Tells other hosts of the planned move of a generation that holds `held` tokens.
+    pub fn tell_move(&self, plan: &PlannedMove, held: u32) {
         let datagrams = {
             let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
             let digest = |ix| state.fleet.get(ix).map(|endpoint| endpoint.digest);
-            let (Some(from), Some(to)) = (digest(from), digest(to)) else { return };
-            let takes_ms = u32::try_from(takes.as_millis()).unwrap_or(u32::MAX);
-            let copy = WireCopy { from, to, kv: held, takes_ms };
-            state.peers.seal_for(Audience::All, |datagram| datagram.copies.push(copy))
+            let (Some(from), Some(to)) = (digest(plan.from), digest(plan.to)) else { return };
+            let wire = move_to_wire(plan, (from, to), held, Instant::now());
+            state.peers.seal_for(&Audience::All, |datagram| datagram.moves.push(wire))
         };
         self.send_datagrams(&datagrams);
     }
@@ -310,7 +320,7 @@
             let state = &mut *guard;
             let Some(digest) = state.fleet.get(endpoint).map(|e| e.digest) else { return };
             let wire = report_to_wire(digest, report, as_of, Instant::now());
-            state.peers.seal_for(Audience::All, |datagram| datagram.reports.push(wire))
+            state.peers.seal_for(&Audience::All, |datagram| datagram.reports.push(wire))
         };
         self.send_datagrams(&datagrams);
     }
@@ -341,7 +351,7 @@
             let told = state.peers.changes_to_tell(wire.collect(), now);
             state
                 .peers
-                .seal_for(Audience::Region, |datagram| datagram.endpoint_changes.clone_from(&told))
+                .seal_for(&Audience::Region, |datagram| datagram.endpoint_changes.clone_from(&told))
         };
         self.send_datagrams(&datagrams);
     }
@@ -362,7 +372,7 @@
                 version_age_ms: age(version_at),
             };
             let told = state.peers.changes_to_tell(Vec::new(), now);
-            state.peers.seal_for(Audience::Region, |datagram| {
+            state.peers.seal_for(&Audience::Region, |datagram| {
                 datagram.registry = Some(registry);
                 datagram.endpoint_changes.clone_from(&told);
             })
--- a/crates/host/src/peer_news.rs
+++ b/crates/host/src/peer_news.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
-use camphorloft_peer::wire::{WireEndpoint, WireEndpointChange, WireReport};
-use camphorloft_types::prelude::EndpointName;
+use camphorloft_peer::wire::{WireEndpoint, WireEndpointChange, WireMove, WireReport};
+use camphorloft_types::prelude::{EndpointIx, EndpointName};
 
 use crate::boundary::EndpointChange;
 
@@ -87,3 +87,33 @@
     let age = Duration::from_millis(u64::from(wire.age_ms));
     (report, now.checked_sub(age).unwrap_or(now))
 }
+
+/// Returns the wire form of a planned move between the endpoints of two digests.
+pub fn move_to_wire(
+    plan: &PlannedMove,
+    (from, to): (u64, u64),
+    held: u32,
+    now: Instant,
+) -> WireMove {
+    let begins_in = plan.begins.saturating_duration_since(now);
+    WireMove {
+        key: plan.key,
+        from,
+        to,
+        kv: held,
+        takes_ms: millis(plan.ends - plan.begins),
+        begins_us: u32::try_from(begins_in.as_micros()).unwrap_or(u32::MAX),
+    }
+}
+
+/// Returns a planned move from its wire form.
+pub fn move_from_wire(
+    wire: &WireMove,
+    from: EndpointIx,
+    to: EndpointIx,
+    now: Instant,
+) -> PlannedMove {
+    let begins = now + Duration::from_micros(u64::from(wire.begins_us));
+    let ends = begins + Duration::from_millis(u64::from(wire.takes_ms));
+    PlannedMove { key: wire.key, from, to, begins, ends }
+}
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,7 +1,6 @@
 //! What a host knows of the others, and what they told it lately.
 
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -30,12 +29,14 @@
 pub const MAX_TOLD_HOSTS: usize = 128;
 
 /// Which hosts are told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Audience {
     /// All hosts.
     All,
     /// The hosts of this host's region.
     Region,
+    /// The hosts of this host's region and of another one.
+    Regions(Region),
 }
 
 /// What a host knows of the others.
@@ -85,11 +86,6 @@
         self.link.iter().flat_map(|(link, _)| link.membership().live())
     }
 
-    /// Returns the address of a live host.
-    pub fn addr(&self, host: &HostName) -> Option<SocketAddr> {
-        self.live().find(|member| member.host == *host).map(|member| member.addr)
-    }
-
     /// Returns the number of hosts to share a quota with, this one included.
     pub fn hosts(&mut self, now: Instant) -> u32 {
         let live = self.live().count() as u32 + 1;
@@ -166,21 +162,22 @@
         self.told.iter().map(|(_, change)| change.clone()).collect()
     }
 
-    /// Seals a datagram for each host of the audience. `fill` adds to the empty datagram.
-    pub fn seal_for<Fill>(&mut self, audience: Audience, fill: Fill) -> Vec<Datagram>
+    /// Seals a datagram for the hosts of the audience. `fill` adds to the empty datagram.
+    pub fn seal_for<Fill>(&mut self, audience: &Audience, fill: Fill) -> Vec<Datagram>
     where
-        Fill: Fn(&mut WireDatagram),
+        Fill: FnOnce(&mut WireDatagram),
     {
         let Some((link, _)) = &mut self.link else { return Vec::new() };
-        let all = audience == Audience::All;
-        let told = link.membership().live().filter(|member| all || member.region == self.region);
-        let told: Vec<SocketAddr> = told.map(|member| member.addr).take(MAX_TOLD_HOSTS).collect();
-        let mut out = Vec::with_capacity(told.len());
+        let own_region = &self.region;
+        let is_told = |member: &Member| match audience {
+            Audience::All => true,
+            Audience::Region => member.region == *own_region,
+            Audience::Regions(region) => member.region == *own_region || member.region == *region,
+        };
         let mut datagram = link.empty_datagram();
         fill(&mut datagram);
-        for to in told {
-            link.send(to, datagram.clone(), &mut out);
-        }
+        let mut out = Vec::new();
+        link.broadcast(datagram, is_told, MAX_TOLD_HOSTS, &mut out);
         out
     }
 }
--- a/crates/host/src/stream_pump.rs
+++ b/crates/host/src/stream_pump.rs
@@ -8,6 +8,7 @@
 use camphorloft_dispatch::prelude::*;
 use camphorloft_dispatch::reclaim;
 use camphorloft_types::prelude::*;
+use camphorloft_types::rendezvous;
 use http_body_util::BodyExt;
 use slog::{info, warn};
 use tokio::sync::{mpsc, watch};
@@ -21,16 +22,18 @@
 use crate::generation_call::Placing;
 use crate::sending::{RunGuard, SendPlan, Sent, broke_off, send};
 use crate::task::OwnedTask;
-use crate::transfer::{Handover, TransferError, TransferPlan, transfer};
+use crate::transfer::{Handover, TransferError, transfer};
 use crate::upstream::Exchange;
 
+/// Distinguishes the identities of moves from other digests of calls.
+const MOVE_KEY: &str = "move";
 /// Time between two looks at a generation on an engine that leaves.
 const REVIEW_STEP: Duration = Duration::from_millis(100);
-/// Time between the turns in which generations of one engine begin to move: news cross a region in
-/// less.
-const STAGGER_STEP: Duration = Duration::from_millis(3);
-/// Turns; more than generations usually run on one engine.
-const STAGGER_TURNS: u64 = 16;
+/// Time between the turns in which generations of one engine begin to move: news of reserved links
+/// cross a region in less.
+const TURN: Duration = Duration::from_millis(6);
+/// Time after which the moves that hosts of another region have begun are known here.
+const REMOTE_NEWS: Duration = Duration::from_millis(60);
 /// Time for the events of a stopped generation that are still on their way.
 const DRAIN_WITHIN: Duration = Duration::from_millis(150);
 /// Time for the destination to go on with a stopped generation. Its memory lasts a few seconds.
@@ -98,6 +101,8 @@
     first_event_at: Option<Instant>,
     last_event_at: Option<Instant>,
     longest_pause: Duration,
+    /// Event that the longest pause preceded.
+    longest_pause_before: u64,
     moves: u32,
     /// Engines that refused a copy or broke off.
     tried: Vec<EndpointIx>,
@@ -135,6 +140,7 @@
             events: 0,
             last_event_at: None,
             longest_pause: Duration::ZERO,
+            longest_pause_before: 0,
             moves: 0,
             tried: Vec::new(),
             transfer: None,
@@ -244,7 +250,11 @@
     fn note_events(&mut self) {
         let now = Instant::now();
         match self.last_event_at {
-            Some(at) => self.longest_pause = self.longest_pause.max(now - at),
+            Some(at) if now - at > self.longest_pause => {
+                self.longest_pause = now - at;
+                self.longest_pause_before = self.events;
+            }
+            Some(_) => {}
             None => {
                 self.first_event_at = Some(now);
                 self.cx.metrics.answered("first_event", now - self.call.arrived_at);
@@ -263,14 +273,26 @@
     /// Schedules a look at a generation whose engine may have begun to leave. Generations of one
     /// engine begin to move one after the other, so that each host sees what the others began.
     fn schedule_review(&mut self) {
-        let leaves = {
-            let state = self.cx.state.borrow();
-            state.fleet.get(self.source.guard.endpoint).is_some_and(|e| !e.is_ready())
-        };
-        if leaves && self.review_at.is_none() {
-            let turn = self.call.fingerprint % STAGGER_TURNS;
-            self.review_at = Some(Instant::now() + STAGGER_STEP * turn as u32);
+        if self.review_at.is_some() {
+            return;
         }
+        let state = self.cx.state.borrow();
+        let Some(endpoint) = state.fleet.get(self.source.guard.endpoint) else { return };
+        let run = endpoint.runs.iter().find(|run| run.id == self.source.guard.run);
+        if let (false, Some(run)) = (endpoint.is_ready(), run) {
+            let far = match endpoint.distance {
+                Distance::Zone | Distance::Region => Duration::ZERO,
+                Distance::Remote => REMOTE_NEWS,
+            };
+            let turn = reclaim::turn(run) * TURN + self.jitter();
+            self.review_at = Some(Instant::now() + turn + far);
+        }
+    }
+
+    /// Returns a part of a turn that differs between generations.
+    fn jitter(&self) -> Duration {
+        const PARTS: u32 = 8;
+        TURN / PARTS * (self.call.fingerprint % u64::from(PARTS)) as u32
     }
 
     /// Looks whether the generation must leave its engine, and begins to move it.
@@ -293,7 +315,7 @@
         };
         self.review_at = Some(now + REVIEW_STEP);
         match fate {
-            Fate::Move { to, takes } => self.begin_transfer(TransferPlan { from, to }, takes),
+            Fate::Move { to, takes } => self.begin_transfer(from, to, takes),
             Fate::NoDestination(reasons) => self.no_destination(reasons),
             Fate::Finish => {}
         }
@@ -310,25 +332,26 @@
             "too_late" => reasons.too_late, "refusing" => reasons.refusing);
     }
 
-    fn begin_transfer(&mut self, plan: TransferPlan, takes: Duration) {
-        let (from, run) = (plan.from, self.source.guard.run);
-        let (name, held, wait) = {
+    fn begin_transfer(&mut self, from: EndpointIx, to: EndpointIx, takes: Duration) {
+        let now = Instant::now();
+        let key = rendezvous::score(self.call.id.as_str(), MOVE_KEY);
+        let (name, held, plan) = {
             let mut guard = self.cx.state.borrow_mut();
             let fleet = &mut guard.fleet;
-            let now = Instant::now();
-            let held = fleet.run_mut(from, run).map_or(0, |run| run.held_tokens());
-            fleet.begin_copy(from, plan.to, held, takes, now);
-            let done_at = fleet.get(from).map_or(now, |e| e.load.link_free_at(now));
-            let name = fleet.get(plan.to).map(|endpoint| endpoint.entry.name.to_string());
-            (name, held, done_at - now)
+            let run = fleet.run_mut(from, self.source.guard.run);
+            let held = run.map_or(0, |run| run.held_tokens());
+            let plan = fleet.moves.plan(key, from, to, takes, now);
+            fleet.learn_move(plan, held, now);
+            (fleet.get(to).map(|endpoint| endpoint.entry.name.to_string()), held, plan)
         };
-        self.cx.tell_copy(plan.from, plan.to, held, takes);
+        self.cx.tell_move(&plan, held);
         info!(self.cx.log, "generation moves"; "call" => %self.call.id,
             "from" => %self.source.name, "to" => name, "events" => self.events,
             "held" => held, "takes_ms" => takes.as_millis() as u64,
-            "expected_ms" => wait.as_millis() as u64);
-        self.transfer_to = Some(plan.to);
-        self.transfer = Some(OwnedTask::spawn(transfer(self.cx.clone(), self.call.clone(), plan)));
+            "begins_in_ms" => (plan.begins - now).as_millis() as u64);
+        self.transfer_to = Some(to);
+        self.transfer =
+            Some(OwnedTask::spawn(transfer(self.cx.clone(), self.call.clone(), plan, held)));
     }
 
     fn not_moved(&mut self, err: &TransferError) {
@@ -491,6 +514,7 @@
             "first_event_ms" => self.first_event_at
                 .map(|at| (at - self.call.arrived_at).as_millis() as u64),
             "longest_pause_ms" => self.longest_pause.as_millis() as u64,
+            "longest_pause_before_event" => self.longest_pause_before,
             "took_ms" => self.call.arrived_at.elapsed().as_millis() as u64);
     }
 }
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
-use camphorloft_dispatch::reclaim::{self, HANDOVER_MARGIN};
+use camphorloft_dispatch::reclaim;
 use camphorloft_types::prelude::*;
 use quick_error::quick_error;
 use slog::info;
@@ -28,15 +28,6 @@
 /// Time for the last copy, which holds what was generated since the first.
 const LAST_COPY_WITHIN: Duration = Duration::from_millis(1500);
 
-/// Where and when a generation is moved.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct TransferPlan {
-    /// Engine that runs it.
-    pub from: EndpointIx,
-    /// Destination.
-    pub to: EndpointIx,
-}
-
 /// A generation that has stopped and can go on.
 #[derive(Debug)]
 pub struct Handover {
@@ -87,7 +78,8 @@
 pub async fn transfer<W, R>(
     cx: Rc<Host<W, R>>,
     call: Rc<Call>,
-    plan: TransferPlan,
+    plan: PlannedMove,
+    held: u32,
 ) -> Result<Handover, TransferError>
 where
     W: Wire,
@@ -103,16 +95,18 @@
         )
     };
     let order = CopyOrder { cx: &cx, call: &call, from: &from, to: &to };
+    wait_for_turn(&cx, plan, held).await?;
+    let first_began = Instant::now();
     order.first(plan.from).await?;
-    let first_took = began.elapsed();
-    wait_for_link(&cx, plan.from).await;
-    let connected = connect_to(&cx, plan.to, CONNECT_WITHIN).await;
-    let Ok(connected) = connected else { return Err(TransferError::Unreachable) };
+    let first_took = first_began.elapsed();
+    let Ok(connected) = connect_to(&cx, plan.to, CONNECT_WITHIN).await else {
+        return Err(TransferError::Unreachable);
+    };
     let stop_began = Instant::now();
     let (handle, events, copied) = order.last().await?;
     info!(cx.log, "generation stopped for a move"; "call" => %call.id, "from" => %from.name,
         "to" => %to.name, "first_copy_ms" => first_took.as_millis() as u64,
-        "waited_ms" => (stop_began - began - first_took).as_millis() as u64,
+        "waited_ms" => (first_began - began).as_millis() as u64,
         "last_copy_ms" => stop_began.elapsed().as_millis() as u64, "copied" => copied,
         "events" => events);
     let (to, connected) = match copied {
@@ -130,20 +124,23 @@
     state.fleet.get(from).map_or(now, |endpoint| reclaim::leaves_at(endpoint, now))
 }
 
-/// Waits until the first copies of other generations have left the engine's link, as far as the
-/// time of the engine allows.
-async fn wait_for_link<W, R>(cx: &Rc<Host<W, R>>, from: EndpointIx) {
+/// Waits until a planned move begins, behind others that stand in its way.
+async fn wait_for_turn<W, R>(
+    cx: &Rc<Host<W, R>>,
+    mut plan: PlannedMove,
+    held: u32,
+) -> Result<(), TransferError> {
     loop {
+        sleep_until(plan.begins.into()).await;
         let now = Instant::now();
-        let free_at = {
-            let state = cx.state.borrow();
-            state.fleet.get(from).map_or(now, |endpoint| endpoint.load.link_free_at(now))
-        };
-        let until = free_at.min(leaves_at(cx, from) - HANDOVER_MARGIN);
-        if until <= now {
-            return;
+        let later = cx.state.borrow_mut().fleet.moves.postpone(&plan, now);
+        let Some(later) = later else { return Ok(()) };
+        if later.ends > leaves_at(cx, plan.from) {
+            cx.state.borrow_mut().fleet.moves.cancel(plan.key);
+            return Err(TransferError::TooLate);
         }
-        sleep_until(until.into()).await;
+        cx.tell_move(&later, held);
+        plan = later;
     }
 }
 
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use bytes::Bytes;
 use camphorloft_membership::settings::MembershipSettings;
 use camphorloft_membership::{Member, Membership, Message, Outgoing};
 use camphorloft_types::prelude::*;
@@ -26,8 +27,8 @@
 pub struct Datagram {
     /// Destination.
     pub to: SocketAddr,
-    /// Sealed frame.
-    pub frame: Vec<u8>,
+    /// Sealed frame, shared by all destinations of a broadcast.
+    pub frame: Bytes,
 }
 
 /// A datagram that was received, authentic and new.
@@ -181,20 +182,47 @@
         }
     }
 
-    /// Numbers and seals a datagram.
-    pub fn send(&mut self, to: SocketAddr, mut datagram: WireDatagram, out: &mut Vec<Datagram>) {
+    /// Numbers and seals a datagram for one host.
+    pub fn send(&mut self, to: SocketAddr, datagram: WireDatagram, out: &mut Vec<Datagram>) {
+        let frame = self.seal(datagram);
+        let own_region = &self.membership.own().region;
+        let remote = self.membership.live().any(|m| m.addr == to && m.region != *own_region);
+        self.count_out(frame.len(), 1, usize::from(remote));
+        out.push(Datagram { to, frame });
+    }
+
+    /// Numbers and seals a datagram once for the live hosts that `is_told` accepts, at most `most`.
+    pub fn broadcast<IsTold>(
+        &mut self,
+        datagram: WireDatagram,
+        is_told: IsTold,
+        most: usize,
+        out: &mut Vec<Datagram>,
+    ) where
+        IsTold: Fn(&Member) -> bool,
+    {
+        let frame = self.seal(datagram);
+        let own_region = &self.membership.own().region;
+        let before = out.len();
+        let mut remote = 0;
+        for member in self.membership.live().filter(|member| is_told(member)).take(most) {
+            remote += usize::from(member.region != *own_region);
+            out.push(Datagram { to: member.addr, frame: frame.clone() });
+        }
+        self.count_out(frame.len(), out.len() - before, remote);
+    }
+
+    fn count_out(&mut self, bytes: usize, datagrams: usize, remote: usize) {
+        self.counts.bytes_out += (bytes * datagrams) as u64;
+        self.counts.remote_bytes_out += (bytes * remote) as u64;
+    }
+
+    fn seal(&mut self, mut datagram: WireDatagram) -> Bytes {
         self.sequence += 1;
         datagram.sequence = self.sequence;
         datagram.started_ms = self.started_ms;
         datagram.blames = self.take_blames();
-        let frame = self.keys.seal(&datagram.encode_to_vec());
-        self.counts.bytes_out += frame.len() as u64;
-        let own_region = &self.membership.own().region;
-        let remote = self.membership.live().any(|m| m.addr == to && m.region != *own_region);
-        if remote {
-            self.counts.remote_bytes_out += frame.len() as u64;
-        }
-        out.push(Datagram { to, frame });
+        Bytes::from(self.keys.seal(&datagram.encode_to_vec()))
     }
 
     fn take_blames(&mut self) -> Vec<WireBlame> {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -96,21 +96,27 @@
     pub unread: u32,
 }
 
-/// A copy of a generation's memory that has begun.
+/// A planned move of a generation.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
-pub struct WireCopy {
+pub struct WireMove {
     /// Digest of the engine that runs the generation.
     #[prost(fixed64, tag = "1")]
     pub from: u64,
     /// Digest of the destination.
     #[prost(fixed64, tag = "2")]
     pub to: u64,
-    /// Memory that is copied, in tokens.
+    /// Memory that is moved, in tokens.
     #[prost(uint32, tag = "3")]
     pub kv: u32,
     /// Time that it takes, in milliseconds.
     #[prost(uint32, tag = "4")]
     pub takes_ms: u32,
+    /// Time until it begins, in microseconds.
+    #[prost(uint32, tag = "5")]
+    pub begins_us: u32,
+    /// Identity of the move.
+    #[prost(fixed64, tag = "6")]
+    pub key: u64,
 }
 
 /// An engine's report, told by the host that asked for it.
@@ -235,9 +241,9 @@
     /// What the sender knows of the registry, if it reads it for others.
     #[prost(message, optional, tag = "16")]
     pub registry: Option<WireRegistryState>,
-    /// Copies that the sender ordered.
+    /// Moves that the sender plans.
     #[prost(message, repeated, tag = "17")]
-    pub copies: Vec<WireCopy>,
+    pub moves: Vec<WireMove>,
     /// Question or answer.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
