Tell placements to all hosts again; log unread prompts and sequences of a choice

Cause: 39 of the 58 slow first events beyond 1.5 s on an engine that looked idle were on engines that had joined within 1.3 s: hosts of other regions, which were no longer told of placements, chose them together.

Change: placements go to all hosts, sealed once. The log of a placement names the unread prompt tokens and the sequences that it counted with.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -15,6 +15,10 @@
     pub failure_share: f64,
     /// Expected share of the engine's memory at the peak; 0 for a plain service.
     pub fill: f64,
+    /// Prompt tokens that the engine still has to read; 0 for a plain service.
+    pub unread: u32,
+    /// Sequences that run or wait there; for a plain service, requests of this host.
+    pub sequences: u32,
     /// Age of the load report that was used, if any.
     pub report_age: Option<Duration>,
     /// Endpoints that were compared.
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -89,6 +89,8 @@
             cost_ms: cost + jitter * rng.random::<f64>(),
             failure_share: endpoint.health.failure_share(now),
             fill,
+            unread: load.unread,
+            sequences: load.sequences,
             report_age: endpoint.load.report(now).map(|(_, age)| age),
             compared: 0,
             unusable: 0,
--- a/crates/dispatch/src/plain.rs
+++ b/crates/dispatch/src/plain.rs
@@ -51,6 +51,8 @@
             cost_ms: cost,
             failure_share: endpoint.health.failure_share(now),
             fill: 0.0,
+            unread: 0,
+            sequences: endpoint.runs.len() as u32,
             report_age: None,
             compared: 0,
             unusable: 0,
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -237,6 +237,7 @@
             "route" => %self.call.route().name, "endpoint" => name,
             "attempt" => self.tried.len() + 1, "version" => %self.call.serving.version,
             "cost_ms" => choice.cost_ms.round(), "fill" => (choice.fill * 100.0).round() / 100.0,
+            "unread" => choice.unread, "sequences" => choice.sequences,
             "report_age_ms" => choice.report_age.map(|age| age.as_millis() as u64),
             "failure_share" => (choice.failure_share * 100.0).round() / 100.0,
             "compared" => choice.compared, "unusable" => choice.unusable,
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -251,14 +251,6 @@
     }
 }
 
-/// Returns the hosts that place on an endpoint: those of its region, and of this host's own.
-fn audience_of(fleet: &Fleet, endpoint: EndpointIx) -> Audience {
-    let locality = fleet.locality();
-    let zone = fleet.get(endpoint).map(|endpoint| &endpoint.entry.zone);
-    let region = zone.and_then(|zone| locality.regions.get(zone));
-    region.map_or(Audience::Region, |region| Audience::Regions(region.clone()))
-}
-
 impl<W, R> Host<W, R> {
     /// Lets the link act, and sends what it has to say.
     pub fn with_link<Act>(&self, act: Act)
@@ -294,8 +286,7 @@
             let state = &mut *guard;
             let Some(digest) = state.fleet.get(endpoint).map(|e| e.digest) else { return };
             let placement = WirePlacement { endpoint: digest, kv: held, unread };
-            let audience = audience_of(&state.fleet, endpoint);
-            state.peers.seal_for(&audience, |datagram| datagram.placements.push(placement))
+            state.peers.seal_for(Audience::All, |datagram| datagram.placements.push(placement))
         };
         self.send_datagrams(&datagrams);
     }
@@ -308,7 +299,7 @@
             let digest = |ix| state.fleet.get(ix).map(|endpoint| endpoint.digest);
             let (Some(from), Some(to)) = (digest(plan.from), digest(plan.to)) else { return };
             let wire = move_to_wire(plan, (from, to), held, Instant::now());
-            state.peers.seal_for(&Audience::All, |datagram| datagram.moves.push(wire))
+            state.peers.seal_for(Audience::All, |datagram| datagram.moves.push(wire))
         };
         self.send_datagrams(&datagrams);
     }
@@ -320,7 +311,7 @@
             let state = &mut *guard;
             let Some(digest) = state.fleet.get(endpoint).map(|e| e.digest) else { return };
             let wire = report_to_wire(digest, report, as_of, Instant::now());
-            state.peers.seal_for(&Audience::All, |datagram| datagram.reports.push(wire))
+            state.peers.seal_for(Audience::All, |datagram| datagram.reports.push(wire))
         };
         self.send_datagrams(&datagrams);
     }
@@ -351,7 +342,7 @@
             let told = state.peers.changes_to_tell(wire.collect(), now);
             state
                 .peers
-                .seal_for(&Audience::Region, |datagram| datagram.endpoint_changes.clone_from(&told))
+                .seal_for(Audience::Region, |datagram| datagram.endpoint_changes.clone_from(&told))
         };
         self.send_datagrams(&datagrams);
     }
@@ -372,7 +363,7 @@
                 version_age_ms: age(version_at),
             };
             let told = state.peers.changes_to_tell(Vec::new(), now);
-            state.peers.seal_for(&Audience::Region, |datagram| {
+            state.peers.seal_for(Audience::Region, |datagram| {
                 datagram.registry = Some(registry);
                 datagram.endpoint_changes.clone_from(&told);
             })
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -29,14 +29,12 @@
 pub const MAX_TOLD_HOSTS: usize = 128;
 
 /// Which hosts are told.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
     /// All hosts.
     All,
     /// The hosts of this host's region.
     Region,
-    /// The hosts of this host's region and of another one.
-    Regions(Region),
 }
 
 /// What a host knows of the others.
@@ -163,7 +161,7 @@
     }
 
     /// Seals a datagram for the hosts of the audience. `fill` adds to the empty datagram.
-    pub fn seal_for<Fill>(&mut self, audience: &Audience, fill: Fill) -> Vec<Datagram>
+    pub fn seal_for<Fill>(&mut self, audience: Audience, fill: Fill) -> Vec<Datagram>
     where
         Fill: FnOnce(&mut WireDatagram),
     {
@@ -172,7 +170,6 @@
         let is_told = |member: &Member| match audience {
             Audience::All => true,
             Audience::Region => member.region == *own_region,
-            Audience::Regions(region) => member.region == *own_region || member.region == *region,
         };
         let mut datagram = link.empty_datagram();
         fill(&mut datagram);
