Compare endpoint lists by who takes work

Cause: an engine that its own report showed to leave before the list did was never told as a change, so that lists differed until each host read the store again.

Change: the digest of the list counts an engine as leaving by whatever told it.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -105,7 +105,7 @@
     pub fn list_digest(&self) -> u64 {
         let listed = self.by_name.values().filter_map(|ix| self.get(*ix));
         listed.fold(0, |sum, endpoint| {
-            sum ^ endpoint.digest.rotate_left(u32::from(endpoint.entry.leaving))
+            sum ^ endpoint.digest.rotate_left(u32::from(!endpoint.is_ready()))
         })
     }
 
