--- /dev/null
+++ b/crates/dispatch/tests/reclaim.rs
@@ -0,0 +1,166 @@
+//! Replays engines that are reclaimed at short notice while they run several long generations.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use camphorloft_dispatch::prelude::*;
+use camphorloft_dispatch::reclaim;
+use camphorloft_types::prelude::*;
+use common::{call, engine, entry, find, fleet, work};
+use proptest::prelude::*;
+
+/// Runs generations on the first endpoint and lets it leave. Returns the runs.
+fn leaving(fleet: &mut Fleet, held: &[u32], now: Instant) -> Vec<Run> {
+    let from = find(fleet, "e0");
+    for (ix, held) in held.iter().enumerate() {
+        fleet.begin(from, &call(ix), ix as u64, work(*held, 2_000), now);
+    }
+    let leaving = EndpointEntry { leaving: true, ..entry("e0", "n-a", 1) };
+    fleet.list(leaving, now, &mut Vec::new());
+    fleet.get(from).unwrap().runs.clone()
+}
+
+/// Decides and plans the moves of all runs, in their turns. Returns the plans.
+fn plan_all(fleet: &mut Fleet, runs: &[Run], now: Instant) -> Vec<PlannedMove> {
+    let from = find(fleet, "e0");
+    let mut runs: Vec<&Run> = runs.iter().collect();
+    runs.sort_by_key(|run| reclaim::turn(run));
+    let mut plans = Vec::new();
+    for run in runs {
+        if let Fate::Move { to, takes } = reclaim::decide(fleet, &engine(), from, run, &[], now) {
+            let plan = fleet.moves.plan(run.id.0, from, to, takes, now);
+            fleet.learn_move(plan, run.held_tokens(), now);
+            plans.push(plan);
+        }
+    }
+    plans
+}
+
+#[test]
+fn moves_fit_into_the_notice_and_do_not_overlap() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a", "n-a", "n-a", "n-b", "s-a"], now);
+    let runs = leaving(&mut fleet, &[4_200, 3_100, 3_600, 2_900, 3_300], now);
+    let plans = plan_all(&mut fleet, &runs, now);
+    assert_eq!(plans.len(), 5, "five copies of under 0.24 s fit into 1.5 s");
+    let leaves_at = reclaim::leaves_at(fleet.get(find(&fleet, "e0")).unwrap(), now);
+    for (ix, plan) in plans.iter().enumerate() {
+        assert!(plan.ends < leaves_at);
+        for other in &plans[ix + 1..] {
+            assert!(other.begins >= plan.ends, "copies of one engine queue on its link");
+        }
+    }
+    let remote = find(&fleet, "e4");
+    assert!(plans.iter().all(|plan| plan.to != remote), "another region is too far");
+}
+
+#[test]
+fn smaller_generations_go_first_when_not_all_fit() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a", "n-a", "n-a", "n-a"], now);
+    let held = [6_500, 6_000, 5_500, 2_500, 2_400, 2_300];
+    let runs = leaving(&mut fleet, &held, now);
+    let plans = plan_all(&mut fleet, &runs, now);
+    let moved: Vec<u64> = plans.iter().map(|plan| plan.key).collect();
+    for small in &runs[3..] {
+        assert!(moved.contains(&small.id.0), "{small:?} was not moved");
+    }
+    assert!(plans.len() < held.len(), "not all fit");
+}
+
+#[test]
+fn full_engines_are_no_destination() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a", "n-a"], now);
+    let to = find(&fleet, "e1");
+    for ix in 0..8 {
+        fleet.begin(to, &call(100 + ix), 0, work(3_200, 500), now);
+    }
+    let runs = leaving(&mut fleet, &[3_000], now);
+    let fate = reclaim::decide(&fleet, &engine(), find(&fleet, "e0"), &runs[0], &[], now);
+    let reasons = NoDestination { full: 1, ..NoDestination::default() };
+    assert_eq!(fate, Fate::NoDestination(reasons));
+}
+
+#[test]
+fn a_generation_that_ends_in_time_is_left_alone() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a", "n-a"], now);
+    let from = find(&fleet, "e0");
+    fleet.begin(from, &call(0), 0, work(3_000, 60), now);
+    fleet.list(
+        EndpointEntry { leaving: true, ..entry("e0", "n-a", 1) },
+        now,
+        &mut Vec::new(),
+    );
+    let run = fleet.get(from).unwrap().runs[0].clone();
+    assert_eq!(reclaim::decide(&fleet, &engine(), from, &run, &[], now), Fate::Finish);
+}
+
+#[test]
+fn an_engine_that_leaves_does_not_return_by_an_older_entry() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a"], now);
+    let ix = find(&fleet, "e0");
+    let report = LoadReport { leaving: true, ..LoadReport::default() };
+    assert!(fleet.report(ix, report, now));
+    let mut changes = Vec::new();
+    fleet.list(entry("e0", "n-a", 1), now, &mut changes);
+    assert!(!fleet.get(ix).unwrap().is_usable(now));
+    assert!(changes.is_empty());
+}
+
+#[test]
+fn lists_agree_when_a_report_told_of_the_leaving_first() {
+    let now = Instant::now();
+    let (mut told_by_list, mut told_by_report) = (fleet(&["n-a"], now), fleet(&["n-a"], now));
+    let ix = find(&told_by_report, "e0");
+    told_by_report.report(ix, LoadReport { leaving: true, ..LoadReport::default() }, now);
+    let leaving = EndpointEntry { leaving: true, ..entry("e0", "n-a", 1) };
+    told_by_list.list(leaving, now, &mut Vec::new());
+    assert_eq!(told_by_list.list_digest(), told_by_report.list_digest());
+}
+
+/// A move of the property below: when it is planned, its engines and its length, in milliseconds.
+type Draw = (u64, u32, u32, u64);
+
+proptest! {
+    /// Hosts plan without knowing of the plans of the last few milliseconds. Once all plans are
+    /// heard, no two copies use one link at the same time.
+    #[test]
+    fn crossing_plans_end_up_apart(
+        draws in prop::collection::vec((0_u64..10, 0_u32..3, 3_u32..6, 50_u64..300), 2..8),
+    ) {
+        let start = Instant::now();
+        let ms = Duration::from_millis;
+        let mut settled = MovePlans::default();
+        let mut pending: Vec<PlannedMove> = Vec::new();
+        for (key, (at, from, to, takes)) in draws.iter().enumerate() {
+            let (from, to) = (EndpointIx::from_u32(*from), EndpointIx::from_u32(*to));
+            // Each host plans as if it were alone.
+            let own = MovePlans::default().plan(key as u64, from, to, ms(*takes), start + ms(*at));
+            pending.push(own);
+        }
+        for plan in &pending {
+            settled.learn(*plan, start);
+        }
+        let draws: &[Draw] = &draws;
+        for _ in 0..draws.len() * draws.len() {
+            for plan in &mut pending {
+                if let Some(later) = settled.postpone(plan, start) {
+                    *plan = later;
+                }
+            }
+        }
+        for (ix, plan) in pending.iter().enumerate() {
+            for other in &pending[ix + 1..] {
+                let shares = [plan.from, plan.to]
+                    .iter()
+                    .any(|engine| *engine == other.from || *engine == other.to);
+                let apart = plan.ends <= other.begins || other.ends <= plan.begins;
+                prop_assert!(!shares || apart, "{plan:?} and {other:?}");
+            }
+        }
+    }
+}
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -88,8 +88,13 @@
     Ok(())
 }
 
-/// Starts everything that a host does. Returns what each connection of a caller holds.
-fn start<W, R>(cx: &Rc<Host<W, R>>) -> io::Result<Rc<()>>
+/// Starts everything that a host does. Returns what each connection of a caller holds. Must be
+/// called within a local task set.
+///
+/// # Errors
+///
+/// Returns the error of listening, as when an address is in use.
+pub fn start<W, R>(cx: &Rc<Host<W, R>>) -> io::Result<Rc<()>>
 where
     W: Wire,
     R: Registry,
