--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -122,9 +122,8 @@
     assert_ne!(other.endpoint, ix);
     let later = now + Duration::from_secs(30);
     // Both cost about the same by now, so that the random part of the cost decides.
-    let tried = (0..20).any(|_| {
-        plain::choose(&fleet, &service(), &[], later, &mut rng).unwrap().endpoint == ix
-    });
+    let tried = (0..20)
+        .any(|_| plain::choose(&fleet, &service(), &[], later, &mut rng).unwrap().endpoint == ix);
     assert!(tried);
 }
 
--- a/crates/dispatch/tests/reclaim.rs
+++ b/crates/dispatch/tests/reclaim.rs
@@ -89,11 +89,7 @@
     let mut fleet = fleet(&["n-a", "n-a"], now);
     let from = find(&fleet, "e0");
     fleet.begin(from, &call(0), 0, work(3_000, 60), now);
-    fleet.list(
-        EndpointEntry { leaving: true, ..entry("e0", "n-a", 1) },
-        now,
-        &mut Vec::new(),
-    );
+    fleet.list(EndpointEntry { leaving: true, ..entry("e0", "n-a", 1) }, now, &mut Vec::new());
     let run = fleet.get(from).unwrap().runs[0].clone();
     assert_eq!(reclaim::decide(&fleet, &engine(), from, &run, &[], now), Fate::Finish);
 }
--- /dev/null
+++ b/crates/host/tests/event_splitter.rs
@@ -0,0 +1,43 @@
+//! A stream is cut into the same events however its bytes arrive.
+
+use camphorloft_host::event_splitter::EventSplitter;
+use proptest::prelude::*;
+
+/// Returns the events and what is left, for bytes that arrive in parts.
+fn split(bytes: &[u8], cuts: &[usize]) -> (Vec<(Vec<u8>, Option<u64>)>, Vec<u8>) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
+    cuts.extend([0, bytes.len()]);
+    cuts.sort_unstable();
+    for part in cuts.windows(2) {
+        assert!(splitter.push(&bytes[part[0]..part[1]]));
+        while let Some(event) = splitter.next_event() {
+            events.push((event.bytes.to_vec(), event.id));
+        }
+    }
+    (events, splitter.take_partial().to_vec())
+}
+
+proptest! {
+    #[test]
+    fn cuts_do_not_matter(
+        text in "(id: ?[0-9]{1,3}\r?\n|data: [a-z]{0,5}\n|\n|\r\n|:x\n){0,40}[a-z:\r]{0,5}",
+        cuts in prop::collection::vec(any::<usize>(), 0..20),
+    ) {
+        let whole = split(text.as_bytes(), &[]);
+        prop_assert_eq!(&split(text.as_bytes(), &cuts), &whole);
+        let (events, rest) = whole;
+        let mut joined: Vec<u8> = events.into_iter().flat_map(|(bytes, _)| bytes).collect();
+        joined.extend(rest);
+        prop_assert_eq!(joined, text.as_bytes());
+    }
+
+    #[test]
+    fn any_bytes_are_taken(
+        bytes in prop::collection::vec(any::<u8>(), 0..400),
+        cuts in prop::collection::vec(any::<usize>(), 0..8),
+    ) {
+        prop_assert_eq!(split(&bytes, &cuts), split(&bytes, &[]));
+    }
+}
