Tell the story of one request from logs with what its host learned meanwhile; count ends by cause

Cause: on-call engineers have only logs and metrics; the tool read files of the product's own dialect.

Change: explain takes the identity of a caller's attempt and shows the changes of the endpoints that it used; logs counts how requests ended. Both read standard input and lines with text before the object.

--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -1,82 +1,103 @@
 //! Shows the decisions about one request from decision logs.
 
-use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 use crate::exit::{CommandError, CommandResult};
+use crate::log_lines::{LogLine, member, read_lines};
 
-/// show the decisions about one request from decision logs
+/// show the decisions about one request from decision logs, and what the hosts came to believe
+/// meanwhile of the endpoints that it used
 #[derive(FromArgs)]
 #[argh(subcommand, name = "explain")]
 pub struct ExplainArgs {
     /// generation, as in the log and in the header camphorloft-generation
     #[argh(option)]
-    generation: String,
+    generation: Option<String>,
+    /// identity that the caller gave to its attempt
+    #[argh(option)]
+    call: Option<String>,
     /// print the log lines as they are
     #[argh(switch)]
     json: bool,
-    /// log files of the hosts
+    /// log files of the hosts; standard input when none is named
     #[argh(positional)]
     logs: Vec<PathBuf>,
 }
 
 /// Members that every line has and that the summary shows by itself.
-const COMMON: [&str; 6] = ["msg", "level", "ts", "host", "generation", "endpoint"];
+const COMMON: [&str; 7] = ["msg", "level", "ts", "host", "generation", "call", "endpoint"];
+/// Members that name endpoints.
+const ENDPOINTS: [&str; 3] = ["endpoint", "from", "to"];
+/// Line of a change of belief about an endpoint.
+const ENDPOINT_CHANGED: &str = "endpoint changed";
 
 /// Runs the command.
 pub fn run(args: &ExplainArgs) -> CommandResult {
-    let mut lines = Vec::new();
-    for path in &args.logs {
-        let at = |err: String| CommandError::BadInput(format!("{}: {err}", path.display()));
-        let file = File::open(path).map_err(|err| at(err.to_string()))?;
-        for line in BufReader::new(file).lines() {
-            let line = line.map_err(|err| at(err.to_string()))?;
-            // Other lines of the log are not JSON or concern other requests.
-            let Ok(Value::Object(record)) = serde_json::from_str(&line) else { continue };
-            if record.get("generation").and_then(Value::as_str) == Some(&args.generation) {
-                lines.push(record);
-            }
+    let (name, identity) = match (&args.generation, &args.call) {
+        (Some(generation), None) => ("generation", generation),
+        (None, Some(call)) => ("call", call),
+        _ => {
+            let what = "name either --generation or --call".to_owned();
+            return Err(CommandError::BadInput(what));
         }
-    }
-    if lines.is_empty() {
-        let what = format!("no decision about generation {} in these logs", args.generation);
+    };
+    let lines = read_lines(&args.logs)?;
+    let story = story(&lines, name, identity);
+    if story.is_empty() {
+        let what = format!("no decision about {name} {identity} in these logs");
         return Err(CommandError::Failed(what));
     }
-    lines.sort_by_key(|record| text(record, "ts"));
-    for record in &lines {
+    for line in story {
         if args.json {
-            println!("{}", Value::Object(record.clone()));
+            println!("{}", Value::Object(line.clone()));
         } else {
-            println!("{}", summary(record));
+            println!("{}", summary(line));
         }
     }
     Ok(())
 }
 
-fn text(record: &Map<String, Value>, member: &str) -> String {
-    match record.get(member) {
-        Some(Value::String(text)) => text.clone(),
-        Some(other) => other.to_string(),
-        None => String::new(),
-    }
+/// Returns the lines of one request, with the changes of its endpoints that its hosts learned of
+/// between its first line and its last.
+fn story<'l>(lines: &'l [LogLine], name: &str, identity: &str) -> Vec<&'l LogLine> {
+    let own = |line: &&LogLine| member(line, name) == identity;
+    let decisions: Vec<&LogLine> = lines.iter().filter(own).collect();
+    let (Some(first), Some(last)) = (decisions.first(), decisions.last()) else {
+        return Vec::new();
+    };
+    let (begin, end) = (member(first, "ts"), member(last, "ts"));
+    let hosts: BTreeSet<String> = decisions.iter().map(|line| member(line, "host")).collect();
+    let endpoints: BTreeSet<String> = decisions
+        .iter()
+        .flat_map(|line| ENDPOINTS.map(|name| member(line, name)))
+        .filter(|endpoint| !endpoint.is_empty())
+        .collect();
+    let belongs = |line: &&LogLine| {
+        let ts = member(line, "ts");
+        let within = begin <= ts && ts <= end && hosts.contains(&member(line, "host"));
+        let of_endpoint = member(line, "msg") == ENDPOINT_CHANGED
+            && endpoints.contains(&member(line, "endpoint"));
+        own(line) || within && of_endpoint
+    };
+    lines.iter().filter(belongs).collect()
 }
 
-fn summary(record: &Map<String, Value>) -> String {
-    let inputs: Vec<String> = record
+fn summary(line: &LogLine) -> String {
+    let inputs: Vec<String> = line
         .keys()
-        .filter(|member| !COMMON.contains(&member.as_str()))
-        .map(|member| format!("{member}={}", text(record, member)))
+        .filter(|name| !COMMON.contains(&name.as_str()))
+        .map(|name| format!("{name}={}", member(line, name)))
         .collect();
     format!(
         "{} {} {} {} ({})",
-        text(record, "ts"),
-        text(record, "host"),
-        text(record, "msg"),
-        text(record, "endpoint"),
+        member(line, "ts"),
+        member(line, "host"),
+        member(line, "msg"),
+        member(line, "endpoint"),
         inputs.join(", ")
     )
 }
--- /dev/null
+++ b/crates/cli/src/log_lines.rs
@@ -0,0 +1,57 @@
+//! Reads the decision logs of hosts.
+
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use serde_json::{Map, Value};
+
+use crate::exit::CommandError;
+
+/// A line of a decision log.
+pub type LogLine = Map<String, Value>;
+
+/// Reads every line of the logs that holds a JSON object; standard input when no file is named.
+/// Text before the object, as a collector may add, is passed over.
+pub fn read_lines(logs: &[PathBuf]) -> Result<Vec<LogLine>, CommandError> {
+    let mut lines = Vec::new();
+    if logs.is_empty() {
+        collect("standard input", io::stdin().lock(), &mut lines)?;
+    }
+    for path in logs {
+        let shown = path.display().to_string();
+        collect(&shown, open(path)?, &mut lines)?;
+    }
+    lines.sort_by_key(|line| member(line, "ts"));
+    Ok(lines)
+}
+
+fn open(path: &Path) -> Result<BufReader<File>, CommandError> {
+    let file = File::open(path)
+        .map_err(|err| CommandError::BadInput(format!("{}: {err}", path.display())))?;
+    Ok(BufReader::new(file))
+}
+
+fn collect<Input>(shown: &str, input: Input, lines: &mut Vec<LogLine>) -> Result<(), CommandError>
+where
+    Input: BufRead,
+{
+    for line in input.lines() {
+        let line = line.map_err(|err| CommandError::BadInput(format!("{shown}: {err}")))?;
+        let Some(start) = line.find('{') else { continue };
+        // Other lines of a log are not JSON.
+        if let Ok(Value::Object(record)) = serde_json::from_str(&line[start..]) {
+            lines.push(record);
+        }
+    }
+    Ok(())
+}
+
+/// Returns a member of a line as text; empty when it is missing.
+pub fn member(line: &LogLine, name: &str) -> String {
+    match line.get(name) {
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Null) | None => String::new(),
+        Some(other) => other.to_string(),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -5,6 +5,8 @@
 //! - [`exit`]: exit codes and errors.
 //! - [`explain`]: shows the decisions about one request from decision logs.
 //! - [`hosts`]: shows hosts and endpoints, drains a host.
+//! - [`log_lines`]: reads the decision logs of hosts.
+//! - [`logs`]: counts how requests ended, from decision logs.
 //! - [`key`]: hashes the key of an organisation.
 //! - [`operator`]: calls the operator interface of a host.
 //! - [`trial`]: runs everything in one process, for trying it out.
@@ -19,6 +21,8 @@
 mod explain;
 mod hosts;
 mod key;
+mod log_lines;
+mod logs;
 mod operator;
 mod trial;
 
@@ -38,6 +42,7 @@
     Ask(ask::AskArgs),
     Config(config::ConfigArgs),
     Explain(explain::ExplainArgs),
+    Logs(logs::LogsArgs),
     Hosts(hosts::HostsArgs),
     Endpoints(hosts::EndpointsArgs),
     Drain(hosts::DrainArgs),
@@ -51,6 +56,7 @@
         Command::Ask(args) => ask::run(&args),
         Command::Config(args) => config::run(&args),
         Command::Explain(args) => explain::run(&args),
+        Command::Logs(args) => logs::run(&args),
         Command::Hosts(args) => hosts::run_hosts(&args),
         Command::Endpoints(args) => hosts::run_endpoints(&args),
         Command::Drain(args) => hosts::run_drain(&args),
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -19,6 +19,9 @@
 use crate::peers::Peers;
 use crate::settings::HostSettings;
 
+/// Time without an answer after which a host counts the registry as lost to it.
+const REGISTRY_LOST_AFTER: Duration = Duration::from_millis(1500);
+
 /// Where a host is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -152,10 +155,11 @@
         self.fleet_news.send_modify(|count| *count += 1);
     }
 
-    /// Returns when this host itself last knew the endpoint list and the version in force, if it
-    /// reads both.
-    pub fn registry_known_at(&self) -> Option<(Instant, Instant)> {
-        Some((self.list_read_at.get()?, self.version_read_at.get()?))
+    /// Returns true when this host reads the registry for its region.
+    pub fn reads_registry(&self, now: Instant) -> bool {
+        let stale = |at: Instant| now.saturating_duration_since(at) > REGISTRY_LOST_AFTER;
+        let own_lost = self.list_read_at.get().is_some_and(stale);
+        self.state.borrow().peers.reads_registry(own_lost, now)
     }
 
     /// Returns true when this host or another one of the region knows the endpoint list to be
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -15,7 +15,6 @@
 
 use crate::boundary::{EndpointChange, Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
-use crate::serving_watch::DUTY;
 
 /// Time for which the registry is asked to wait for a change. Other hosts rely on a reader that knew
 /// the list to be complete within about a second.
@@ -29,8 +28,10 @@
 const UNJOINED_PACE: Duration = Duration::from_millis(500);
 /// Time to wait after a failure.
 const RETRY_STEP: Duration = Duration::from_millis(200);
-/// The same for hosts that another one reads for.
-const OTHERS_RETRY_STEP: Duration = Duration::from_millis(1000);
+/// The same for hosts that another one reads for, which lost the registry as well.
+const OTHERS_RETRY_STEP: Duration = Duration::from_millis(2500);
+/// The same for hosts that hear of no reader.
+const ALONE_RETRY_STEP: Duration = Duration::from_millis(1000);
 /// Time between two looks whether another host still reads for this one.
 const TOLD_STEP: Duration = Duration::from_millis(100);
 /// Time after the return of the registry in which lapsed entries come back.
@@ -96,8 +97,8 @@
 impl<W, R> Host<W, R> {
     /// Returns true while another host of the region keeps this host's endpoint list complete.
     fn list_is_told(&self) -> bool {
-        let state = self.state.borrow();
-        !state.peers.holds_duty(DUTY) && state.peers.list_is_told(Instant::now())
+        let now = Instant::now();
+        !self.reads_registry(now) && self.state.borrow().peers.list_is_told(now)
     }
 
     /// Returns the time between two questions. A host that has not joined the others yet asks less
@@ -110,10 +111,16 @@
     /// Returns the time to wait after a failed call to the registry. Hosts whose duty it is not
     /// wait longer, so that an outage is not met with a storm of calls.
     pub fn registry_retry(&self) -> Duration {
+        let now = Instant::now();
+        let reads = self.reads_registry(now);
         let mut guard = self.state.borrow_mut();
         let state = &mut *guard;
         let jitter = state.rng.random_range(0.8..1.2);
-        let step = if state.peers.holds_duty(DUTY) { RETRY_STEP } else { OTHERS_RETRY_STEP };
+        let step = match reads {
+            true => RETRY_STEP,
+            false if state.peers.hears_reader(now) => OTHERS_RETRY_STEP,
+            false => ALONE_RETRY_STEP,
+        };
         step.mul_f64(jitter)
     }
 }
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -138,11 +138,12 @@
     let now = Instant::now();
     let calls = cx.metrics.registry_call_counts();
     let version = cx.serving().map(|serving| serving.version.to_string());
-    let known = cx.registry_known_at();
+    let reads = cx.reads_registry(now);
+    let list_age = cx.list_read_at.get().map(|at| (now - at).as_millis() as u64);
     let state = cx.state.borrow();
     let ready = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
     info!(cx.log, "state"; "version" => version, "endpoints_ready" => ready,
-        "hosts_live" => state.peers.live().count() + 1, "reads_registry" => known.is_some(),
-        "list_age_ms" => known.map(|(at, _)| (now - at).as_millis() as u64),
+        "hosts_live" => state.peers.live().count() + 1, "reads_registry" => reads,
+        "list_age_ms" => list_age,
         "registry_calls" => calls);
 }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -242,7 +242,7 @@
         let mut guard = cx.state.borrow_mut();
         let state = &mut *guard;
         let digest = state.fleet.list_digest();
-        state.peers.take_registry_state(registry, digest, now);
+        state.peers.take_registry_state(&received.message.sender.host, registry, digest, now);
     }
     let known = cx.serving().map_or(ConfigVersion(0), |serving| serving.version);
     if received.message.config_version > known && cx.begin_fetch(now) {
@@ -349,11 +349,14 @@
 
     /// Tells the hosts of the region what this host knows of the registry, if it reads it.
     fn tell_registry_state(&self, now: Instant) {
-        let Some((list_at, version_at)) = self.registry_known_at() else { return };
-        let age = |at: Instant| {
-            let age = now.saturating_duration_since(at).as_millis();
+        if !self.reads_registry(now) {
+            return;
+        }
+        let age = |at: Option<Instant>| {
+            let age = at.map_or(u128::MAX, |at| now.saturating_duration_since(at).as_millis());
             u32::try_from(age).unwrap_or(u32::MAX)
         };
+        let (list_at, version_at) = (self.list_read_at.get(), self.version_read_at.get());
         let datagrams = {
             let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -1,6 +1,6 @@
 //! What a host knows of the others, and what they told it lately.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,11 @@
 const VERSION_FRESH: Duration = Duration::from_millis(3600);
 /// Time for which a list may differ from the reader's: changes are on their way.
 const MISMATCH_ALLOWED: Duration = Duration::from_millis(1000);
+/// Time for which a reader that lost the registry is passed over. Then its turn comes again, so that
+/// it finds out whether the registry is back.
+const PASSED_OVER: Duration = Duration::from_millis(2500);
+/// Silence after which no reader is taken to be there: several statements were lost.
+const READER_SILENT: Duration = Duration::from_millis(1100);
 /// Time for which a change of the list is told again, as datagrams may be lost.
 const RETELL_CHANGES: Duration = Duration::from_millis(1500);
 /// Time for which the largest number of hosts counts, so that a partition does not let each side
@@ -28,6 +33,9 @@
 /// a few hosts each.
 pub const MAX_TOLD_HOSTS: usize = 128;
 
+/// Duty of the host that reads the registry for its region.
+const REGISTRY_DUTY: &str = "registry";
+
 /// Which hosts are told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Audience {
@@ -43,6 +51,10 @@
     own: HostName,
     region: Region,
     link: Option<(Link, Rc<UdpSocket>)>,
+    /// When any reader of the region was last heard of.
+    reader_heard_at: Option<Instant>,
+    /// Readers that lost the registry, and when they told.
+    lost_readers: BTreeMap<HostName, Instant>,
     /// When a reader last knew the list to be complete.
     list_known_at: Option<Instant>,
     /// Since when the list differs from the reader's.
@@ -61,6 +73,8 @@
             own,
             region,
             link: None,
+            reader_heard_at: None,
+            lost_readers: BTreeMap::new(),
             list_known_at: None,
             mismatch_since: None,
             version_known_at: None,
@@ -104,13 +118,44 @@
         duty::holds(duty, &self.own, region.map(|member| &member.host))
     }
 
+    /// Returns true when this host reads the registry for its region: it ranks first among those
+    /// that have not lost the registry lately. `own_lost` tells whether this host has.
+    pub fn reads_registry(&self, own_lost: bool, now: Instant) -> bool {
+        let region = self.live().filter(|member| member.region == self.region);
+        let able: Vec<&HostName> =
+            region.map(|member| &member.host).filter(|host| !self.is_lost(host, now)).collect();
+        if own_lost && !able.is_empty() {
+            return false;
+        }
+        duty::holds(REGISTRY_DUTY, &self.own, able)
+    }
+
+    fn is_lost(&self, host: &HostName, now: Instant) -> bool {
+        let lost_at = self.lost_readers.get(host);
+        lost_at.is_some_and(|at| now.saturating_duration_since(*at) < PASSED_OVER)
+    }
+
+    /// Returns true while some reader of the region is heard of, whether it knows the registry or
+    /// not.
+    pub fn hears_reader(&self, now: Instant) -> bool {
+        is_fresh(self.reader_heard_at, READER_SILENT, now)
+    }
+
     /// Takes what a reader knows of the registry. `own_digest` is of this host's list.
     pub fn take_registry_state(
         &mut self,
+        reader: &HostName,
         state: &WireRegistryState,
         own_digest: u64,
         now: Instant,
     ) {
+        self.reader_heard_at = Some(now);
+        if u128::from(state.list_age_ms) > LIST_FRESH.as_millis() {
+            self.lost_readers.retain(|_, at| now.saturating_duration_since(*at) < PASSED_OVER);
+            self.lost_readers.entry(reader.clone()).or_insert(now);
+            return;
+        }
+        self.lost_readers.remove(reader);
         let at = |age_ms: u32| now.checked_sub(Duration::from_millis(u64::from(age_ms)));
         let newer = |known: Option<Instant>, told: Option<Instant>| known.max(told);
         self.list_known_at = newer(self.list_known_at, at(state.list_age_ms));
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -16,8 +16,6 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(900);
 /// Time between two looks whether another host still reads for this one.
 const TOLD_STEP: Duration = Duration::from_millis(200);
-/// Duty of the host that reads the registry for its region.
-pub const DUTY: &str = "registry";
 
 /// Follows the version in force.
 pub async fn follow<W, R>(cx: Rc<Host<W, R>>)
@@ -85,8 +83,11 @@
 impl<W, R> Host<W, R> {
     /// Returns true while another host of the region reads the version in force for this one.
     fn version_is_told(&self) -> bool {
+        let now = Instant::now();
+        if self.reads_registry(now) {
+            return false;
+        }
         let state = self.state.borrow();
-        let known = state.serving.is_some();
-        known && !state.peers.holds_duty(DUTY) && state.peers.version_is_told(Instant::now())
+        state.serving.is_some() && state.peers.version_is_told(now)
     }
 }
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -4,11 +4,16 @@
 
 use camphorloft_host::peers::Peers;
 use camphorloft_peer::wire::{WireEndpointChange, WireRegistryState};
+use camphorloft_types::prelude::HostName;
 
 fn peers() -> Peers {
     Peers::new("h1".parse().unwrap(), "north".parse().unwrap(), 8)
 }
 
+fn reader() -> HostName {
+    "h2".parse().unwrap()
+}
+
 fn state(list_digest: u64, age_ms: u32) -> WireRegistryState {
     WireRegistryState { list_digest, list_age_ms: age_ms, version_age_ms: age_ms }
 }
@@ -17,7 +22,7 @@
 fn silence_ends_the_reliance() {
     let (mut peers, now) = (peers(), Instant::now() + Duration::from_secs(10));
     assert!(!peers.list_is_told(now));
-    peers.take_registry_state(&state(7, 100), 7, now);
+    peers.take_registry_state(&reader(), &state(7, 100), 7, now);
     assert!(peers.list_is_told(now) && peers.version_is_told(now));
     assert!(!peers.list_is_told(now + Duration::from_secs(2)));
     assert!(!peers.version_is_told(now + Duration::from_secs(5)));
@@ -26,17 +31,19 @@
 #[test]
 fn a_reader_that_lost_the_registry_is_not_relied_on() {
     let (mut peers, now) = (peers(), Instant::now() + Duration::from_secs(10));
-    peers.take_registry_state(&state(7, 5_000), 7, now);
+    peers.take_registry_state(&reader(), &state(7, 5_000), 7, now);
     assert!(!peers.list_is_told(now) && !peers.version_is_told(now));
+    assert!(peers.hears_reader(now));
+    assert!(peers.reads_registry(true, now), "no other host is left to read");
 }
 
 #[test]
 fn a_list_that_stays_different_is_read() {
     let (mut peers, now) = (peers(), Instant::now() + Duration::from_secs(10));
-    peers.take_registry_state(&state(7, 0), 8, now);
+    peers.take_registry_state(&reader(), &state(7, 0), 8, now);
     assert!(peers.list_is_told(now), "changes may be on their way");
     let later = now + Duration::from_millis(1_200);
-    peers.take_registry_state(&state(7, 0), 8, later);
+    peers.take_registry_state(&reader(), &state(7, 0), 8, later);
     assert!(!peers.list_is_told(later));
     peers.list_was_read();
     assert!(peers.list_is_told(later));
