--- a/crates/cli/src/explain.rs
+++ b/crates/cli/src/explain.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 
 use crate::exit::{CommandError, CommandResult};
-use crate::log_lines::{LogLine, member, read_lines};
+use crate::log_lines::{LogLine, member, print_lines, read_lines};
 
 /// show the decisions about one request from decision logs, and what the hosts came to believe
 /// meanwhile of the endpoints that it used
@@ -51,14 +51,10 @@
         let what = format!("no decision about {name} {identity} in these logs");
         return Err(CommandError::Failed(what));
     }
-    for line in story {
-        if args.json {
-            println!("{}", Value::Object(line.clone()));
-        } else {
-            println!("{}", summary(line));
-        }
-    }
-    Ok(())
+    print_lines(story.into_iter().map(|line| match args.json {
+        true => Value::Object(line.clone()).to_string(),
+        false => summary(line),
+    }))
 }
 
 /// Returns the lines of one request, with the changes of its endpoints that its hosts learned of
--- a/crates/cli/src/log_lines.rs
+++ b/crates/cli/src/log_lines.rs
@@ -1,12 +1,12 @@
 //! Reads the decision logs of hosts.
 
 use std::fs::File;
-use std::io::{self, BufRead, BufReader};
+use std::io::{self, BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 
 use serde_json::{Map, Value};
 
-use crate::exit::CommandError;
+use crate::exit::{CommandError, CommandResult};
 
 /// A line of a decision log.
 pub type LogLine = Map<String, Value>;
@@ -55,3 +55,19 @@
         Some(other) => other.to_string(),
     }
 }
+
+/// Prints lines to standard output. A reader that has seen enough ends the output early.
+pub fn print_lines<Lines>(lines: Lines) -> CommandResult
+where
+    Lines: IntoIterator<Item = String>,
+{
+    let mut out = io::stdout().lock();
+    for line in lines {
+        match writeln!(out, "{line}") {
+            Ok(()) => {}
+            Err(err) if err.kind() == io::ErrorKind::BrokenPipe => return Ok(()),
+            Err(err) => return Err(CommandError::Failed(format!("standard output: {err}"))),
+        }
+    }
+    Ok(())
+}
--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::exit::CommandResult;
-use crate::log_lines::{LogLine, member, read_lines};
+use crate::log_lines::{LogLine, member, print_lines, read_lines};
 
 /// count how requests ended, by cause and second
 #[derive(FromArgs)]
@@ -66,16 +66,14 @@
         counts.add(&line);
     }
     if args.json {
-        println!("{}", json!({ "causes": counts.causes, "failures": counts.failures }));
-        return Ok(());
+        let all = json!({ "causes": counts.causes, "failures": counts.failures });
+        return print_lines([all.to_string()]);
     }
-    for (cause, count) in &counts.causes {
-        println!("{count:8} {cause}");
-    }
-    for (second, causes) in &counts.failures {
+    let causes = counts.causes.iter().map(|(cause, count)| format!("{count:8} {cause}"));
+    let seconds = counts.failures.iter().map(|(second, causes)| {
         let causes: Vec<String> =
             causes.iter().map(|(cause, count)| format!("{cause} {count}")).collect();
-        println!("{second} {}", causes.join(", "));
-    }
-    Ok(())
+        format!("{second} {}", causes.join(", "))
+    });
+    print_lines(causes.chain(seconds))
 }
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -8,13 +8,12 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use camphorloft_serving::prelude::EngineSpec;
 use camphorloft_types::prelude::*;
 use rand::Rng;
 
 use crate::choice::Choice;
-use crate::fleet::Fleet;
 use crate::generation::{self, Need};
+use crate::pool::Pool;
 
 /// Expected share of memory up to which an engine admits a generation that could also wait.
 const ADMIT_FILL: f64 = 1.0;
@@ -65,9 +64,7 @@
 /// Decides about a generation that has waited since `arrived_at` and whose first event is due
 /// `objective` after that.
 pub fn admit<Draws>(
-    fleet: &Fleet,
-    service: &ServiceName,
-    spec: &EngineSpec,
+    pool: &Pool<'_>,
     need: &Need,
     tried: &[EndpointIx],
     (arrived_at, objective): (Instant, Duration),
@@ -80,7 +77,7 @@
     let waited = now.saturating_duration_since(arrived_at);
     let may_wait = waited < objective.mul_f64(WAIT_PART);
     let retry_after = ROOM_EXPECTED + ROOM_SPREAD.mul_f64(rng.random());
-    let Some(choice) = generation::choose(fleet, service, spec, need, tried, now, rng) else {
+    let Some(choice) = generation::choose(pool, need, tried, now, rng) else {
         if may_wait {
             return Admission::Wait;
         }
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -13,8 +13,8 @@
 use crate::choice::{Cheapest, Choice};
 use crate::distance::Distance;
 use crate::endpoint::Endpoint;
-use crate::fleet::Fleet;
 use crate::load::{EngineLoad, READ_PER_SECOND};
+use crate::pool::Pool;
 
 /// Share of the memory from which an engine is crowded: lengths are estimates.
 const CROWDED_FILL: f64 = 0.7;
@@ -60,9 +60,7 @@
 
 /// Chooses an engine for a generation, other than those in `tried`.
 pub fn choose<Draws>(
-    fleet: &Fleet,
-    service: &ServiceName,
-    spec: &EngineSpec,
+    pool: &Pool<'_>,
     need: &Need,
     tried: &[EndpointIx],
     now: Instant,
@@ -72,13 +70,13 @@
     Draws: Rng,
 {
     let mut cheapest = Cheapest::default();
-    for (ix, endpoint) in fleet.of_service(service) {
+    for (ix, endpoint) in pool.fleet.of_service(pool.service) {
         if tried.contains(&ix) || !endpoint.is_usable(now) {
             cheapest.unusable += 1;
             continue;
         }
         let load = endpoint.load.engine(&endpoint.runs, now);
-        let fill = expected_fill(&load, need, spec);
+        let fill = expected_fill(&load, need, pool.spec);
         let jitter = match endpoint.distance {
             Distance::Zone | Distance::Region => JITTER_MS,
             Distance::Remote => REMOTE_JITTER_MS,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`generation`]: chooses an engine for a generation.
 //! - [`admission`]: places a generation, lets it wait or refuses it.
 //! - [`retry_quota`]: bounds what is sent again, with the other hosts in mind.
+//! - [`pool`]: the engines of one service.
 //! - [`reclaim`]: moves running generations off an engine that leaves.
 
 pub mod admission;
@@ -30,6 +31,7 @@
 pub mod load;
 pub mod moves;
 pub mod plain;
+pub mod pool;
 pub mod prelude;
 pub mod reclaim;
 pub mod retry_quota;
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -10,6 +10,7 @@
 pub use crate::health::Health;
 pub use crate::load::{LoadHint, LoadReport};
 pub use crate::moves::{MovePlans, PlannedMove};
+pub use crate::pool::Pool;
 pub use crate::reclaim::{Fate, NoDestination};
 pub use crate::retry_quota::{QuotaSettings, RetryQuota};
 pub use crate::run::{CallId, Run, RunId, RunWork};
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -25,8 +25,9 @@
     let mut rng = rng();
     let mut counts = [0_i32; 4];
     for ix in 0..12 {
-        let choice =
-            generation::choose(&fleet, &service(), &engine(), &NEED, &[], now, &mut rng).unwrap();
+        let (service, spec) = (service(), engine());
+        let pool = Pool { fleet: &fleet, service: &service, spec: &spec };
+        let choice = generation::choose(&pool, &NEED, &[], now, &mut rng).unwrap();
         counts[choice.endpoint.as_u32() as usize] += 1;
         if ix % 3 == 0 {
             fleet.begin(choice.endpoint, &call(ix), 0, work(NEED.held, NEED.expected), now);
@@ -72,7 +73,9 @@
     let mut rng = rng();
     let mut admit = |fleet: &Fleet, now: Instant, arrived_at: Instant| {
         let begun = (arrived_at, objective);
-        admission::admit(fleet, &service(), &engine(), &NEED, &[], begun, now, &mut rng)
+        let (service, spec) = (service(), engine());
+        let pool = Pool { fleet, service: &service, spec: &spec };
+        admission::admit(&pool, &NEED, &[], begun, now, &mut rng)
     };
     assert_eq!(admit(&fleet, now, now), Admission::Wait);
     let late = now + objective;
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -202,8 +202,8 @@
         };
         let need = self.need(resume, spec.tokens_per_event);
         let begun = (call.arrived_at, call.route().objective);
-        let fleet = &state.fleet;
-        admission::admit(fleet, &service.name, spec, &need, &self.tried, begun, now, &mut state.rng)
+        let pool = Pool { fleet: &state.fleet, service: &service.name, spec };
+        admission::admit(&pool, &need, &self.tried, begun, now, &mut state.rng)
     }
 
     fn need(&self, resume: Option<&Resume>, tokens_per_event: u32) -> Need {
--- a/crates/host/tests/event_splitter.rs
+++ b/crates/host/tests/event_splitter.rs
@@ -3,8 +3,11 @@
 use camphorloft_host::event_splitter::EventSplitter;
 use proptest::prelude::*;
 
+/// Bytes and identity of an event.
+type Split = (Vec<u8>, Option<u64>);
+
 /// Returns the events and what is left, for bytes that arrive in parts.
-fn split(bytes: &[u8], cuts: &[usize]) -> (Vec<(Vec<u8>, Option<u64>)>, Vec<u8>) {
+fn split(bytes: &[u8], cuts: &[usize]) -> (Vec<Split>, Vec<u8>) {
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
     let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
