Draw engines of the own region with more jitter

Cause: hosts that hear of each other's placements 5 to 20 ms late still chose the same engine.

Change: the random part of the cost of an engine in the region is up to 250 ms, about half a prompt.

--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -37,7 +37,7 @@
 /// Cost of a generation that fails, in milliseconds.
 const FAILURE_MS: f64 = 6000.0;
 /// Random part of a cost, so that hosts with the same view do not all choose the same engine.
-const JITTER_MS: f64 = 60.0;
+const JITTER_MS: f64 = 250.0;
 
 /// What a generation needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
