--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -18,7 +18,6 @@
         token_size: ByteSize(35_136),
         link_mbps: 5_100.0,
         moves: true,
-        mirrors: true,
         tokens_per_event: 4,
     }
 }
--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -96,8 +96,6 @@
     pub rank: Option<EngineRank>,
     /// How a generation goes on, if it has begun elsewhere.
     pub resume: Option<Resume>,
-    /// Engine that keeps a mirror of the generation's memory.
-    pub mirror: Option<SocketAddr>,
 }
 
 /// Rank of a generation at an engine. One of a later rank is interrupted before one of an earlier.
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -227,7 +227,7 @@
             None => RunWork::Plain,
         };
         let rank = engine.map(|_| self.call.engine_rank());
-        SendPlan { endpoint: choice.endpoint, work, rank, resume, mirror: None }
+        SendPlan { endpoint: choice.endpoint, work, rank, resume }
     }
 
     fn log_choice(&self, choice: &Choice) {
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -299,7 +299,7 @@
         return Attempted::NotSent;
     };
     unresolved.set(true);
-    let plan = SendPlan { endpoint, work: RunWork::Plain, rank: None, resume: None, mirror: None };
+    let plan = SendPlan { endpoint, work: RunWork::Plain, rank: None, resume: None };
     let mut sent = match send(cx, call, plan, Some(connected)).await {
         Ok(sent) => sent,
         Err(ExchangeError::NotSent(_)) => return Attempted::NotSent,
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -1,6 +1,5 @@
 //! Sends one request to one endpoint and records it.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -75,8 +74,6 @@
     pub rank: Option<EngineRank>,
     /// How a generation goes on, if it has begun elsewhere.
     pub resume: Option<Resume>,
-    /// Engine that keeps a mirror of the generation's memory.
-    pub mirror: Option<SocketAddr>,
 }
 
 /// Connects to an endpoint and records how that went.
@@ -174,7 +171,6 @@
         left: call.left(now),
         rank: plan.rank,
         resume: plan.resume.clone(),
-        mirror: plan.mirror,
     };
     let mut req = Request::new(Full::new(call.body.clone()));
     *req.method_mut() = call.head.method.clone();
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -27,8 +27,6 @@
     pub memory: ByteSize,
     /// Connections that the process may have open.
     pub max_connections: usize,
-    /// Time between two signs of life of an endpoint in the list.
-    pub heartbeat: Duration,
     /// Time from the termination signal to the end of the process.
     pub grace: Duration,
     /// What may be sent again, over all hosts.
--- a/crates/host/src/stream_pump.rs
+++ b/crates/host/src/stream_pump.rs
@@ -396,7 +396,6 @@
                 work: self.work(),
                 rank: Some(EngineRank::Continued),
                 resume: Some(resume.clone()),
-                mirror: None,
             };
             let sent = timeout(CONTINUE_WITHIN, send(&self.cx, &self.call, plan, connected)).await;
             if let Ok(Ok(sent)) = sent
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -8,7 +8,8 @@
 use camphorloft_dispatch::reclaim;
 use camphorloft_types::prelude::*;
 use quick_error::quick_error;
-use slog::info;
+use slog::{debug, info};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::boundary::{CopyHandle, CopyReply, CopySource, Registry, Wire};
@@ -97,13 +98,15 @@
     let order = CopyOrder { cx: &cx, call: &call, from: &from, to: &to };
     wait_for_turn(&cx, plan, held).await?;
     let first_began = Instant::now();
-    order.first(plan.from).await?;
+    let handle = order.first(plan.from).await?;
+    let guard = CopyGuard { cx: cx.clone(), from: from.clone(), handle: Some(handle) };
     let first_took = first_began.elapsed();
     let Ok(connected) = connect_to(&cx, plan.to, CONNECT_WITHIN).await else {
         return Err(TransferError::Unreachable);
     };
     let stop_began = Instant::now();
     let (handle, events, copied) = order.last().await?;
+    guard.keep();
     info!(cx.log, "generation stopped for a move"; "call" => %call.id, "from" => %from.name,
         "to" => %to.name, "first_copy_ms" => first_took.as_millis() as u64,
         "waited_ms" => (first_began - began).as_millis() as u64,
@@ -144,6 +147,54 @@
     }
 }
 
+/// A copy that is freed when this is dropped, unless the generation goes on from it.
+struct CopyGuard<W, R>
+where
+    W: Wire,
+    R: Registry,
+{
+    cx: Rc<Host<W, R>>,
+    from: EndpointEntry,
+    handle: Option<CopyHandle>,
+}
+
+impl<W, R> CopyGuard<W, R>
+where
+    W: Wire,
+    R: Registry,
+{
+    /// Keeps the copy: it is about to be used.
+    fn keep(mut self) {
+        self.handle = None;
+    }
+}
+
+impl<W, R> Drop for CopyGuard<W, R>
+where
+    W: Wire,
+    R: Registry,
+{
+    fn drop(&mut self) {
+        let Some(handle) = self.handle.take() else { return };
+        spawn_local(release(self.cx.clone(), self.from.clone(), handle));
+    }
+}
+
+/// Frees a copy. One that is not freed lapses after some seconds.
+async fn release<W, R>(cx: Rc<Host<W, R>>, from: EndpointEntry, handle: CopyHandle)
+where
+    W: Wire,
+    R: Registry,
+{
+    let asked = async {
+        let mut connected = connect(from.addr, CONNECT_WITHIN).await?;
+        connected.ask(cx.wire.release_request(&from, &handle), MAX_REPLY_BYTES).await
+    };
+    if let Ok(Err(err)) = timeout(CONNECT_WITHIN * 2, asked).await {
+        debug!(cx.log, "copy not freed"; "engine" => %from.name, "error" => %err);
+    }
+}
+
 /// A copy between two engines.
 struct CopyOrder<'a, W, R> {
     cx: &'a Rc<Host<W, R>>,
@@ -169,7 +220,7 @@
     }
 
     /// Copies while the generation runs.
-    async fn first(&self, from: EndpointIx) -> Result<(), TransferError> {
+    async fn first(&self, from: EndpointIx) -> Result<CopyHandle, TransferError> {
         loop {
             let by = leaves_at(self.cx, from) - LAST_COPY_MARGIN;
             let left = by.saturating_duration_since(Instant::now());
@@ -177,7 +228,7 @@
                 return Err(TransferError::TooLate);
             }
             match self.order(false, left).await? {
-                CopyReply::Copied { .. } => return Ok(()),
+                CopyReply::Copied { handle, .. } => return Ok(handle),
                 // It has not made its first token.
                 CopyReply::NoSuchRun | CopyReply::Busy => sleep(RETRY_STEP).await,
                 CopyReply::Refused { .. } => return Err(TransferError::Refused),
--- a/crates/serving/src/raw.rs
+++ b/crates/serving/src/raw.rs
@@ -42,8 +42,6 @@
     pub max_sends: u32,
     /// True when no key is needed.
     pub public: bool,
-    /// True when its requests are generations, with a model and a prompt.
-    pub generation: bool,
 }
 
 /// A service of a route, with the share of the route's requests that it takes.
@@ -60,8 +58,6 @@
 pub struct RawService {
     /// Name.
     pub name: String,
-    /// Connections that each of its endpoints accepts from all hosts together.
-    pub max_connections: u32,
     /// What its engines can do, for a service that generates.
     pub engine: Option<RawEngine>,
 }
@@ -79,8 +75,6 @@
     pub link_mbps: f64,
     /// True when running sequences can be copied to another engine.
     pub moves: bool,
-    /// True when the memory of a sequence can be mirrored at another engine as it grows.
-    pub mirrors: bool,
     /// Tokens in an event of a stream.
     pub tokens_per_event: u32,
 }
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -82,8 +82,6 @@
     pub max_sends: u32,
     /// True when no key is needed.
     pub public: bool,
-    /// True when its requests are generations.
-    pub generation: bool,
 }
 
 impl Route {
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -17,8 +17,6 @@
     pub link_mbps: f64,
     /// True when running sequences can be copied to another engine.
     pub moves: bool,
-    /// True when the memory of a sequence can be mirrored at another engine as it grows.
-    pub mirrors: bool,
     /// Tokens in an event of a stream; at least 1.
     pub tokens_per_event: u32,
 }
@@ -35,7 +33,6 @@
     ///     token_size: ByteSize(35_136),
     ///     link_mbps: 5_100.0,
     ///     moves: true,
-    ///     mirrors: true,
     ///     tokens_per_event: 4,
     /// };
     /// let copy = engine.copy_time(TokenCount(4_000));
@@ -54,8 +51,6 @@
 pub struct Service {
     /// Name.
     pub name: ServiceName,
-    /// Connections that each endpoint accepts from all hosts together.
-    pub max_connections: u32,
     /// What its engines can do, for a service that generates.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/serving/src/verify.rs
+++ b/crates/serving/src/verify.rs
@@ -93,10 +93,9 @@
             token_size: ByteSize(u64::from(engine.token_bytes)),
             link_mbps: engine.link_mbps,
             moves: engine.moves && engine.link_mbps > 0.0,
-            mirrors: engine.mirrors,
             tokens_per_event: engine.tokens_per_event.max(1),
         });
-        Some(Service { name, max_connections: raw.max_connections, engine })
+        Some(Service { name, engine })
     }
 
     fn check_routes(&mut self) {
@@ -130,7 +129,6 @@
             targets: targets?,
             max_sends: raw.max_sends.max(1),
             public: raw.public,
-            generation: raw.generation,
         })
     }
 
