--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,12 +1,13 @@
 //! Counters and gauges of a host.
 
 use camphorloft_gateway::control::{INVARIANTS, Invariant};
+use camphorloft_observe::metric_set::MetricSet;
 use camphorloft_types::prelude::Outcome;
-use prometheus::{Encoder, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 
 /// Metrics of one host, in a registry of its own.
 pub struct Metrics {
-    registry: Registry,
+    set: MetricSet,
     /// Requests by outcome.
     pub requests: IntCounterVec,
     /// Attempts by how they ended.
@@ -25,44 +26,31 @@
     pub load_reports: IntCounter,
 }
 
-fn counters(registry: &Registry, name: &str, help: &str, label: &str) -> IntCounterVec {
-    let counters = IntCounterVec::new(Opts::new(name, help), &[label]).expect("a valid name");
-    registry.register(Box::new(counters.clone())).expect("registered once");
-    counters
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(name, help).expect("a valid name");
-    registry.register(Box::new(gauge.clone())).expect("registered once");
-    gauge
-}
-
 impl Default for Metrics {
     fn default() -> Self {
-        let registry = Registry::new();
-        let r = &registry;
-        let violations = counters(
-            r,
+        let set = MetricSet::default();
+        let violations = set.counters(
             "camphorloft_invariant_violations_total",
             "Breaches of an invariant; any is a fault of the program",
-            "name",
+            &["name"],
         );
         for invariant in INVARIANTS {
             violations.with_label_values(&[invariant.as_str()]);
         }
-        let load_reports =
-            IntCounter::new("camphorloft_load_reports_total", "Load reports taken").expect("valid");
-        registry.register(Box::new(load_reports.clone())).expect("registered once");
         Self {
-            requests: counters(r, "camphorloft_requests_total", "Requests by outcome", "outcome"),
-            attempts: counters(r, "camphorloft_attempts_total", "Attempts by their end", "end"),
-            decisions: counters(r, "camphorloft_decisions_total", "Decisions by kind", "kind"),
+            requests: set.counters(
+                "camphorloft_requests_total",
+                "Requests by outcome",
+                &["outcome"],
+            ),
+            attempts: set.counters("camphorloft_attempts_total", "Attempts by their end", &["end"]),
+            decisions: set.counters("camphorloft_decisions_total", "Decisions by kind", &["kind"]),
             violations,
-            config_version: gauge(r, "camphorloft_config_version", "Object set in force"),
-            running: gauge(r, "camphorloft_generations_running", "Generations that run"),
-            waiting: gauge(r, "camphorloft_generations_waiting", "Generations that wait"),
-            load_reports,
-            registry,
+            config_version: set.gauge("camphorloft_config_version", "Object set in force"),
+            running: set.gauge("camphorloft_generations_running", "Generations that run"),
+            waiting: set.gauge("camphorloft_generations_waiting", "Generations that wait"),
+            load_reports: set.counter("camphorloft_load_reports_total", "Load reports taken"),
+            set,
         }
     }
 }
@@ -85,9 +73,6 @@
 
     /// Returns all metrics in the text format of Prometheus.
     pub fn to_text(&self) -> String {
-        let mut buf = Vec::new();
-        // Writing to a vector cannot fail.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        String::from_utf8_lossy(&buf).into_owned()
+        self.set.to_text()
     }
 }
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -8,9 +8,35 @@
 use camphorloft_serving::prelude::*;
 use camphorloft_types::prelude::*;
 use http::request;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::boundary::{EngineRank, GenerationHead};
 
+/// Returns a digest of what was asked for: the same in each attempt of a caller, on every host and
+/// under every version.
+///
+/// ```
+/// use camphorloft_host::call::fingerprint;
+/// let coop = "coop".parse().unwrap();
+/// let first = fingerprint("POST", "/drafts/1", Some(&coop), b"prompt");
+/// assert_eq!(first, fingerprint("POST", "/drafts/1", Some(&coop), b"prompt"));
+/// assert_ne!(first, fingerprint("POST", "/drafts/1", None, b"prompt"));
+/// ```
+pub fn fingerprint(
+    method: &str,
+    path: &str,
+    organisation: Option<&OrganisationName>,
+    body: &[u8],
+) -> u64 {
+    let mut digest = Xxh3::new();
+    let organisation = organisation.map_or("", OrganisationName::as_str);
+    for part in [method.as_bytes(), path.as_bytes(), organisation.as_bytes(), body] {
+        digest.update(&(part.len() as u64).to_le_bytes());
+        digest.update(part);
+    }
+    digest.digest()
+}
+
 /// A request that was taken: routed, with its whole body.
 #[derive(Debug)]
 pub struct Call {
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -13,11 +13,10 @@
 use rand::Rng;
 use slog::info;
 use tokio::time::timeout_at;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::answer_body::AnswerBody;
 use crate::boundary::{Intake, Registry, Wire};
-use crate::call::Call;
+use crate::call::{Call, fingerprint};
 use crate::context::{Host, Stage};
 use crate::own_answer::own_answer;
 use crate::{generation_call, plain_call};
@@ -133,9 +132,11 @@
     check_stage(cx, &serving.routes[route])?;
     let body = read_body(cx, &serving.limits, body, due_at, held).await?;
     let draw = cx.state.borrow_mut().rng.random::<f64>();
+    let name = organisation.map(|ix| &serving.organisations[ix].name);
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let call = Call {
         id: intake.call,
-        fingerprint: fingerprint(&head, organisation, &body),
+        fingerprint: fingerprint(head.method.as_str(), path, name, &body),
         service: serving.routes[route].choose_target(draw),
         head,
         body,
@@ -198,13 +199,3 @@
         buf.extend_from_slice(&data);
     }
 }
-
-/// Returns a digest of what was asked for, the same in each attempt of a caller.
-fn fingerprint(head: &request::Parts, organisation: Option<OrganisationIx>, body: &[u8]) -> u64 {
-    let mut digest = Xxh3::new();
-    digest.update(head.method.as_str().as_bytes());
-    digest.update(head.uri.path_and_query().map_or(b"", |path| path.as_str().as_bytes()));
-    digest.update(&organisation.map_or(u32::MAX, |ix| ix.as_u32()).to_le_bytes());
-    digest.update(body);
-    digest.digest()
-}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`plain_call`]: serves a call of a plain service.
 //! - [`generation_call`]: serves a generation up to the head of its answer.
 //! - [`stream_pump`]: carries the events of a generation to its caller.
+//! - [`pump_moves`]: moves the generation of a pump to another engine.
 //! - [`transfer`]: copies a running generation to another engine.
 //! - [`event_splitter`]: cuts a byte stream into events.
 //! - [`serving_watch`]: follows the version in force.
@@ -51,6 +52,7 @@
 pub mod peers;
 pub mod plain_call;
 pub mod probes;
+pub mod pump_moves;
 pub mod report_poll;
 pub mod sending;
 pub mod serving_watch;
