--- a/crates/dispatch/src/distance.rs
+++ b/crates/dispatch/src/distance.rs
@@ -27,7 +27,7 @@
 }
 
 /// Where this host is, and which region each zone belongs to.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Locality {
     /// Zone of this host.
     pub zone: AvailabilityZone,
--- a/crates/dispatch/src/retry_quota.rs
+++ b/crates/dispatch/src/retry_quota.rs
@@ -47,6 +47,11 @@
         Self { settings, hosts: hosts.max(1), services: HashMap::new() }
     }
 
+    /// Sets the quota of each service over all hosts.
+    pub fn set_settings(&mut self, settings: QuotaSettings) {
+        self.settings = settings;
+    }
+
     /// Sets the number of hosts that share the quota, this one included.
     pub fn set_hosts(&mut self, hosts: u32) {
         self.hosts = hosts.max(1);
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -70,6 +70,8 @@
     pub state: RefCell<State>,
     /// Bytes of bodies of requests that are held.
     pub held_bytes: Cell<u64>,
+    /// Time from the termination signal to the end of the process.
+    pub grace: Cell<Duration>,
     /// When this host itself last knew the endpoint list to be complete.
     pub list_read_at: Cell<Option<Instant>>,
     /// When this host itself last knew the version in force to be the newest.
@@ -94,6 +96,7 @@
             rng: SmallRng::from_os_rng(),
         };
         Rc::new(Self {
+            grace: Cell::new(settings.grace),
             settings,
             wire,
             registry,
@@ -109,6 +112,18 @@
         })
     }
 
+    /// Takes over settings that were read anew, as far as a running host can.
+    pub fn reload(&self, settings: &HostSettings) {
+        self.grace.set(settings.grace);
+        self.state.borrow_mut().quota.set_settings(settings.quota);
+        let outcome = match self.settings.is_reloadable(settings) {
+            true => "in force",
+            false => "in force but for what needs a restart",
+        };
+        info!(self.log, "settings reloaded"; "outcome" => outcome,
+            "grace_ms" => settings.grace.as_millis() as u64);
+    }
+
     /// Returns the version in force.
     pub fn serving(&self) -> Option<Rc<ServingSet>> {
         self.state.borrow().serving.clone()
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -158,7 +158,7 @@
 /// Refuses what a draining host cannot finish.
 fn check_stage<W, R>(cx: &Rc<Host<W, R>>, route: &Route) -> Result<(), Refusal> {
     let Stage::Draining { since } = cx.stage() else { return Ok(()) };
-    let left = cx.settings.grace.saturating_sub(since.elapsed());
+    let left = cx.grace.get().saturating_sub(since.elapsed());
     let long = route.repeat.is_stream() && route.timeout > left;
     if long || since.elapsed() > DRAINING_INTAKE {
         return Err(Refusal::later("draining", DRAINING_RETRY));
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Start, signals and the end of the process.
 
+use std::fmt::Display;
 use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -14,6 +15,7 @@
 use crate::context::{Host, Stage};
 use crate::listener::{accept_all, bind, serve_caller};
 use crate::probes::{Probe, serve_probe};
+use crate::settings::HostSettings;
 use crate::{endpoint_watch, peer_link, report_poll, serving_watch};
 
 /// Time after the signal after which idle connections are closed: the balancer has noticed by
@@ -44,15 +46,21 @@
     }
 }
 
-/// Runs a host until it has drained after a signal. Must be called within a local task set.
+/// Runs a host until it has drained after a signal. `read_settings` is called when the process is
+/// told that its settings changed. Must be called within a local task set.
 ///
 /// # Errors
 ///
 /// Returns the error of listening or of registering the signal handlers.
-pub async fn run<W, R>(cx: Rc<Host<W, R>>) -> io::Result<()>
+pub async fn run<W, R, ReadSettings, Failed>(
+    cx: Rc<Host<W, R>>,
+    read_settings: ReadSettings,
+) -> io::Result<()>
 where
     W: Wire,
     R: Registry,
+    ReadSettings: Fn() -> Result<HostSettings, Failed>,
+    Failed: Display,
 {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
@@ -64,19 +72,19 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => {
-                // Every setting is fixed for the life of the process.
-                info!(cx.log, "reload asked for"; "outcome" => "settings unchanged");
-            }
+            _ = hangup.recv() => match read_settings() {
+                Ok(settings) => cx.reload(&settings),
+                Err(err) => warn!(cx.log, "settings not reloaded"; "error" => %err),
+            },
         }
     }
     let began = Instant::now();
     cx.drain();
     cx.with_link(|link, out| link.leave(out));
     info!(cx.log, "draining"; "callers" => Rc::strong_count(&callers) - 1,
-        "grace_ms" => cx.settings.grace.as_millis() as u64);
-    let by = began + cx.settings.grace.saturating_sub(GRACE_MARGIN);
-    sleep(INTAKE_AFTER_SIGNAL.min(cx.settings.grace / 2)).await;
+        "grace_ms" => cx.grace.get().as_millis() as u64);
+    let by = began + cx.grace.get().saturating_sub(GRACE_MARGIN);
+    sleep(INTAKE_AFTER_SIGNAL.min(cx.grace.get() / 2)).await;
     while Rc::strong_count(&callers) > 1 && Instant::now() < by {
         sleep(DRAIN_STEP).await;
     }
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -7,7 +7,7 @@
 use camphorloft_types::prelude::*;
 
 /// What a host is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct HostSettings {
     /// Name.
     pub host: HostName,
@@ -32,3 +32,12 @@
     /// What may be sent again, over all hosts.
     pub quota: QuotaSettings,
 }
+
+impl HostSettings {
+    /// Returns true when `other` differs in nothing but what a running host can take over: the
+    /// grace period and the quota.
+    pub fn is_reloadable(&self, other: &Self) -> bool {
+        let Self { grace, quota, .. } = self.clone();
+        *self == Self { grace, quota, ..other.clone() }
+    }
+}
--- /dev/null
+++ b/crates/host/tests/settings.rs
@@ -0,0 +1,44 @@
+//! Which changes of the settings a running host takes over.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use camphorloft_dispatch::prelude::{Locality, QuotaSettings};
+use camphorloft_host::settings::HostSettings;
+use camphorloft_types::prelude::ByteSize;
+
+fn settings() -> HostSettings {
+    let addr = "127.0.0.1:1".parse().unwrap();
+    HostSettings {
+        host: "h1".parse().unwrap(),
+        locality: Locality {
+            zone: "z".parse().unwrap(),
+            region: "r".parse().unwrap(),
+            regions: BTreeMap::new(),
+        },
+        callers: addr,
+        readiness: addr,
+        metrics: addr,
+        peers: addr,
+        seeds: Vec::new(),
+        memory: ByteSize(1 << 20),
+        max_connections: 10,
+        grace: Duration::from_secs(8),
+        quota: QuotaSettings { window: Duration::from_secs(10), ratio: 0.2, extra: 54.0 },
+    }
+}
+
+#[test]
+fn grace_and_quota_are_taken_over() {
+    let mut changed = settings();
+    changed.grace = Duration::from_secs(3);
+    changed.quota.extra = 9.0;
+    assert!(settings().is_reloadable(&changed));
+}
+
+#[test]
+fn an_address_needs_a_restart() {
+    let mut changed = settings();
+    changed.callers = "127.0.0.1:2".parse().unwrap();
+    assert!(!settings().is_reloadable(&changed));
+}
