--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -1,8 +1,11 @@
 //! An endpoint that was chosen, with the inputs that decided it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use camphorloft_types::prelude::EndpointIx;
+use camphorloft_types::prelude::*;
+
+use crate::endpoint::Endpoint;
+use crate::fleet::Fleet;
 
 /// An endpoint that was chosen, with the inputs that decided it.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,23 +30,29 @@
     pub unusable: u32,
 }
 
-/// Keeps the cheapest of the endpoints offered.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Cheapest {
-    best: Option<Choice>,
-    compared: u32,
-    pub(crate) unusable: u32,
-}
-
-impl Cheapest {
-    pub(crate) fn offer(&mut self, choice: Choice) {
-        self.compared += 1;
-        if self.best.is_none_or(|best| choice.cost_ms < best.cost_ms) {
-            self.best = Some(choice);
+/// Returns the cheapest of the endpoints of a service that can be used and are not in `tried`.
+pub(crate) fn cheapest<Price>(
+    fleet: &Fleet,
+    service: &ServiceName,
+    tried: &[EndpointIx],
+    now: Instant,
+    mut price: Price,
+) -> Option<Choice>
+where
+    Price: FnMut(EndpointIx, &Endpoint) -> Choice,
+{
+    let mut best: Option<Choice> = None;
+    let (mut compared, mut unusable) = (0, 0);
+    for (ix, endpoint) in fleet.of_service(service) {
+        if tried.contains(&ix) || !endpoint.is_usable(now) {
+            unusable += 1;
+            continue;
+        }
+        compared += 1;
+        let choice = price(ix, endpoint);
+        if best.is_none_or(|best| choice.cost_ms < best.cost_ms) {
+            best = Some(choice);
         }
     }
-
-    pub(crate) fn finish(self) -> Option<Choice> {
-        self.best.map(|best| Choice { compared: self.compared, unusable: self.unusable, ..best })
-    }
+    best.map(|best| Choice { compared, unusable, ..best })
 }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -10,13 +10,13 @@
 
 /// Weight of a new observation of a time.
 const TIME_GAIN: f64 = 0.15;
-/// Time to connect that is assumed before one was observed: two crossings of the sheets' links.
+/// Time to connect that is assumed before one was observed: two crossings of today's links.
 const ZONE_CONNECT: Duration = Duration::from_micros(300);
 /// The same within a region.
 const REGION_CONNECT: Duration = Duration::from_millis(2);
 /// The same between regions.
 const REMOTE_CONNECT: Duration = Duration::from_millis(40);
-/// Time that an endpoint takes for a plain call before one was observed; the sheets' mean.
+/// Time that an endpoint takes for a plain call before one was observed; the mean of today's services.
 const FIRST_WORK: Duration = Duration::from_millis(60);
 
 /// Time within which a broken request and the loss of its endpoint count as one crash: a crashed
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -10,7 +10,7 @@
 use camphorloft_types::prelude::*;
 use rand::Rng;
 
-use crate::choice::{Cheapest, Choice};
+use crate::choice::{Choice, cheapest};
 use crate::distance::Distance;
 use crate::endpoint::Endpoint;
 use crate::load::{EngineLoad, READ_PER_SECOND};
@@ -69,12 +69,7 @@
 where
     Draws: Rng,
 {
-    let mut cheapest = Cheapest::default();
-    for (ix, endpoint) in pool.fleet.of_service(pool.service) {
-        if tried.contains(&ix) || !endpoint.is_usable(now) {
-            cheapest.unusable += 1;
-            continue;
-        }
+    cheapest(pool.fleet, pool.service, tried, now, |ix, endpoint| {
         let load = endpoint.load.engine(&endpoint.runs, now);
         let fill = expected_fill(&load, need, pool.spec);
         let jitter = match endpoint.distance {
@@ -82,7 +77,7 @@
             Distance::Remote => REMOTE_JITTER_MS,
         };
         let cost = expected_ms(endpoint, &load, fill, need, now);
-        cheapest.offer(Choice {
+        Choice {
             endpoint: ix,
             cost_ms: cost + jitter * rng.random::<f64>(),
             failure_share: endpoint.health.failure_share(now),
@@ -92,9 +87,8 @@
             report_age: endpoint.load.report(now).map(|(_, age)| age),
             compared: 0,
             unusable: 0,
-        });
-    }
-    cheapest.finish()
+        }
+    })
 }
 
 fn expected_ms(
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 /// Time in which an observation loses half of its weight. Several requests of each kind reach an
-/// endpoint in this time at the sizes of the sheets.
+/// endpoint in this time in today's deployments.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 /// Share of failures that is assumed before anything was observed.
 const PRIOR_FAILURES: f64 = 0.05;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -9,13 +9,13 @@
 /// Time in which what an answer said of the endpoint's load loses half of its weight.
 const HINT_HALF_LIFE: Duration = Duration::from_millis(400);
 /// Speed at which an engine generates for one sequence in a small batch, in tokens per second.
-/// Engines of the sheets take 7 ms and more for a token.
+/// Today's engines take 7 ms and more for a token.
 pub const TOKENS_PER_SECOND: f64 = 110.0;
 /// Speed at which an engine reads prompts beside a small batch, in tokens per second: a chunk of
 /// 112 tokens with each step of about 16 ms.
 pub const READ_PER_SECOND: f64 = 7000.0;
 /// Tokens that a generation of another host is expected to go on for: about half of a long
-/// output on the sheets.
+/// output today.
 const FOREIGN_TOKENS_LEFT: u32 = 500;
 
 /// Time for which an engine that refused a copy is not asked again: sequences end there a few
--- a/crates/dispatch/src/plain.rs
+++ b/crates/dispatch/src/plain.rs
@@ -9,7 +9,7 @@
 use camphorloft_types::prelude::*;
 use rand::Rng;
 
-use crate::choice::{Cheapest, Choice};
+use crate::choice::{Choice, cheapest};
 use crate::distance::Distance;
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
@@ -39,26 +39,17 @@
 where
     Draws: Rng,
 {
-    let mut cheapest = Cheapest::default();
-    for (ix, endpoint) in fleet.of_service(service) {
-        if tried.contains(&ix) || !endpoint.is_usable(now) {
-            cheapest.unusable += 1;
-            continue;
-        }
-        let cost = expected_ms(endpoint, now) * (1.0 + JITTER * rng.random::<f64>());
-        cheapest.offer(Choice {
-            endpoint: ix,
-            cost_ms: cost,
-            failure_share: endpoint.health.failure_share(now),
-            fill: 0.0,
-            unread: 0,
-            sequences: endpoint.runs.len() as u32,
-            report_age: None,
-            compared: 0,
-            unusable: 0,
-        });
-    }
-    cheapest.finish()
+    cheapest(fleet, service, tried, now, |ix, endpoint| Choice {
+        endpoint: ix,
+        cost_ms: expected_ms(endpoint, now) * (1.0 + JITTER * rng.random::<f64>()),
+        failure_share: endpoint.health.failure_share(now),
+        fill: 0.0,
+        unread: 0,
+        sequences: endpoint.runs.len() as u32,
+        report_age: None,
+        compared: 0,
+        unusable: 0,
+    })
 }
 
 fn expected_ms(endpoint: &Endpoint, now: Instant) -> f64 {
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -17,7 +17,7 @@
 use crate::load::TOKENS_PER_SECOND;
 use crate::run::Run;
 
-/// Time from the notice to the end of an engine that does not tell it: the shortest of the sheets
+/// Time from the notice to the end of an engine that does not tell it: the shortest seen
 /// is about one and a half seconds.
 const ASSUMED_NOTICE: Duration = Duration::from_millis(1500);
 /// Time kept for the generation to go on elsewhere.
--- a/crates/dispatch/src/retry_quota.rs
+++ b/crates/dispatch/src/retry_quota.rs
@@ -2,7 +2,7 @@
 //!
 //! Answers endpoints that fail many requests at once: resends may add only a fixed share to the
 //! load of a service over all hosts. Hosts do not coordinate. Each takes the share that its own
-//! requests earn, and an equal part of the allowance that no request earns.
+//! requests earn, and an equal part of what no request earns.
 
 use std::collections::{HashMap, VecDeque};
 use std::time::{Duration, Instant};
@@ -60,10 +60,7 @@
     fn buckets(&mut self, service: &ServiceName, now: Instant) -> &mut VecDeque<Bucket> {
         let width = self.settings.window / BUCKETS;
         let window = self.settings.window + width;
-        if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), VecDeque::new());
-        }
-        let buckets = self.services.get_mut(service).expect("inserted above");
+        let buckets = self.services.entry(service.clone()).or_default();
         let old = |bucket: &Bucket| now.saturating_duration_since(bucket.began) > window;
         while buckets.front().is_some_and(old) {
             buckets.pop_front();
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -10,7 +10,7 @@
 /// Zones of the fleets; the first two share a region.
 pub const ZONES: [(&str, &str); 3] = [("n-a", "north"), ("n-b", "north"), ("s-a", "south")];
 
-/// An engine of the sheets.
+/// An engine as in today's larger deployments.
 pub fn engine() -> EngineSpec {
     EngineSpec {
         slots: 24,
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -26,7 +26,7 @@
 use crate::sending::{SendPlan, broke_off, connect_to, send};
 use crate::upstream::ExchangeError;
 
-/// Largest answer of a plain service, in bytes. The sheets' answers are a thousandth of it.
+/// Largest answer of a plain service, in bytes. Answers of today's services are a thousandth of it.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Endpoints to which a connection is tried for one call.
 const MAX_CONNECTS: usize = 4;
--- a/crates/observe/src/bounded.rs
+++ b/crates/observe/src/bounded.rs
@@ -5,7 +5,7 @@
 
 use slog::{Drain, Level, OwnedKVList, Record, b, record};
 
-/// Lines that pass in a window. A host of the sheets writes about a tenth of it at its peak.
+/// Lines that pass in a window. Today's hosts write about a tenth of it at their peak.
 pub const LINES_PER_WINDOW: u32 = 400;
 /// Length of a window.
 pub const WINDOW: Duration = Duration::from_secs(1);
