Resume a torn stream no more often than its route allows

Cause: reading the code: a resume did not count against the sends of the route, only against the quota. Found by a test that failed first: a stream that every engine tears ran 401 times where the route allows two sends.

Change: each break at an endpoint that is still there counts as a send; endpoints that ended do not.

Measured: the test passes with 2 runs; 21 tests on loopback pass.

--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -70,10 +70,14 @@
     W: Wire,
     R: Registry,
 {
-    /// Builds the search for an engine for a generation that has begun elsewhere and broke off at
-    /// the endpoints in `tried`.
-    pub fn resuming(cx: Rc<Host<W, R>>, call: Rc<Call>, tried: Vec<EndpointIx>) -> Self {
-        let sends = tried.len() as u32;
+    /// Builds the search for an engine for a generation that has begun elsewhere, was sent `sends`
+    /// times and broke off at the endpoints in `tried`.
+    pub fn resuming(
+        cx: Rc<Host<W, R>>,
+        call: Rc<Call>,
+        tried: Vec<EndpointIx>,
+        sends: u32,
+    ) -> Self {
         Self { cx, call, tried, sends, may_have_run: true, waited: false }
     }
 
@@ -94,7 +98,7 @@
                 Ok(Err(ExchangeError::Unanswered(_))) => {
                     self.sends += 1;
                     self.may_have_run = true;
-                    self.check_resend("broken_answer", resume.is_some())?;
+                    self.check_resend("broken_answer")?;
                 }
                 Ok(Ok(sent)) => {
                     self.sends += 1;
@@ -107,26 +111,26 @@
                         }
                         AnswerKind::Failed => {
                             self.may_have_run = true;
-                            if self.check_resend("failed", resume.is_some()).is_err() {
+                            if self.check_resend("failed").is_err() {
                                 return Ok(sent);
                             }
                             continue;
                         }
                     };
                     self.cx.metrics.sends.with_label_values(&[result]).inc();
-                    self.check_resend(result, resume.is_some())?;
+                    self.check_resend(result)?;
                 }
             }
         }
     }
 
     /// Returns an error when the generation must not be sent again.
-    fn check_resend(&mut self, reason: &'static str, resumes: bool) -> Result<(), GaveUp> {
+    fn check_resend(&mut self, reason: &'static str) -> Result<(), GaveUp> {
         let route = self.call.route();
         let now = Instant::now();
         let repeatable = route.repeat.is_repeatable() || !self.may_have_run;
         let in_time = !self.call.left(now).is_zero();
-        let allowed = repeatable && in_time && (resumes || self.sends < route.max_sends);
+        let allowed = repeatable && in_time && self.sends < route.max_sends;
         let service = &self.call.service().name;
         if allowed && self.cx.state.borrow_mut().quota.try_spend(service, now) {
             return Ok(());
@@ -293,7 +297,7 @@
     /// Sends a generation that broke off on to another engine. Returns its answer when that goes
     /// on with the stream.
     pub async fn reopen(mut self, after: u64) -> Option<Sent<W, R>> {
-        self.check_resend("broken_stream", true).ok()?;
+        self.check_resend("broken_stream").ok()?;
         let sent = self.open(Some(Resume { after, copy: None })).await.ok()?;
         (sent.kind == AnswerKind::Success).then_some(sent)
     }
--- a/crates/host/src/stream_pump.rs
+++ b/crates/host/src/stream_pump.rs
@@ -89,6 +89,8 @@
     /// Event that the longest pause preceded.
     pub(crate) longest_pause_before: u64,
     pub(crate) moves: u32,
+    /// Endpoints at which the stream broke off and that are still there.
+    pub(crate) sends: u32,
     /// Engines that refused a copy or broke off.
     pub(crate) tried: Vec<EndpointIx>,
     pub(crate) transfer: Option<OwnedTask<Result<Handover, TransferError>>>,
@@ -127,6 +129,7 @@
             longest_pause: Duration::ZERO,
             longest_pause_before: 0,
             moves: 0,
+            sends: 0,
             tried: Vec::new(),
             transfer: None,
             transfer_to: None,
@@ -284,8 +287,12 @@
         if !resumable {
             return Some(End::BrokenOff);
         }
-        let tried = vec![self.source.guard.endpoint];
-        let placing = Placing::resuming(self.cx.clone(), self.call.clone(), tried);
+        let endpoint = self.source.guard.endpoint;
+        // An endpoint that ended does not count against the sends that the route allows.
+        let is_there = self.cx.state.borrow().fleet.get(endpoint).is_some_and(Endpoint::is_ready);
+        self.sends += u32::from(is_there);
+        let placing =
+            Placing::resuming(self.cx.clone(), self.call.clone(), vec![endpoint], self.sends);
         let after = self.last_event.unwrap_or(0);
         match placing.reopen(after).await {
             Some(sent) => {
