Price engines by the lateness of first events

An engine with 0.85 of its memory taken cost as much as 14,000 unread tokens, so that the few engines with room collected prompts beyond what they read in time.

Change: reading beyond half of the time until the first event is due costs four times; memory costs from 0.95 on.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -77,7 +77,8 @@
     let waited = now.saturating_duration_since(arrived_at);
     let may_wait = waited < objective.mul_f64(WAIT_PART);
     let retry_after = ROOM_EXPECTED + ROOM_SPREAD.mul_f64(rng.random());
-    let Some(choice) = generation::choose(pool, need, tried, now, rng) else {
+    let due = objective.saturating_sub(waited);
+    let Some(choice) = generation::choose(pool, need, tried, due, now, rng) else {
         if may_wait {
             return Admission::Wait;
         }
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -3,8 +3,11 @@
 //! Answers long outputs of unknown length on engines whose memory fills in the middle of decoding:
 //! an engine is priced by the memory that its sequences are expected to need at their peak, by
 //! the prompts that it still has to read, and by how often it fails.
+//!
+//! Answers also prompts that arrive while most memory is taken: the engines with room are few, and
+//! without a price for lateness they would collect more prompts than they read in time.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use camphorloft_serving::prelude::EngineSpec;
 use camphorloft_types::prelude::*;
@@ -17,10 +20,17 @@
 use crate::pool::Pool;
 
 /// Share of the memory from which an engine is crowded: lengths are estimates.
-const CROWDED_FILL: f64 = 0.7;
+const CROWDED_FILL: f64 = 0.95;
 /// Cost of an engine whose whole memory is expected to be needed, above one that is not crowded,
 /// in milliseconds.
 const FULL_MS: f64 = 4000.0;
+/// Part of the time until the first event is due that reading the prompts may take. The rest is for
+/// what the estimate misses: reports are half a second old, and hosts hear late of each other.
+const READING_PART: f64 = 0.5;
+/// Cost of each millisecond of reading beyond that, in milliseconds. At the time when the event is
+/// due it adds up to about the cost of an engine that has no memory left: both lose most of the
+/// worth of one generation.
+const LATE_FACTOR: f64 = 4.0;
 /// Cost of each sequence beside which a generation runs, in milliseconds: every step takes longer,
 /// and a prompt that is read delays the tokens of all.
 const NEIGHBOUR_MS: f64 = 40.0;
@@ -58,11 +68,13 @@
     (f64::from(load.used + need.held) + growth) / f64::from(spec.memory.0.max(1))
 }
 
-/// Chooses an engine for a generation, other than those in `tried`.
+/// Chooses an engine for a generation whose first event is due after `due`, other than those in
+/// `tried`.
 pub fn choose<Draws>(
     pool: &Pool<'_>,
     need: &Need,
     tried: &[EndpointIx],
+    due: Duration,
     now: Instant,
     rng: &mut Draws,
 ) -> Option<Choice>
@@ -76,7 +88,7 @@
             Distance::Zone | Distance::Region => JITTER_MS,
             Distance::Remote => REMOTE_JITTER_MS,
         };
-        let cost = expected_ms(endpoint, &load, fill, need, now);
+        let cost = expected_ms(endpoint, &load, fill, need, due, now);
         Choice {
             endpoint: ix,
             cost_ms: cost + jitter * rng.random::<f64>(),
@@ -96,10 +108,12 @@
     load: &EngineLoad,
     fill: f64,
     need: &Need,
+    due: Duration,
     now: Instant,
 ) -> f64 {
     let reading = f64::from(load.unread + need.unread) / READ_PER_SECOND * 1e3;
     let crowding = (fill - CROWDED_FILL).max(0.0) / (1.0 - CROWDED_FILL) * FULL_MS;
+    let late = (reading - due.as_secs_f64() * 1e3 * READING_PART).max(0.0) * LATE_FACTOR;
     let neighbours = f64::from(load.sequences) * NEIGHBOUR_MS;
     let cold = endpoint.warm_at.saturating_duration_since(now).as_secs_f64() * 1e3 * COLD_PART;
     let way = match endpoint.distance {
@@ -108,5 +122,5 @@
         Distance::Remote => REMOTE_MS,
     };
     let failures = endpoint.health.failure_share(now) * FAILURE_MS;
-    reading + crowding + neighbours + cold + way + failures
+    reading + late + crowding + neighbours + cold + way + failures
 }
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -11,6 +11,8 @@
 use rand_pcg::Pcg64Mcg;
 
 const NEED: Need = Need { held: 3_000, unread: 3_000, expected: 800 };
+/// Time in which the first event of a long generation is due today.
+const DUE: Duration = Duration::from_millis(1_800);
 
 fn rng() -> Pcg64Mcg {
     Pcg64Mcg::seed_from_u64(20_261_204)
@@ -27,7 +29,7 @@
     for ix in 0..12 {
         let (service, spec) = (service(), engine());
         let pool = Pool { fleet: &fleet, service: &service, spec: &spec };
-        let choice = generation::choose(&pool, &NEED, &[], now, &mut rng).unwrap();
+        let choice = generation::choose(&pool, &NEED, &[], DUE, now, &mut rng).unwrap();
         counts[choice.endpoint.as_u32() as usize] += 1;
         if ix % 3 == 0 {
             fleet.begin(choice.endpoint, &call(ix), 0, work(NEED.held, NEED.expected), now);
