Ask for further leaving endpoints at once

Cause: engines are reclaimed in groups whose entries change one after the other. A reader that had just learned of the first ones waited for 180 ms before it asked again; the later half of each group was known 0.2 s later, of a notice of 1.5 s to 2.1 s.

Change: no pause after an answer that told of a leaving endpoint.

--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -48,6 +48,26 @@
     regained_at: Option<Instant>,
     /// Entries that are missing since the registry came back, and when they count as gone.
     lapsed: BTreeMap<EndpointName, Instant>,
+    /// True when the last answer told that an endpoint leaves.
+    told_of_leaving: bool,
+}
+
+/// Returns the time between two questions. Endpoints are reclaimed in groups, and each millisecond of
+/// their notice counts, so that the next question after one that told of a leaving endpoint follows
+/// at once. A host that has not joined the others yet asks less often: at the start of a fleet all
+/// hosts ask.
+///
+/// ```
+/// use camphorloft_host::endpoint_watch::pace;
+/// assert!(pace(true, true).is_zero());
+/// assert!(pace(true, false) < pace(false, false));
+/// ```
+pub fn pace(joined: bool, told_of_leaving: bool) -> Duration {
+    match (told_of_leaving, joined) {
+        (true, _) => Duration::ZERO,
+        (false, true) => PACE,
+        (false, false) => UNJOINED_PACE,
+    }
 }
 
 /// Follows the endpoint list.
@@ -76,7 +96,8 @@
             Ok(()) => {
                 cx.list_read_at.set(Some(Instant::now()));
                 cx.state.borrow_mut().peers.list_was_read();
-                sleep(cx.list_pace()).await;
+                let told_of_leaving = std::mem::take(&mut list.told_of_leaving);
+                sleep(cx.list_pace(told_of_leaving)).await;
             }
             Err(RegistryError::HistoryLost) => {
                 info!(cx.log, "endpoint list read anew"; "reason" => "history lost");
@@ -101,11 +122,9 @@
         !self.reads_registry(now) && self.state.borrow().peers.list_is_told(now)
     }
 
-    /// Returns the time between two questions. A host that has not joined the others yet asks less
-    /// often: at the start of a fleet all hosts ask.
-    fn list_pace(&self) -> Duration {
+    fn list_pace(&self, told_of_leaving: bool) -> Duration {
         let joined = self.state.borrow().peers.live().next().is_some();
-        if joined { PACE } else { UNJOINED_PACE }
+        pace(joined, told_of_leaving)
     }
 
     /// Returns the time to wait after a failed call to the registry. Hosts whose duty it is not
@@ -201,6 +220,7 @@
             EndpointChange::Delisted(name) => delist(cx, list, name, now, &mut changes),
         }
     }
+    list.told_of_leaving = changes.iter().any(|c| matches!(c, FleetChange::Leaving(_)));
     cx.note_fleet_changes(&changes, "registry_change");
     cx.tell_changes(&changes);
     list.revision = Some(after.max(revision));
