--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -32,8 +32,9 @@
 const COPY_SETUP: Duration = Duration::from_millis(8);
 /// Factor of the time of a copy between availability zones.
 const CROSS_ZONE_FACTOR: u32 = 2;
-/// Share of the memory in use, with the copy, up to which an engine is a destination.
-const DESTINATION_USED: f64 = 0.94;
+/// Estimated share of the memory in use, with the copy, up to which an engine is a destination. The
+/// estimate is half a second old, and an engine without room refuses a copy at once.
+const DESTINATION_USED: f64 = 1.0;
 /// Cost of a destination whose whole memory is expected to be needed, in milliseconds: a copy that
 /// ends that much sooner elsewhere is preferred.
 const FULL_MS: f64 = 400.0;
--- a/crates/dispatch/tests/reclaim.rs
+++ b/crates/dispatch/tests/reclaim.rs
@@ -107,6 +107,20 @@
     assert!(matches!(fate, Fate::Move { .. }), "{fate:?}");
 }
 
+/// Sequences end while the report that shows them is on its way; the engine itself knows.
+#[test]
+fn an_engine_that_is_estimated_to_be_just_full_is_asked() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a", "n-a"], now);
+    let to = find(&fleet, "e1");
+    for ix in 0..7 {
+        fleet.begin(to, &call(100 + ix), 0, work(3_300, 500), now);
+    }
+    let runs = leaving(&mut fleet, &[3_000], now);
+    let fate = reclaim::decide(&fleet, &engine(), find(&fleet, "e0"), &runs[0], &[], now);
+    assert!(matches!(fate, Fate::Move { to: chosen, .. } if chosen == to), "{fate:?}");
+}
+
 #[test]
 fn an_engine_that_leaves_does_not_return_by_an_older_entry() {
     let now = Instant::now();
