Leave the first report of a new engine to the host whose duty it is

Cause: a new engine has no report, and every host without a report asks.

Change: an engine lacks a report when none came for 1.9 s after it joined. The test is of a new function; the fault showed as a count, not as a wrong answer.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -51,6 +51,8 @@
     pub distance: Distance,
     /// State.
     pub state: EndpointState,
+    /// When this host first heard of it.
+    pub joined_at: Instant,
     /// When it leaves, if it told.
     pub leaves_at: Option<Instant>,
     /// When it stops being slow after its start.
@@ -87,6 +89,7 @@
             entry,
             distance,
             state,
+            joined_at: now,
             leaves_at: None,
             health: Health::default(),
             load: Load::default(),
@@ -107,6 +110,12 @@
         self.state == EndpointState::Ready
     }
 
+    /// Returns true when no report of the last `age` is known, though one could have arrived.
+    pub fn lacks_report(&self, age: Duration, now: Instant) -> bool {
+        let known = self.load.report(now).map(|(_, known)| known);
+        known.unwrap_or_else(|| now.saturating_duration_since(self.joined_at)) > age
+    }
+
     /// Returns when this host learned that the endpoint leaves or left.
     pub fn leaving_since(&self) -> Option<Instant> {
         match self.state {
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -61,6 +61,22 @@
     assert_eq!(fleet.get(busy).unwrap().load.engine(&[], later).sequences, 0);
 }
 
+/// Engines join all the time while others are reclaimed: a host whose duty a new engine is not leaves
+/// the first reports to the host whose duty it is.
+#[test]
+fn an_engine_that_just_joined_lacks_no_report() {
+    let missed = Duration::from_millis(1_900);
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a"], now);
+    let ix = find(&fleet, "e0");
+    let lacks = |fleet: &Fleet, at: Instant| fleet.get(ix).unwrap().lacks_report(missed, at);
+    assert!(!lacks(&fleet, now));
+    assert!(lacks(&fleet, now + missed * 2));
+    fleet.report(ix, LoadReport::default(), now + missed);
+    assert!(!lacks(&fleet, now + missed * 2));
+    assert!(lacks(&fleet, now + missed * 3));
+}
+
 /// In a burst with engines gone, a generation waits for room, starts when there is some, and is
 /// refused with a time to come back when its first event can no longer be on time.
 #[test]
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -65,8 +65,7 @@
         }
         let near = endpoint.distance != Distance::Remote;
         let duty = near && state.peers.holds_duty(endpoint.entry.name.as_str());
-        let age = endpoint.load.report(now).map(|(_, age)| age);
-        duty || age.is_none_or(|age| age > MISSED_AGE)
+        duty || endpoint.lacks_report(MISSED_AGE, now)
     });
     engines.map(|(ix, endpoint)| (ix, endpoint.entry.clone())).collect()
 }
