Read large configurations at a pace and hand them on compressed

Change: a version is handed on compressed (30 KB in place of 0.46 MB) and read from the store at two fifths of the link, with little of it on the way. A connection that goes silent in the middle of an answer is noticed by the client.

--- a/crates/daemon/src/config_exchange.rs
+++ b/crates/daemon/src/config_exchange.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use camphorloft_config::RawSet;
+use camphorloft_peer::packed::Packed;
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::stream::{read_frame, write_frame};
 use camphorloft_peer::wire::{WireConfigReply, WireConfigRequest};
@@ -50,8 +51,11 @@
     let request: WireConfigRequest = read_frame(&mut stream, keys)?;
     let known = config.raw();
     let newer = known.version.0 > request.known;
-    let set = if newer { known.set.to_value().to_string().into_bytes() } else { Vec::new() };
-    write_frame(&mut stream, keys, &WireConfigReply { version: known.version.0, set })
+    let packed_set = match newer {
+        true => Packed::pack(known.set.to_value().to_string().as_bytes())?.bytes().to_vec(),
+        false => Vec::new(),
+    };
+    write_frame(&mut stream, keys, &WireConfigReply { version: known.version.0, packed_set })
 }
 
 /// Fetches the set of another host if it is newer than `known`.
@@ -72,7 +76,8 @@
     if reply.version <= known.0 {
         return Ok(None);
     }
-    let text = String::from_utf8_lossy(&reply.set);
+    let unpacked = Packed::from(reply.packed_set).unpack()?;
+    let text = String::from_utf8_lossy(&unpacked);
     let set = RawSet::parse(&text)
         .map_err(|findings| io::Error::new(io::ErrorKind::InvalidData, findings))?;
     Ok(Some(VersionedSet { version: ConfigVersion(reply.version), set }))
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use camphorloft_peer::packed::Packed;
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::stream::codec;
 use camphorloft_peer::wire::{WireConfigReply, WireConfigRequest};
@@ -83,9 +84,11 @@
     let mut frames = FrameStream::new(stream, keys);
     let request: WireConfigRequest = frames.read().await?;
     let version = cx.serving().map_or(0, |serving| serving.version.0);
-    let encoded = cx.state.borrow().serving_encoded.clone();
-    let set = if version > request.known { encoded.to_vec() } else { Vec::new() };
-    frames.write(&WireConfigReply { version, set }).await
+    let packed = cx.state.borrow().serving_packed.clone();
+    let packed_set = if version > request.known { packed.bytes().to_vec() } else { Vec::new() };
+    info!(cx.log, "version handed on"; "version" => version, "known" => request.known,
+        "bytes" => packed_set.len());
+    frames.write(&WireConfigReply { version, packed_set }).await
 }
 
 /// Asks a host for the version in force.
@@ -112,7 +115,12 @@
             return;
         }
     };
-    if !result.set.is_empty() {
-        cx.take_encoded_serving(Bytes::from(result.set), "host");
+    let packed = Packed::from(result.packed_set);
+    if packed.is_empty() {
+        return;
+    }
+    match packed.unpack() {
+        Ok(encoded) => cx.take_encoded_serving(&encoded, Some(packed), "host"),
+        Err(err) => warn!(cx.log, "version not understood"; "source" => "host", "error" => %err),
     }
 }
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -4,9 +4,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use camphorloft_decide::poison::{Blame, PoisonTable};
 use camphorloft_dispatch::prelude::*;
+use camphorloft_peer::packed::Packed;
 use camphorloft_serving::prelude::*;
 use camphorloft_types::prelude::*;
 use rand::SeedableRng;
@@ -41,8 +41,8 @@
     pub fleet: Fleet,
     /// Version in force.
     pub serving: Option<Rc<ServingSet>>,
-    /// The same as the registry encoded it, for other hosts.
-    pub serving_encoded: Bytes,
+    /// The same as the registry encoded it, compressed, for other hosts.
+    pub serving_packed: Packed,
     /// Other hosts.
     pub peers: Peers,
     /// What may be sent again.
@@ -89,7 +89,7 @@
         let state = State {
             fleet: Fleet::new(settings.locality.clone()),
             serving: None,
-            serving_encoded: Bytes::new(),
+            serving_packed: Packed::default(),
             peers: Peers::new(settings.host.clone(), settings.locality.region.clone(), hosts),
             quota: RetryQuota::new(settings.quota, hosts),
             poison: PoisonTable::default(),
@@ -199,19 +199,24 @@
     }
 
     /// Decodes a version and takes it if it is newer than the one in force.
-    pub fn take_encoded_serving(&self, encoded: Bytes, source: &str)
+    /// `packed` holds the same, if it came compressed.
+    pub fn take_encoded_serving(&self, encoded: &[u8], packed: Option<Packed>, source: &str)
     where
         R: Registry,
     {
-        match self.registry.decode_serving(&encoded) {
-            Ok(raw) => {
-                if self.take_serving(raw, source) {
-                    self.state.borrow_mut().serving_encoded = encoded;
-                }
-            }
+        let raw = match self.registry.decode_serving(encoded) {
+            Ok(raw) => raw,
             Err(err) => {
                 warn!(self.log, "version not understood"; "source" => source, "error" => %err);
+                return;
             }
+        };
+        if !self.take_serving(raw, source) {
+            return;
+        }
+        match packed.map_or_else(|| Packed::pack(encoded), Ok) {
+            Ok(packed) => self.state.borrow_mut().serving_packed = packed,
+            Err(err) => warn!(self.log, "version cannot be handed on"; "error" => %err),
         }
     }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`own_answer`]: answers of the host itself.
 //! - [`answer_body`]: bodies of answers.
 //! - [`upstream`]: one exchange with an endpoint.
+//! - [`pace`]: how fast a large answer is read.
 //! - [`sending`]: sends one request to one endpoint and records it.
 //! - [`plain_call`]: serves a call of a plain service.
 //! - [`generation_call`]: serves a generation up to the head of its answer.
@@ -47,6 +48,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod own_answer;
+pub mod pace;
 pub mod peer_link;
 pub mod peer_news;
 pub mod peers;
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -12,8 +12,9 @@
 /// Time for which the registry is asked to wait for a new version. A version must be in force
 /// within two and a half seconds, and a silent connection must be noticed before that.
 const WAIT: Duration = Duration::from_millis(2000);
-/// Time for an answer beyond the time that it may wait.
-const ANSWER_WITHIN: Duration = Duration::from_millis(900);
+/// Time for a whole answer beyond the time that it may wait: a megabyte through the slowest link of
+/// today, 10 Mbit/s, at its pace. A silent connection is noticed sooner by the client.
+const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
 /// Time between two looks whether another host still reads for this one.
 const TOLD_STEP: Duration = Duration::from_millis(200);
 
@@ -44,7 +45,7 @@
                 revision = Some(revision.unwrap_or_default().max(listing.revision));
                 cx.version_read_at.set(Some(Instant::now()));
                 for encoded in listing.items {
-                    cx.take_encoded_serving(encoded, "registry");
+                    cx.take_encoded_serving(&encoded, None, "registry");
                 }
             }
             Err(err) => {
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -4,21 +4,24 @@
 //! the late answer of an earlier request, and a request that may not be repeated is worth far more
 //! than the connection.
 
+use std::fmt::Display;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{Request, Response, response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::body::{Frame, Incoming};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::boundary::WholeBody;
+use crate::pace::Pace;
 use crate::task::OwnedTask;
 
 /// Silence after which the other side is asked whether it is there. Whole seconds are the finest
@@ -29,6 +32,12 @@
 /// Time after which sent bytes that are not confirmed break a connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bytes of an answer read at a pace that wait in the system and in the process each: about 25 ms of
+/// the slowest link of today, 10 Mbit/s.
+const PACED_BUFFER_BYTES: u32 = 32 << 10;
+/// Time in which some part of a large answer arrives, or the connection has gone silent.
+const PROGRESS_WITHIN: Duration = Duration::from_millis(800);
+
 quick_error! {
     /// Reason that an exchange failed.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -63,7 +72,7 @@
 }
 
 /// Sets the options by which a silent connection is noticed.
-pub fn set_liveness_options(stream: &TcpStream) -> std::io::Result<()> {
+pub fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
@@ -80,14 +89,48 @@
 ///
 /// Returns [`ExchangeError::NotSent`] when the connection was refused or took too long.
 pub async fn connect(addr: SocketAddr, within: Duration) -> Result<Connected, ExchangeError> {
-    let not_sent = |detail: String| ExchangeError::NotSent(detail);
-    let stream = timeout(within, TcpStream::connect(addr))
+    let stream = open(TcpSocket::new_v4(), addr, within).await?;
+    begin(stream, &Builder::new()).await
+}
+
+/// Connects for answers that are read at a pace: little of an answer is on the way at a time.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError::NotSent`] when the connection was refused or took too long.
+pub async fn connect_paced(addr: SocketAddr, within: Duration) -> Result<Connected, ExchangeError> {
+    let socket = TcpSocket::new_v4().and_then(|socket| {
+        socket.set_recv_buffer_size(PACED_BUFFER_BYTES)?;
+        Ok(socket)
+    });
+    let stream = open(socket, addr, within).await?;
+    begin(stream, Builder::new().read_buf_exact_size(Some(PACED_BUFFER_BYTES as usize))).await
+}
+
+fn not_sent<Cause>(cause: Cause) -> ExchangeError
+where
+    Cause: Display,
+{
+    ExchangeError::NotSent(cause.to_string())
+}
+
+async fn open(
+    socket: io::Result<TcpSocket>,
+    addr: SocketAddr,
+    within: Duration,
+) -> Result<TcpStream, ExchangeError> {
+    let connecting = socket.map_err(not_sent)?.connect(addr);
+    let stream = timeout(within, connecting)
         .await
-        .map_err(|_| not_sent("connecting took too long".to_owned()))?
-        .map_err(|err| not_sent(err.to_string()))?;
-    set_liveness_options(&stream).map_err(|err| not_sent(err.to_string()))?;
+        .map_err(|_| not_sent("connecting took too long"))?
+        .map_err(not_sent)?;
+    set_liveness_options(&stream).map_err(not_sent)?;
+    Ok(stream)
+}
+
+async fn begin(stream: TcpStream, options: &Builder) -> Result<Connected, ExchangeError> {
     let (sender, connection) =
-        handshake(TokioIo::new(stream)).await.map_err(|err| not_sent(err.to_string()))?;
+        options.handshake(TokioIo::new(stream)).await.map_err(not_sent)?;
     let task = OwnedTask::spawn(async move {
         // The exchange reports what went wrong.
         let _ = connection.await;
@@ -123,6 +166,34 @@
         Ok((head, body))
     }
 
+    /// Does the same for an answer that may be large: its head is waited for within a time, and its
+    /// body is read at a pace.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError`] when no answer arrived, or a broken or too large one, or when the
+    /// connection went silent.
+    pub async fn ask_paced(
+        &mut self,
+        req: Request<WholeBody>,
+        max: usize,
+        head_within: Duration,
+        pace: Option<&Pace>,
+    ) -> Result<(response::Parts, Bytes), ExchangeError> {
+        let silent = |_| ExchangeError::Unanswered("the connection went silent".to_owned());
+        let answer = timeout(head_within, self.try_send(req)).await.map_err(silent)??;
+        let (head, mut body) = answer.into_parts();
+        let began = Instant::now();
+        let mut buf = BytesMut::new();
+        while let Some(frame) = timeout(PROGRESS_WITHIN, body.frame()).await.map_err(silent)? {
+            append(&mut buf, frame, max)?;
+            if let Some(pace) = pace {
+                sleep(pace.pause(buf.len() as u64, began.elapsed())).await;
+            }
+        }
+        Ok((head, buf.freeze()))
+    }
+
     async fn try_send(
         &mut self,
         req: Request<WholeBody>,
@@ -143,17 +214,27 @@
 async fn read_to_end(body: &mut Incoming, max: usize) -> Result<Bytes, ExchangeError> {
     let mut buf = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|err| ExchangeError::Unanswered(err.to_string()))?;
-        if let Ok(data) = frame.into_data() {
-            buf.extend_from_slice(&data);
-        }
-        if buf.len() > max {
-            return Err(ExchangeError::Unanswered("the answer is too large".to_owned()));
-        }
+        append(&mut buf, frame, max)?;
     }
     Ok(buf.freeze())
 }
 
+/// Adds a frame to a body of up to `max` bytes.
+fn append(
+    buf: &mut BytesMut,
+    frame: hyper::Result<Frame<Bytes>>,
+    max: usize,
+) -> Result<(), ExchangeError> {
+    let frame = frame.map_err(|err| ExchangeError::Unanswered(err.to_string()))?;
+    if let Ok(data) = frame.into_data() {
+        buf.extend_from_slice(&data);
+    }
+    match buf.len() <= max {
+        true => Ok(()),
+        false => Err(ExchangeError::Unanswered("the answer is too large".to_owned())),
+    }
+}
+
 impl Exchange {
     /// Reads the rest of the body, of up to `max` bytes.
     ///
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -263,7 +263,8 @@
     /// Version of the answering host; 0 when it has none.
     #[prost(uint64, tag = "1")]
     pub version: u64,
-    /// The whole set as JSON; empty when the asking host has this version or a newer one.
-    #[prost(bytes = "vec", tag = "2")]
-    pub set: Vec<u8>,
+    /// The whole set, compressed; empty when the asking host has this version or a newer one. Field
+    /// 2 held it uncompressed.
+    #[prost(bytes = "vec", tag = "3")]
+    pub packed_set: Vec<u8>,
 }
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -34,7 +34,7 @@
     #[test]
     fn a_torn_stream_is_an_error(version: u64, set: Vec<u8>, cut: prop::sample::Index) {
         let mut bytes = Vec::new();
-        let reply = WireConfigReply { version, set };
+        let reply = WireConfigReply { version, packed_set: set };
         write_frame(&mut bytes, &keys(), &reply).unwrap();
         let whole: WireConfigReply = read_frame(&mut bytes.as_slice(), &keys()).unwrap();
         prop_assert_eq!(&whole, &reply);
--- a/crates/types/src/number.rs
+++ b/crates/types/src/number.rs
@@ -64,6 +64,10 @@
     /// A size in bytes.
     ByteSize(u64)
 }
+number_type! {
+    /// A rate in bytes per second.
+    ByteRate(u64)
+}
 number_type! {
     /// The version of a published object set. Version 0 means that none is known.
     ConfigVersion(u64)
