--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -106,7 +106,7 @@
             Err(err) => {
                 if list.lost_at.is_none() {
                     list.lost_at = Some(Instant::now());
-                    warn!(cx.log, "registry lost"; "call" => "endpoints", "error" => %err);
+                    warn!(cx.log, "registry lost"; "registry_call" => "endpoints", "error" => %err);
                 }
                 list.revision = None;
                 sleep(cx.registry_retry()).await;
@@ -262,6 +262,6 @@
 fn note_regained<W, R>(cx: &Rc<Host<W, R>>, list: &mut ListState) {
     let Some(lost_at) = list.lost_at.take() else { return };
     list.regained_at = Some(Instant::now());
-    info!(cx.log, "registry regained"; "call" => "endpoints",
+    info!(cx.log, "registry regained"; "registry_call" => "endpoints",
         "after_ms" => lost_at.elapsed().as_millis() as u64);
 }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -111,7 +111,7 @@
             Err(_) => "no answer in time".to_owned(),
         };
         cx.metrics.registry_calls.with_label_values(&[call, "failed"]).inc();
-        info!(cx.log, "registry call failed"; "call" => call, "error" => err);
+        info!(cx.log, "registry call failed"; "registry_call" => call, "error" => err);
         let jitter = cx.state.borrow_mut().rng.random_range(0.5..1.0);
         sleep(wait.mul_f64(jitter)).await;
         wait = (wait * 2).min(MAX_RETRY);
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -39,7 +39,7 @@
         match answer {
             Ok(listing) => {
                 if let Some(at) = lost_at.take() {
-                    info!(cx.log, "registry regained"; "call" => "serving",
+                    info!(cx.log, "registry regained"; "registry_call" => "serving",
                         "after_ms" => at.elapsed().as_millis() as u64);
                 }
                 revision = Some(revision.unwrap_or_default().max(listing.revision));
@@ -51,7 +51,7 @@
             Err(err) => {
                 if lost_at.is_none() {
                     lost_at = Some(Instant::now());
-                    warn!(cx.log, "registry lost"; "call" => "serving", "error" => %err);
+                    warn!(cx.log, "registry lost"; "registry_call" => "serving", "error" => %err);
                 }
                 // The version in force is read whole after each failure.
                 revision = None;
