Hand large versions to hosts that start; send the first question to other hosts

No host handed it to another although twelve had it after 0.1 s: a new datagram socket refuses to send until the runtime has seen that it can, so that the first question to all others was dropped and the next one followed a second later.

Change: hosts wait until they can send. They join before they are announced, since announcements of a whole fleet queue at the store; tell a version that they read at once; and wait for others as long as reading half a megabyte takes on their own link. Without a version in force the store is read at full speed.

--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -266,13 +266,16 @@
 
 /// Everything that is stored outside the process.
 pub trait Registry: 'static {
-    /// Reads the version in force. The encoded form can be passed to
-    /// [`Registry::decode_serving`] on another host.
+    /// Reads the version in force, at a pace that leaves most of the link to callers if `paced`. The
+    /// encoded form can be passed to [`Registry::decode_serving`] on another host.
     ///
     /// # Errors
     ///
     /// Returns [`RegistryError`] when no answer arrived.
-    fn read_serving(&self) -> impl Future<Output = Result<Listing<Bytes>, RegistryError>>;
+    fn read_serving(
+        &self,
+        paced: bool,
+    ) -> impl Future<Output = Result<Listing<Bytes>, RegistryError>>;
 
     /// Waits up to `wait` for versions published after `after`.
     ///
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -120,7 +120,9 @@
         return;
     }
     match packed.unpack() {
-        Ok(encoded) => cx.take_encoded_serving(&encoded, Some(packed), "host"),
+        Ok(encoded) => {
+            cx.take_encoded_serving(&encoded, Some(packed), "host");
+        }
         Err(err) => warn!(cx.log, "version not understood"; "source" => "host", "error" => %err),
     }
 }
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -198,8 +198,8 @@
     }
 
     /// Decodes a version and takes it if it is newer than the one in force.
-    /// `packed` holds the same, if it came compressed.
-    pub fn take_encoded_serving(&self, encoded: &[u8], packed: Option<Packed>, source: &str)
+    /// `packed` holds the same, if it came compressed. Returns true when it was taken.
+    pub fn take_encoded_serving(&self, encoded: &[u8], packed: Option<Packed>, source: &str) -> bool
     where
         R: Registry,
     {
@@ -207,16 +207,17 @@
             Ok(raw) => raw,
             Err(err) => {
                 warn!(self.log, "version not understood"; "source" => source, "error" => %err);
-                return;
+                return false;
             }
         };
         if !self.take_serving(raw, source) {
-            return;
+            return false;
         }
         match packed.map_or_else(|| Packed::pack(encoded), Ok) {
             Ok(packed) => self.state.borrow_mut().serving_packed = packed,
             Err(err) => warn!(self.log, "version cannot be handed on"; "error" => %err),
         }
+        true
     }
 
     /// Takes a version if it is newer than the one in force. Returns true when it was taken.
--- a/crates/host/src/pace.rs
+++ b/crates/host/src/pace.rs
@@ -33,7 +33,7 @@
     /// let pace = Pace::for_link(ByteRate(1_000_000));
     /// assert!(pace.pause(10_000, Duration::ZERO).is_zero());
     /// assert!(pace.pause(600_000, Duration::ZERO) > Duration::from_millis(800));
-    /// assert!(pace.pause(600_000, Duration::from_secs(1)).is_zero());
+    /// assert!(pace.pause(600_000, Duration::from_secs(2)).is_zero());
     /// ```
     pub fn pause(&self, read: u64, took: Duration) -> Duration {
         let paced = read.saturating_sub(BURST_BYTES) as f64;
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -61,7 +61,9 @@
     let known = until_answered(&cx, "hosts", || cx.registry.announced()).await;
     let started_ms = started_ms(&cx, &known);
     let record = HostRecord { host: cx.settings.host.clone(), addr: cx.settings.peers, started_ms };
-    until_answered(&cx, "announce", || cx.registry.announce(&record)).await;
+    // Others that are known already are asked meanwhile: in a fleet that starts, announcements queue
+    // at the registry.
+    spawn_local(announce(cx.clone(), record));
     let keys = FrameKeys::derive(&[secret]);
     if let Err(err) = open(&cx, keys, started_ms).await {
         warn!(cx.log, "other hosts cannot be reached"; "error" => %err);
@@ -81,6 +83,13 @@
     }
 }
 
+async fn announce<W, R>(cx: Rc<Host<W, R>>, record: HostRecord)
+where
+    R: Registry,
+{
+    until_answered(&cx, "announce", || cx.registry.announce(&record)).await;
+}
+
 /// Returns the start of this process, larger than for any process of this host before even if the
 /// clock was set back meanwhile.
 fn started_ms<W, R>(cx: &Rc<Host<W, R>>, known: &[HostRecord]) -> u64 {
@@ -125,6 +134,8 @@
     R: Registry,
 {
     let socket = Rc::new(UdpSocket::bind(cx.settings.peers).await?);
+    // A new socket refuses to send until the runtime has seen that it can.
+    socket.writable().await?;
     let listener = bind(cx.settings.peers)?;
     let own = Member {
         host: cx.settings.host.clone(),
@@ -279,6 +290,19 @@
         }
     }
 
+    /// Tells other hosts at once which version this host has.
+    pub fn tell_version(&self) {
+        let version = self.serving().map(|serving| serving.version).unwrap_or_default();
+        let datagrams = {
+            let mut state = self.state.borrow_mut();
+            if let Some((link, _)) = state.peers.link_mut() {
+                link.set_config_version(version);
+            }
+            state.peers.seal_for(Audience::All, |_| {})
+        };
+        self.send_datagrams(&datagrams);
+    }
+
     /// Tells other hosts that a generation was placed.
     pub fn tell_placement(&self, endpoint: EndpointIx, held: u32, unread: u32) {
         let datagrams = {
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use camphorloft_types::prelude::ByteRate;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
@@ -15,6 +16,10 @@
 /// Time for a whole answer beyond the time that it may wait: a megabyte through the slowest link of
 /// today, 10 Mbit/s, at its pace. A silent connection is noticed sooner by the client.
 const ANSWER_WITHIN: Duration = Duration::from_millis(2500);
+/// Bytes of a large version as the registry encodes it: two thousand routes.
+const LARGE_VERSION_BYTES: f64 = 500_000.0;
+/// Longest time for which a host that starts leaves the registry unasked.
+const LONGEST_START_WAIT: Duration = Duration::from_millis(500);
 /// Time between two looks whether another host still reads for this one.
 const TOLD_STEP: Duration = Duration::from_millis(200);
 
@@ -24,6 +29,7 @@
     W: Wire,
     R: Registry,
 {
+    wait_for_others(&cx).await;
     let mut revision: Option<Revision> = None;
     let mut lost_at: Option<Instant> = None;
     loop {
@@ -45,7 +51,9 @@
                 revision = Some(revision.unwrap_or_default().max(listing.revision));
                 cx.version_read_at.set(Some(Instant::now()));
                 for encoded in listing.items {
-                    cx.take_encoded_serving(&encoded, None, "registry");
+                    if cx.take_encoded_serving(&encoded, None, "registry") {
+                        cx.tell_version();
+                    }
                 }
             }
             Err(err) => {
@@ -61,6 +69,30 @@
     }
 }
 
+/// Waits at the start for a version that another host hands on, which is compressed: as long as
+/// reading a large one from the registry would take on the host's own link. Hosts with fast links
+/// read at once.
+async fn wait_for_others<W, R>(cx: &Rc<Host<W, R>>) {
+    const STEP: Duration = Duration::from_millis(10);
+    let until = Instant::now() + cx.settings.link.map_or(Duration::ZERO, read_time);
+    while Instant::now() < until && !cx.version_is_told() {
+        sleep(STEP).await;
+    }
+}
+
+/// Returns the time that a large version takes on a link.
+///
+/// ```
+/// use camphorloft_host::serving_watch::read_time;
+/// use camphorloft_types::prelude::ByteRate;
+/// use std::time::Duration;
+/// assert!(read_time(ByteRate(1_250_000)) > Duration::from_millis(300));
+/// assert!(read_time(ByteRate(125_000_000)) < Duration::from_millis(10));
+/// ```
+pub fn read_time(link: ByteRate) -> Duration {
+    Duration::from_secs_f64(LARGE_VERSION_BYTES / link.0.max(1) as f64).min(LONGEST_START_WAIT)
+}
+
 async fn ask<W, R>(
     cx: &Rc<Host<W, R>>,
     revision: Option<Revision>,
@@ -71,7 +103,8 @@
     let asked = async {
         match revision {
             Some(after) => cx.registry.await_serving(after, WAIT).await,
-            None => cx.registry.read_serving().await,
+            // Without a version there are no streams that a large one could hold up.
+            None => cx.registry.read_serving(cx.serving().is_some()).await,
         }
     };
     let within = revision.map_or(Duration::ZERO, |_| WAIT) + ANSWER_WITHIN;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -27,6 +27,8 @@
     pub memory: ByteSize,
     /// Connections that the process may have open.
     pub max_connections: usize,
+    /// Bandwidth of the host's own link, if told.
+    pub link: Option<ByteRate>,
     /// Time from the termination signal to the end of the process.
     pub grace: Duration,
     /// What may be sent again, over all hosts.
--- a/crates/host/tests/settings.rs
+++ b/crates/host/tests/settings.rs
@@ -5,7 +5,7 @@
 
 use camphorloft_dispatch::prelude::{Locality, QuotaSettings};
 use camphorloft_host::settings::HostSettings;
-use camphorloft_types::prelude::ByteSize;
+use camphorloft_types::prelude::{ByteRate, ByteSize};
 
 fn settings() -> HostSettings {
     let addr = "127.0.0.1:1".parse().unwrap();
@@ -23,6 +23,7 @@
         seeds: Vec::new(),
         memory: ByteSize(1 << 20),
         max_connections: 10,
+        link: Some(ByteRate(1_250_000)),
         grace: Duration::from_secs(8),
         quota: QuotaSettings { window: Duration::from_secs(10), ratio: 0.2, extra: 54.0 },
     }
