Plan a move in one place; drop what no decision reads; plainer names

Change: Fleet::plan_move; the fields are gone from reports and datagrams; endpoint_watch::interval, Audience::includes; the client connects to either family of addresses and does not sleep for no time.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -232,10 +232,27 @@
         self.get_mut(ix)?.runs.iter_mut().find(|run| run.id == id)
     }
 
-    /// Takes the plan of a move of a generation that holds `held` tokens.
+    /// Plans a move of a generation that holds `held` tokens, behind those that are known.
+    pub fn plan_move(
+        &mut self,
+        key: u64,
+        (from, to): (EndpointIx, EndpointIx),
+        held: u32,
+        takes: Duration,
+        now: Instant,
+    ) -> PlannedMove {
+        self.expect_copy(to, held, now);
+        self.moves.plan(key, from, to, takes, now)
+    }
+
+    /// Takes the plan of another host for a generation that holds `held` tokens.
     pub fn learn_move(&mut self, plan: PlannedMove, held: u32, now: Instant) {
+        self.expect_copy(plan.to, held, now);
         self.moves.learn(plan, now);
-        if let Some(endpoint) = self.get_mut(plan.to) {
+    }
+
+    fn expect_copy(&mut self, to: EndpointIx, held: u32, now: Instant) {
+        if let Some(endpoint) = self.get_mut(to) {
             endpoint.load.take_foreign(held, 0, now);
         }
     }
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -38,16 +38,12 @@
 pub struct LoadReport {
     /// Memory that cannot be freed, in tokens.
     pub used_tokens: u32,
-    /// Memory, in tokens.
-    pub total_tokens: u32,
     /// Sequences that run.
     pub running: u32,
     /// Sequences that wait.
     pub waiting: u32,
     /// Prompt tokens of the first one that waits.
     pub next_tokens: u32,
-    /// Copies that it keeps of sequences of other engines.
-    pub copies: u32,
     /// True when it takes no new work and leaves soon.
     pub leaving: bool,
     /// Time until it leaves, as of when the report was made, if it knows.
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -52,7 +52,7 @@
         fleet.get_mut(busy).unwrap().load.take_foreign(NEED.held, NEED.unread, now);
     }
     let later = now + Duration::from_millis(300);
-    let old = LoadReport { total_tokens: 26_869, ..LoadReport::default() };
+    let old = LoadReport::default();
     fleet.report(busy, old, now - Duration::from_millis(100));
     let load = fleet.get(busy).unwrap().load.engine(&[], later);
     assert_eq!(load.sequences, 3);
--- a/crates/dispatch/tests/reclaim.rs
+++ b/crates/dispatch/tests/reclaim.rs
@@ -29,9 +29,7 @@
     let mut plans = Vec::new();
     for run in runs {
         if let Fate::Move { to, takes } = reclaim::decide(fleet, &engine(), from, run, &[], now) {
-            let plan = fleet.moves.plan(run.id.0, from, to, takes, now);
-            fleet.learn_move(plan, run.held_tokens(), now);
-            plans.push(plan);
+            plans.push(fleet.plan_move(run.id.0, (from, to), run.held_tokens(), takes, now));
         }
     }
     plans
--- a/crates/dispatch/tests/worst_load.rs
+++ b/crates/dispatch/tests/worst_load.rs
@@ -130,7 +130,6 @@
             let waiting = engine.sequences.iter().filter(unread).count() as u32;
             let report = LoadReport {
                 used_tokens: engine.used(),
-                total_tokens: 26_869,
                 running: engine.sequences.len() as u32 - waiting,
                 waiting,
                 next_tokens: engine.sequences.iter().find(unread).map_or(0, |s| s.kind.prompt),
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -23,9 +23,9 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(700);
 /// Time between two questions: endpoints write a sign of life about every second each, and every
 /// call is paid.
-const PACE: Duration = Duration::from_millis(180);
+const INTERVAL: Duration = Duration::from_millis(180);
 /// The same before other hosts were heard of.
-const UNJOINED_PACE: Duration = Duration::from_millis(500);
+const UNJOINED_INTERVAL: Duration = Duration::from_millis(500);
 /// Time to wait after a failure.
 const RETRY_STEP: Duration = Duration::from_millis(200);
 /// The same for hosts that another one reads for, which lost the registry as well.
@@ -58,15 +58,15 @@
 /// hosts ask.
 ///
 /// ```
-/// use camphorloft_host::endpoint_watch::pace;
-/// assert!(pace(true, true).is_zero());
-/// assert!(pace(true, false) < pace(false, false));
+/// use camphorloft_host::endpoint_watch::interval;
+/// assert!(interval(true, true).is_zero());
+/// assert!(interval(true, false) < interval(false, false));
 /// ```
-pub fn pace(joined: bool, told_of_leaving: bool) -> Duration {
+pub fn interval(joined: bool, told_of_leaving: bool) -> Duration {
     match (told_of_leaving, joined) {
         (true, _) => Duration::ZERO,
-        (false, true) => PACE,
-        (false, false) => UNJOINED_PACE,
+        (false, true) => INTERVAL,
+        (false, false) => UNJOINED_INTERVAL,
     }
 }
 
@@ -97,7 +97,7 @@
                 cx.list_read_at.set(Some(Instant::now()));
                 cx.state.borrow_mut().peers.list_was_read();
                 let told_of_leaving = std::mem::take(&mut list.told_of_leaving);
-                sleep(cx.list_pace(told_of_leaving)).await;
+                sleep(cx.list_interval(told_of_leaving)).await;
             }
             Err(RegistryError::HistoryLost) => {
                 info!(cx.log, "endpoint list read anew"; "reason" => "history lost");
@@ -122,9 +122,9 @@
         self.reads_registry_for(now).is_none() && self.state.borrow().peers.list_is_told(now)
     }
 
-    fn list_pace(&self, told_of_leaving: bool) -> Duration {
+    fn list_interval(&self, told_of_leaving: bool) -> Duration {
         let joined = self.state.borrow().peers.live().next().is_some();
-        pace(joined, told_of_leaving)
+        interval(joined, told_of_leaving)
     }
 
     /// Returns the time to wait after a failed call to the registry. Hosts whose duty it is not
--- a/crates/host/src/peer_news.rs
+++ b/crates/host/src/peer_news.rs
@@ -62,11 +62,9 @@
         endpoint,
         age_ms: millis(now.saturating_duration_since(as_of)),
         used_tokens: report.used_tokens,
-        total_tokens: report.total_tokens,
         running: report.running,
         waiting: report.waiting,
         next_tokens: report.next_tokens,
-        copies: report.copies,
         leaving: report.leaving,
         leaves_ms: report.leaves_in.map(millis),
     }
@@ -76,11 +74,9 @@
 pub fn report_from_wire(wire: &WireReport, now: Instant) -> (LoadReport, Instant) {
     let report = LoadReport {
         used_tokens: wire.used_tokens,
-        total_tokens: wire.total_tokens,
         running: wire.running,
         waiting: wire.waiting,
         next_tokens: wire.next_tokens,
-        copies: wire.copies,
         leaving: wire.leaving,
         leaves_in: wire.leaves_ms.map(|ms| Duration::from_millis(u64::from(ms))),
     };
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -50,7 +50,7 @@
 
 impl Audience {
     /// Returns true when a host of `region` belongs to the audience of a host of `own`.
-    fn holds(self, region: &Region, own: &Region) -> bool {
+    fn includes(self, region: &Region, own: &Region) -> bool {
         self == Audience::All || region == own
     }
 }
@@ -142,7 +142,7 @@
     }
 
     fn ranks_first(&self, among: Audience, own_lost: bool, now: Instant) -> bool {
-        let hosts = self.live().filter(|member| among.holds(&member.region, &self.region));
+        let hosts = self.live().filter(|member| among.includes(&member.region, &self.region));
         let able: Vec<&HostName> =
             hosts.map(|member| &member.host).filter(|host| !self.is_lost(host, now)).collect();
         if own_lost && !able.is_empty() {
@@ -233,7 +233,7 @@
     {
         let Some((link, _)) = &mut self.link else { return Vec::new() };
         let own_region = &self.region;
-        let is_told = |member: &Member| audience.holds(&member.region, own_region);
+        let is_told = |member: &Member| audience.includes(&member.region, own_region);
         let mut datagram = link.empty_datagram();
         fill(&mut datagram);
         let mut out = Vec::new();
--- a/crates/host/src/pump_moves.rs
+++ b/crates/host/src/pump_moves.rs
@@ -104,8 +104,7 @@
             let fleet = &mut guard.fleet;
             let run = fleet.run_mut(from, self.source.guard.run);
             let held = run.map_or(0, |run| run.held_tokens());
-            let plan = fleet.moves.plan(key, from, to, takes, now);
-            fleet.learn_move(plan, held, now);
+            let plan = fleet.plan_move(key, (from, to), held, takes, now);
             (fleet.get(to).map(|endpoint| endpoint.entry.name.to_string()), held, plan)
         };
         self.cx.tell_move(&plan, held);
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -89,7 +89,7 @@
 ///
 /// Returns [`ExchangeError::NotSent`] when the connection was refused or took too long.
 pub async fn connect(addr: SocketAddr, within: Duration) -> Result<Connected, ExchangeError> {
-    let stream = open(TcpSocket::new_v4(), addr, within).await?;
+    let stream = open(socket_for(addr), addr, within).await?;
     begin(stream, &Builder::new()).await
 }
 
@@ -99,7 +99,7 @@
 ///
 /// Returns [`ExchangeError::NotSent`] when the connection was refused or took too long.
 pub async fn connect_paced(addr: SocketAddr, within: Duration) -> Result<Connected, ExchangeError> {
-    let socket = TcpSocket::new_v4().and_then(|socket| {
+    let socket = socket_for(addr).and_then(|socket| {
         socket.set_recv_buffer_size(PACED_BUFFER_BYTES)?;
         Ok(socket)
     });
@@ -114,6 +114,10 @@
     ExchangeError::NotSent(cause.to_string())
 }
 
+fn socket_for(addr: SocketAddr) -> io::Result<TcpSocket> {
+    if addr.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }
+}
+
 async fn open(
     socket: io::Result<TcpSocket>,
     addr: SocketAddr,
@@ -186,8 +190,9 @@
         let mut buf = BytesMut::new();
         while let Some(frame) = timeout(PROGRESS_WITHIN, body.frame()).await.map_err(silent)? {
             append(&mut buf, frame, max)?;
-            if let Some(pace) = pace {
-                sleep(pace.pause(buf.len() as u64, began.elapsed())).await;
+            let pause = pace.map_or(Duration::ZERO, |p| p.pause(buf.len() as u64, began.elapsed()));
+            if !pause.is_zero() {
+                sleep(pause).await;
             }
         }
         Ok((head, buf.freeze()))
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -131,9 +131,6 @@
     /// Memory that cannot be freed, in tokens.
     #[prost(uint32, tag = "3")]
     pub used_tokens: u32,
-    /// Memory, in tokens.
-    #[prost(uint32, tag = "4")]
-    pub total_tokens: u32,
     /// Sequences that run.
     #[prost(uint32, tag = "5")]
     pub running: u32,
@@ -143,9 +140,6 @@
     /// Prompt tokens of the first one that waits.
     #[prost(uint32, tag = "7")]
     pub next_tokens: u32,
-    /// Copies that it keeps of sequences of other engines.
-    #[prost(uint32, tag = "8")]
-    pub copies: u32,
     /// True when it leaves.
     #[prost(bool, tag = "9")]
     pub leaving: bool,
