Let one host ask in an outage; wait for the reader after the first answer

Cause: in an outage every host that had lost the store counted every other as lost, and each took itself for the reader.

Change: when all have lost the store, the first of all hosts goes on asking. After its first answer a host that is not the reader gives the reader 0.45 s to tell. The test fails before (four readers of four hosts).

--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -143,12 +143,14 @@
 
     fn ranks_first(&self, among: Audience, own_lost: bool, now: Instant) -> bool {
         let hosts = self.live().filter(|member| among.includes(&member.region, &self.region));
-        let able: Vec<&HostName> =
-            hosts.map(|member| &member.host).filter(|host| !self.is_lost(host, now)).collect();
-        if own_lost && !able.is_empty() {
-            return false;
+        let hosts: Vec<&HostName> = hosts.map(|member| &member.host).collect();
+        let able = hosts.iter().copied().filter(|host| !self.is_lost(host, now));
+        match (able.clone().next(), own_lost) {
+            (Some(_), true) => false,
+            (Some(_), false) => duty::holds(REGISTRY_DUTY, &self.own, able),
+            // In an outage one host goes on asking for all.
+            (None, _) => duty::holds(REGISTRY_DUTY, &self.own, hosts),
         }
-        duty::holds(REGISTRY_DUTY, &self.own, able)
     }
 
     fn is_lost(&self, host: &HostName, now: Instant) -> bool {
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -20,6 +20,9 @@
 const LARGE_VERSION_BYTES: f64 = 500_000.0;
 /// Longest time for which a host that starts leaves the registry unasked.
 const LONGEST_START_WAIT: Duration = Duration::from_millis(500);
+/// Time after a first answer in which the reader tells that it reads for this host: two of its
+/// statements.
+const READER_TELLS_WITHIN: Duration = Duration::from_millis(450);
 /// Time between two looks whether another host still reads for this one.
 const TOLD_STEP: Duration = Duration::from_millis(200);
 
@@ -48,6 +51,7 @@
                     info!(cx.log, "registry regained"; "registry_call" => "serving",
                         "after_ms" => at.elapsed().as_millis() as u64);
                 }
+                let is_first = revision.is_none();
                 revision = Some(revision.unwrap_or_default().max(listing.revision));
                 cx.version_read_at.set(Some(Instant::now()));
                 for encoded in listing.items {
@@ -55,6 +59,9 @@
                         cx.tell_version();
                     }
                 }
+                if is_first && cx.reads_registry_for(Instant::now()).is_none() {
+                    sleep(READER_TELLS_WITHIN).await;
+                }
             }
             Err(err) => {
                 if lost_at.is_none() {
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -131,7 +131,25 @@
     // The others rely on the list a little longer, so that the stand-in reads first.
     assert!(fleet.iter().all(|peers| peers.list_is_told(silent)));
     assert!(fleet.iter().all(|peers| !peers.list_is_told(now + Duration::from_millis(1_600))));
-    // A reader that loses the registry makes room for another one at once.
+    // When all have lost it, one goes on asking for all, and the others hear that it does.
+    let names: Vec<HostName> = FLEET.iter().map(|(host, _)| host.parse().unwrap()).collect();
+    for (ix, peers) in fleet.iter_mut().enumerate() {
+        for other in names.iter().enumerate().filter(|(other, _)| *other != ix) {
+            peers.take_registry_state(other.1, &state(7, 5_000), 7, silent);
+        }
+    }
+    let reads: Vec<Option<Audience>> =
+        fleet.iter().map(|peers| peers.reads_registry_for(true, silent)).collect();
+    let asks_for_all = reads.iter().filter(|reads| **reads == Some(Audience::All));
+    assert_eq!(asks_for_all.count(), 1, "{reads:?}");
+}
+
+#[tokio::test]
+async fn a_reader_that_loses_the_registry_makes_room_at_once() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let mut fleet = fleet(now).await;
+    let reads_for_all = |peers: &Peers| peers.reads_registry_for(false, now) == Some(Audience::All);
+    let all = fleet.iter().position(reads_for_all).unwrap();
     let lost = FLEET[all].0.parse().unwrap();
     for (ix, peers) in fleet.iter_mut().enumerate() {
         if ix != all {
@@ -139,6 +157,5 @@
         }
     }
     let others = (0..FLEET.len()).filter(|ix| *ix != all);
-    let next = others.filter(|ix| fleet[*ix].reads_registry_for(false, now) == Some(Audience::All));
-    assert_eq!(next.count(), 1);
+    assert_eq!(others.filter(|ix| reads_for_all(&fleet[*ix])).count(), 1);
 }
