Leave the duty to read the store to others after a failed call

Cause: in an outage each host whose turn came failed, was passed over by the others and still counted itself able, since it had never read the list before; one after the other all hosts became readers, asked every 0.2 s and told every other host so.

Change: a host whose call fails leaves the duty for 2.5 s, as others pass it over, and tells them at once. The host whose turn comes asks at once, and the first success is told at once; all others ask every 5 s. Tests of the rotation; the one of four hosts in an outage now counts their own failures too.

--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -19,9 +19,6 @@
 use crate::peers::{Audience, Peers};
 use crate::settings::HostSettings;
 
-/// Time without an answer after which a host counts the registry as lost to it.
-const REGISTRY_LOST_AFTER: Duration = Duration::from_millis(1500);
-
 /// Where a host is in its life.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -172,9 +169,7 @@
 
     /// Returns the hosts for which this host reads the registry, if any.
     pub fn reads_registry_for(&self, now: Instant) -> Option<Audience> {
-        let stale = |at: Instant| now.saturating_duration_since(at) > REGISTRY_LOST_AFTER;
-        let own_lost = self.list_read_at.get().is_some_and(stale);
-        self.state.borrow().peers.reads_registry_for(own_lost, now)
+        self.state.borrow().peers.reads_registry_for(now)
     }
 
     /// Returns true when this host or a reader knows the endpoint list to be complete.
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -29,7 +29,7 @@
 /// Time to wait after a failure.
 const RETRY_STEP: Duration = Duration::from_millis(200);
 /// The same for hosts that another one reads for, which lost the registry as well.
-const OTHERS_RETRY_STEP: Duration = Duration::from_millis(2500);
+const OTHERS_RETRY_STEP: Duration = Duration::from_millis(5000);
 /// The same for hosts that hear of no reader.
 const ALONE_RETRY_STEP: Duration = Duration::from_millis(1000);
 /// Time between two looks whether another host still reads for this one.
@@ -109,7 +109,8 @@
                     warn!(cx.log, "registry lost"; "registry_call" => "endpoints", "error" => %err);
                 }
                 list.revision = None;
-                sleep(cx.registry_retry()).await;
+                cx.give_up_duty(Instant::now());
+                cx.wait_to_retry().await;
             }
         }
     }
@@ -129,7 +130,7 @@
 
     /// Returns the time to wait after a failed call to the registry. Hosts whose duty it is not
     /// wait longer, so that an outage is not met with a storm of calls.
-    pub fn registry_retry(&self) -> Duration {
+    fn registry_retry(&self) -> Duration {
         let now = Instant::now();
         let reads = self.reads_registry_for(now).is_some();
         let mut guard = self.state.borrow_mut();
@@ -144,6 +145,31 @@
     }
 }
 
+impl<W, R> Host<W, R> {
+    /// Leaves the registry to another host after a failed call, and tells those for which this host
+    /// reads it.
+    fn give_up_duty(&self, now: Instant) {
+        let audience = self.reads_registry_for(now);
+        self.state.borrow_mut().peers.lose_registry(now);
+        if let Some(audience) = audience {
+            self.tell_registry_state(audience, None, now);
+        }
+    }
+
+    /// Waits after a failed call to the registry, or until the duty to read it for others falls to
+    /// this host.
+    pub async fn wait_to_retry(&self) {
+        let had_duty = self.reads_registry_for(Instant::now()).is_some();
+        let until = Instant::now() + self.registry_retry();
+        while Instant::now() < until {
+            sleep(TOLD_STEP).await;
+            if !had_duty && self.reads_registry_for(Instant::now()).is_some() {
+                return;
+            }
+        }
+    }
+}
+
 /// Takes changes of the list that another host told of.
 pub fn apply<W, R, Changes>(cx: &Rc<Host<W, R>>, changes: Changes, now: Instant, source: &str)
 where
@@ -264,4 +290,8 @@
     list.regained_at = Some(Instant::now());
     info!(cx.log, "registry regained"; "registry_call" => "endpoints",
         "after_ms" => lost_at.elapsed().as_millis() as u64);
+    let now = Instant::now();
+    if let Some(audience) = cx.reads_registry_for(now) {
+        cx.tell_registry_state(audience, Some(now), now);
+    }
 }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -181,8 +181,10 @@
             let state = &mut *guard;
             state.quota.set_hosts(state.peers.hosts(now));
         }
-        if ticks % STATE_TICKS == 0 {
-            cx.tell_registry_state(now);
+        if ticks % STATE_TICKS == 0
+            && let Some(audience) = cx.reads_registry_for(now)
+        {
+            cx.tell_registry_state(audience, cx.list_read_at.get(), now);
         }
     }
 }
@@ -371,14 +373,14 @@
         self.send_datagrams(&datagrams);
     }
 
-    /// Tells the hosts for which this host reads what it knows of the registry.
-    fn tell_registry_state(&self, now: Instant) {
-        let Some(audience) = self.reads_registry_for(now) else { return };
+    /// Tells other hosts what this host knows of the registry, whose endpoint list it read at
+    /// `list_at`.
+    pub fn tell_registry_state(&self, audience: Audience, list_at: Option<Instant>, now: Instant) {
         let age = |at: Option<Instant>| {
             let age = at.map_or(u128::MAX, |at| now.saturating_duration_since(at).as_millis());
             u32::try_from(age).unwrap_or(u32::MAX)
         };
-        let (list_at, version_at) = (self.list_read_at.get(), self.version_read_at.get());
+        let version_at = self.version_read_at.get();
         let datagrams = {
             let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -63,6 +63,8 @@
     link: Option<(Link, Rc<UdpSocket>)>,
     /// When any reader was last heard of.
     reader_heard_at: Option<Instant>,
+    /// When this host last failed to reach the registry.
+    own_lost_at: Option<Instant>,
     /// Readers that lost the registry, and when they told.
     lost_readers: BTreeMap<HostName, Instant>,
     /// When a reader last knew the list to be complete.
@@ -84,6 +86,7 @@
             region,
             link: None,
             reader_heard_at: None,
+            own_lost_at: None,
             lost_readers: BTreeMap::new(),
             list_known_at: None,
             mismatch_since: None,
@@ -130,18 +133,18 @@
 
     /// Returns the hosts for which this host reads the registry, if any: for all when it ranks first
     /// among those that have not lost the registry lately, and for its region when it ranks first
-    /// there and hears of no reader that knows the list. `own_lost` tells whether this host has
-    /// lost the registry.
-    pub fn reads_registry_for(&self, own_lost: bool, now: Instant) -> Option<Audience> {
-        if self.ranks_first(Audience::All, own_lost, now) {
+    /// there and hears of no reader that knows the list.
+    pub fn reads_registry_for(&self, now: Instant) -> Option<Audience> {
+        if self.ranks_first(Audience::All, now) {
             return Some(Audience::All);
         }
         let told = is_fresh(self.list_known_at, LIST_FRESH, now);
-        let stands_in = !told && self.ranks_first(Audience::Region, own_lost, now);
+        let stands_in = !told && self.ranks_first(Audience::Region, now);
         stands_in.then_some(Audience::Region)
     }
 
-    fn ranks_first(&self, among: Audience, own_lost: bool, now: Instant) -> bool {
+    fn ranks_first(&self, among: Audience, now: Instant) -> bool {
+        let own_lost = is_fresh(self.own_lost_at, PASSED_OVER, now);
         let hosts = self.live().filter(|member| among.includes(&member.region, &self.region));
         let hosts: Vec<&HostName> = hosts.map(|member| &member.host).collect();
         let able = hosts.iter().copied().filter(|host| !self.is_lost(host, now));
@@ -153,6 +156,12 @@
         }
     }
 
+    /// Takes that this host did not reach the registry. It leaves the duty to others for a while, as
+    /// they pass it over.
+    pub fn lose_registry(&mut self, now: Instant) {
+        self.own_lost_at = Some(now);
+    }
+
     fn is_lost(&self, host: &HostName, now: Instant) -> bool {
         let lost_at = self.lost_readers.get(host);
         lost_at.is_some_and(|at| now.saturating_duration_since(*at) < PASSED_OVER)
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -70,7 +70,7 @@
                 }
                 // The version in force is read whole after each failure.
                 revision = None;
-                sleep(cx.registry_retry()).await;
+                cx.wait_to_retry().await;
             }
         }
     }
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -40,7 +40,8 @@
     peers.take_registry_state(&reader(), &state(7, 5_000), 7, now);
     assert!(!peers.list_is_told(now) && !peers.version_is_told(now));
     assert!(peers.hears_reader(now));
-    let reads_for = peers.reads_registry_for(true, now);
+    peers.lose_registry(now);
+    let reads_for = peers.reads_registry_for(now);
     assert_eq!(reads_for, Some(Audience::All), "no other host is left to read");
 }
 
@@ -117,7 +118,7 @@
         peers.take_registry_state(&reader(), &state(7, 0), 7, now);
     }
     let readers = |fleet: &[Peers], at: Instant| -> Vec<Option<Audience>> {
-        fleet.iter().map(|peers| peers.reads_registry_for(false, at)).collect()
+        fleet.iter().map(|peers| peers.reads_registry_for(at)).collect()
     };
     let reads = readers(&fleet, now);
     assert_eq!(reads.iter().flatten().collect::<Vec<_>>(), [&Audience::All], "{reads:?}");
@@ -134,12 +135,13 @@
     // When all have lost it, one goes on asking for all, and the others hear that it does.
     let names: Vec<HostName> = FLEET.iter().map(|(host, _)| host.parse().unwrap()).collect();
     for (ix, peers) in fleet.iter_mut().enumerate() {
+        peers.lose_registry(silent);
         for other in names.iter().enumerate().filter(|(other, _)| *other != ix) {
             peers.take_registry_state(other.1, &state(7, 5_000), 7, silent);
         }
     }
     let reads: Vec<Option<Audience>> =
-        fleet.iter().map(|peers| peers.reads_registry_for(true, silent)).collect();
+        fleet.iter().map(|peers| peers.reads_registry_for(silent)).collect();
     let asks_for_all = reads.iter().filter(|reads| **reads == Some(Audience::All));
     assert_eq!(asks_for_all.count(), 1, "{reads:?}");
 }
@@ -148,7 +150,7 @@
 async fn a_reader_that_loses_the_registry_makes_room_at_once() {
     let now = Instant::now() + Duration::from_secs(10);
     let mut fleet = fleet(now).await;
-    let reads_for_all = |peers: &Peers| peers.reads_registry_for(false, now) == Some(Audience::All);
+    let reads_for_all = |peers: &Peers| peers.reads_registry_for(now) == Some(Audience::All);
     let all = fleet.iter().position(reads_for_all).unwrap();
     let lost = FLEET[all].0.parse().unwrap();
     for (ix, peers) in fleet.iter_mut().enumerate() {
@@ -159,3 +161,20 @@
     let others = (0..FLEET.len()).filter(|ix| *ix != all);
     assert_eq!(others.filter(|ix| reads_for_all(&fleet[*ix])).count(), 1);
 }
+
+/// A host that was turned away leaves the duty to others, and does not take it back at once when it
+/// hears that another one reads.
+#[tokio::test]
+async fn a_host_that_is_turned_away_stays_behind_for_a_while() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let mut fleet = fleet(now).await;
+    let reads = |peers: &Peers, at: Instant| peers.reads_registry_for(at).is_some();
+    let first = fleet.iter().position(|peers| reads(peers, now)).unwrap();
+    let peers = &mut fleet[first];
+    peers.lose_registry(now);
+    assert!(!reads(peers, now));
+    let later = now + Duration::from_millis(400);
+    peers.take_registry_state(&reader(), &state(7, 0), 7, later);
+    assert!(!reads(peers, later));
+    assert!(reads(peers, now + Duration::from_secs(3)));
+}
