--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -70,6 +70,22 @@
     }
 }
 
+/// Returns the time to wait after a failed call to the registry. Hosts whose duty it is not wait
+/// longer, so that an outage is not met with a storm of calls; those that hear of no reader less.
+///
+/// ```
+/// use camphorloft_host::endpoint_watch::retry_step;
+/// assert!(retry_step(true, true) < retry_step(false, false));
+/// assert!(retry_step(false, false) < retry_step(false, true));
+/// ```
+pub fn retry_step(has_duty: bool, hears_reader: bool) -> Duration {
+    match (has_duty, hears_reader) {
+        (true, _) => RETRY_STEP,
+        (false, true) => OTHERS_RETRY_STEP,
+        (false, false) => ALONE_RETRY_STEP,
+    }
+}
+
 /// Follows the endpoint list.
 pub async fn follow<W, R>(cx: Rc<Host<W, R>>)
 where
@@ -127,22 +143,6 @@
         let joined = self.state.borrow().peers.live().next().is_some();
         interval(joined, told_of_leaving)
     }
-
-    /// Returns the time to wait after a failed call to the registry. Hosts whose duty it is not
-    /// wait longer, so that an outage is not met with a storm of calls.
-    fn registry_retry(&self) -> Duration {
-        let now = Instant::now();
-        let reads = self.reads_registry_for(now).is_some();
-        let mut guard = self.state.borrow_mut();
-        let state = &mut *guard;
-        let jitter = state.rng.random_range(0.8..1.2);
-        let step = match reads {
-            true => RETRY_STEP,
-            false if state.peers.hears_reader(now) => OTHERS_RETRY_STEP,
-            false => ALONE_RETRY_STEP,
-        };
-        step.mul_f64(jitter)
-    }
 }
 
 impl<W, R> Host<W, R> {
@@ -159,11 +159,15 @@
     /// Waits after a failed call to the registry, or until the duty to read it for others falls to
     /// this host.
     pub async fn wait_to_retry(&self) {
-        let had_duty = self.reads_registry_for(Instant::now()).is_some();
-        let until = Instant::now() + self.registry_retry();
-        while Instant::now() < until {
+        let failed_at = Instant::now();
+        let had_duty = self.reads_registry_for(failed_at).is_some();
+        let jitter = self.state.borrow_mut().rng.random_range(0.8..1.2);
+        loop {
             sleep(TOLD_STEP).await;
-            if !had_duty && self.reads_registry_for(Instant::now()).is_some() {
+            let now = Instant::now();
+            let has_duty = self.reads_registry_for(now).is_some();
+            let step = retry_step(has_duty, self.state.borrow().peers.hears_reader(now));
+            if has_duty && !had_duty || now - failed_at >= step.mul_f64(jitter) {
                 return;
             }
         }
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -1,16 +1,13 @@
 //! A host relies on another's knowledge of the registry only while it is fresh and the same.
 
-use std::rc::Rc;
+mod common;
+
 use std::time::{Duration, Instant};
 
 use camphorloft_host::peers::{Audience, Peers};
-use camphorloft_membership::settings::MembershipSettings;
-use camphorloft_membership::{Member, MemberState};
-use camphorloft_peer::link::{Link, LinkConfig};
-use camphorloft_peer::seal::FrameKeys;
-use camphorloft_peer::wire::{WireEndpointChange, WireRegistryState};
+use camphorloft_peer::wire::WireEndpointChange;
 use camphorloft_types::prelude::*;
-use tokio::net::UdpSocket;
+use common::{FLEET, fleet, state};
 
 fn peers() -> Peers {
     Peers::new("h1".parse().unwrap(), "north".parse().unwrap(), 8)
@@ -20,10 +17,6 @@
     "h2".parse().unwrap()
 }
 
-fn state(list_digest: u64, age_ms: u32) -> WireRegistryState {
-    WireRegistryState { list_digest, list_age_ms: age_ms, version_age_ms: age_ms }
-}
-
 #[test]
 fn silence_ends_the_reliance() {
     let (mut peers, now) = (peers(), Instant::now() + Duration::from_secs(10));
@@ -67,47 +60,6 @@
     assert!(peers.changes_to_tell(Vec::new(), later).is_empty());
 }
 
-/// Hosts of two regions that know each other.
-const FLEET: [(&str, &str); 4] =
-    [("n1", "north"), ("n2", "north"), ("s1", "south"), ("s2", "south")];
-
-fn member(host: &str, region: &str) -> Member {
-    let addr = "127.0.0.1:9".parse().unwrap();
-    Member {
-        host: host.parse().unwrap(),
-        addr,
-        http_addr: addr,
-        region: region.parse().unwrap(),
-        zone: format!("{region}-a").parse().unwrap(),
-        started_ms: 1,
-        incarnation: Incarnation(1),
-        state: MemberState::Alive,
-        accuser: None,
-    }
-}
-
-/// Returns what each host of the fleet knows of the others.
-async fn fleet(now: Instant) -> Vec<Peers> {
-    let socket = Rc::new(UdpSocket::bind("127.0.0.1:0").await.unwrap());
-    let views = FLEET.iter().map(|(own, region)| {
-        let config = LinkConfig {
-            own: member(own, region),
-            membership: MembershipSettings::default(),
-            keys: FrameKeys::derive(&[b"secret".to_vec()]),
-            started_ms: 1,
-            seed: 1,
-        };
-        let mut link = Link::new(config, now);
-        for (host, region) in FLEET.iter().filter(|(host, _)| host != own) {
-            link.membership_mut().add_seed(member(host, region), now);
-        }
-        let mut peers = Peers::new(own.parse().unwrap(), region.parse().unwrap(), 4);
-        peers.connect(link, socket.clone());
-        peers
-    });
-    views.collect()
-}
-
 /// Each call to the registry is paid: one host asks for all, and in a region that does not hear it
 /// one host stands in.
 #[tokio::test]
