Count the store as back when another host tells that it is

Cause: from reading: a host that lost the store and then heard from a reader that it was back kept its loss. When it read for itself much later, entries that were removed then got 2.2 s to come back, beyond the time in which an endpoint that left may take new work.

Change: when the registry was away is a type of its own; being told ends the absence like reading does.

--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -13,6 +13,7 @@
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
+use crate::absence::Absence;
 use crate::boundary::{EndpointChange, Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
 
@@ -34,18 +35,14 @@
 const ALONE_RETRY_STEP: Duration = Duration::from_millis(1000);
 /// Time between two looks whether another host still reads for this one.
 const TOLD_STEP: Duration = Duration::from_millis(100);
-/// Time after the return of the registry in which lapsed entries come back.
-const LAPSE_GRACE: Duration = Duration::from_millis(2200);
 
 /// What a host knows of the registry's endpoint list.
 #[derive(Debug, Default)]
 struct ListState {
     /// Position up to which the list is known; `None` when it must be read whole.
     revision: Option<Revision>,
-    /// When the registry was lost.
-    lost_at: Option<Instant>,
-    /// When it came back after it was lost.
-    regained_at: Option<Instant>,
+    /// When the registry was away.
+    absence: Absence,
     /// Entries that are missing since the registry came back, and when they count as gone.
     lapsed: BTreeMap<EndpointName, Instant>,
     /// True when the last answer told that an endpoint leaves.
@@ -97,6 +94,7 @@
         if cx.list_is_told() {
             cx.list_read_at.set(None);
             list.revision = None;
+            note_regained(&cx, &mut list);
             expire_lapsed(&cx, &mut list);
             sleep(TOLD_STEP).await;
             continue;
@@ -120,8 +118,7 @@
                 list.revision = None;
             }
             Err(err) => {
-                if list.lost_at.is_none() {
-                    list.lost_at = Some(Instant::now());
+                if list.absence.lose(Instant::now()) {
                     warn!(cx.log, "registry lost"; "registry_call" => "endpoints", "error" => %err);
                 }
                 list.revision = None;
@@ -143,9 +140,7 @@
         let joined = self.state.borrow().peers.live().next().is_some();
         interval(joined, told_of_leaving)
     }
-}
 
-impl<W, R> Host<W, R> {
     /// Leaves the registry to another host after a failed call, and tells those for which this host
     /// reads it.
     fn give_up_duty(&self, now: Instant) {
@@ -265,8 +260,7 @@
     now: Instant,
     changes: &mut Vec<FleetChange>,
 ) {
-    let until = list.regained_at.map(|at| at + LAPSE_GRACE).filter(|until| *until > now);
-    match until {
+    match list.absence.grace_until(now) {
         Some(until) => {
             list.lapsed.entry(name).or_insert(until);
         }
@@ -289,12 +283,12 @@
     cx.tell_changes(&changes);
 }
 
+/// Takes that the registry is back, read by this host or by another one that tells it.
 fn note_regained<W, R>(cx: &Rc<Host<W, R>>, list: &mut ListState) {
-    let Some(lost_at) = list.lost_at.take() else { return };
-    list.regained_at = Some(Instant::now());
-    info!(cx.log, "registry regained"; "registry_call" => "endpoints",
-        "after_ms" => lost_at.elapsed().as_millis() as u64);
     let now = Instant::now();
+    let Some(away) = list.absence.regain(now) else { return };
+    info!(cx.log, "registry regained"; "registry_call" => "endpoints",
+        "after_ms" => away.as_millis() as u64);
     if let Some(audience) = cx.reads_registry_for(now) {
         cx.tell_registry_state(audience, Some(now), now);
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`event_splitter`]: cuts a byte stream into events.
 //! - [`serving_watch`]: follows the version in force.
 //! - [`endpoint_watch`]: follows the endpoint list.
+//! - [`absence`]: when the registry was away.
 //! - [`report_poll`]: asks engines for their load.
 //! - [`peers`]: what a host knows of the others.
 //! - [`peer_link`]: joins the other hosts and carries datagrams between them.
@@ -34,6 +35,7 @@
 //! - [`metrics`]: counters and histograms.
 //! - [`task`]: tasks that end with their owner.
 
+pub mod absence;
 pub mod answer_body;
 pub mod boundary;
 pub mod call;
