Keep the absence of the store in one type for both loops

Cause: from the last reading: the loop that follows versions kept its own copy of the state that Absence holds, and did not end it when another host told of the version, so that its log named the store lost and never regained.

Change: it uses Absence, as the endpoint list does, and logs the return when it is told. No decision reads it there. A constant that only its file reads is private.

--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -10,7 +10,7 @@
 const HINT_HALF_LIFE: Duration = Duration::from_millis(400);
 /// Speed at which an engine generates for one sequence in a small batch, in tokens per second.
 /// Today's engines take 7 ms and more for a token.
-pub const TOKENS_PER_SECOND: f64 = 110.0;
+const TOKENS_PER_SECOND: f64 = 110.0;
 /// Speed at which an engine reads prompts beside a small batch, in tokens per second: a chunk of
 /// 112 tokens with each step of about 16 ms.
 pub const READ_PER_SECOND: f64 = 7000.0;
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -7,6 +7,7 @@
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
+use crate::absence::Absence;
 use crate::boundary::{Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
 
@@ -34,9 +35,10 @@
 {
     wait_for_others(&cx).await;
     let mut revision: Option<Revision> = None;
-    let mut lost_at: Option<Instant> = None;
+    let mut absence = Absence::default();
     loop {
         if cx.version_is_told() {
+            note_regained(&cx, &mut absence);
             cx.version_read_at.set(None);
             revision = None;
             sleep(TOLD_STEP).await;
@@ -47,10 +49,7 @@
         cx.metrics.registry_calls.with_label_values(&["serving", result]).inc();
         match answer {
             Ok(listing) => {
-                if let Some(at) = lost_at.take() {
-                    info!(cx.log, "registry regained"; "registry_call" => "serving",
-                        "after_ms" => at.elapsed().as_millis() as u64);
-                }
+                note_regained(&cx, &mut absence);
                 let is_first = revision.is_none();
                 revision = Some(revision.unwrap_or_default().max(listing.revision));
                 cx.version_read_at.set(Some(Instant::now()));
@@ -64,8 +63,7 @@
                 }
             }
             Err(err) => {
-                if lost_at.is_none() {
-                    lost_at = Some(Instant::now());
+                if absence.lose(Instant::now()) {
                     warn!(cx.log, "registry lost"; "registry_call" => "serving", "error" => %err);
                 }
                 // The version in force is read whole after each failure.
@@ -76,6 +74,14 @@
     }
 }
 
+/// Takes that the registry is back, read by this host or by another one that tells it.
+fn note_regained<W, R>(cx: &Rc<Host<W, R>>, absence: &mut Absence) {
+    if let Some(away) = absence.regain(Instant::now()) {
+        info!(cx.log, "registry regained"; "registry_call" => "serving",
+            "after_ms" => away.as_millis() as u64);
+    }
+}
+
 /// Waits at the start for a version that another host hands on, which is compressed: as long as
 /// reading a large one from the registry would take on the host's own link. Hosts with fast links
 /// read at once.
