Distribute peer updates through relays in large fleets

Cause: an update went to at most 128 hosts. A host that joined asked all known hosts for their whole views.

Change: in a fleet of more than 25 hosts an update goes to the relay of the sender's zone, which combines updates and forwards them to its zone, to the other zones' relays and to one relay in each other region. Migration plans also go directly to the hosts of the engine's region. One host after the other stands in for the poller of an engine. A host that joins asks four others, and synchronises early.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -114,8 +114,8 @@
     /// Returns true if no report from within the last `age` is known, although one could have
     /// arrived.
     pub fn lacks_report(&self, age: Duration, now: Instant) -> bool {
-        let known = self.load.report(now).map(|(_, known)| known);
-        known.unwrap_or_else(|| now.saturating_duration_since(self.joined_at)) > age
+        let last = self.load.last_report_at().map_or(self.joined_at, |at| at.max(self.joined_at));
+        now.saturating_duration_since(last) > age
     }
 
     /// Returns when the endpoint was first known to be draining or removed.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -247,7 +247,10 @@
 
     /// Records the plan of another host for a generation of `kv_tokens` tokens.
     pub fn record_migration(&mut self, plan: PlannedMigration, kv_tokens: u32, now: Instant) {
-        self.record_expected_copy(plan.to, kv_tokens, now);
+        // A plan may arrive repeatedly, directly and through a relay.
+        if !self.migrations.is_known(&plan) {
+            self.record_expected_copy(plan.to, kv_tokens, now);
+        }
         self.migrations.record(plan, now);
     }
 
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -146,6 +146,11 @@
         (age <= MAX_REPORT_AGE).then_some((&observed.item, age))
     }
 
+    /// Returns the time at which the latest report was valid, even if it has expired.
+    pub fn last_report_at(&self) -> Option<Instant> {
+        self.report.as_ref().map(|report| report.as_of)
+    }
+
     /// Returns the estimated number of requests of other hosts in progress or waiting at the
     /// endpoint, from its load hints.
     pub fn peer_requests(&self, now: Instant) -> f64 {
--- a/crates/dispatch/src/migration.rs
+++ b/crates/dispatch/src/migration.rs
@@ -111,6 +111,11 @@
         self.plans.push(plan);
     }
 
+    /// Returns true if a plan with the same key and destination is known.
+    pub fn is_known(&self, plan: &PlannedMigration) -> bool {
+        self.plans.iter().any(|known| known.key == plan.key && known.to == plan.to)
+    }
+
     /// Removes a plan that will not be carried out.
     pub fn cancel(&mut self, key: u64) {
         self.plans.retain(|known| known.key != key);
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::boundary::Registry;
 use crate::metrics::Metrics;
@@ -73,6 +73,8 @@
     pub list_read_at: Cell<Option<Instant>>,
     /// Time at which this host's own read last confirmed that the version in force is the latest.
     pub version_read_at: Cell<Option<Instant>>,
+    /// Notified when updates of other hosts are to be forwarded.
+    pub updates_buffered: Notify,
     /// Time of the last fetch of a version from another host.
     last_fetch_at: Cell<Option<Instant>>,
     fleet_revision: watch::Sender<u64>,
@@ -103,6 +105,7 @@
             buffered_bytes: Cell::new(0),
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
+            updates_buffered: Notify::new(),
             last_fetch_at: Cell::new(None),
             fleet_revision: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -154,6 +154,7 @@
     let ready = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
     info!(cx.log, "state"; "version" => version, "endpoints_ready" => ready,
         "hosts_live" => state.peers.live().count() + 1, "reads_registry" => reads,
-        "list_age_ms" => list_age,
+        "list_age_ms" => list_age, "peer_kb_out" => state.peers.bytes_out() / 1000,
+        "peer_kb_out_remote" => state.peers.remote_bytes_out() / 1000,
         "registry_calls" => calls);
 }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -1,6 +1,7 @@
 //! Joins the membership of hosts, and exchanges datagrams with peers.
 
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -10,17 +11,19 @@
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::link::{Datagram, Link, LinkConfig, Received};
 use camphorloft_peer::seal::FrameKeys;
+use camphorloft_peer::updates::Updates;
 use camphorloft_peer::wire::{WireCrashCount, WirePlacement, WireRegistryState};
 use camphorloft_types::prelude::*;
 use rand::Rng;
-use slog::{info, warn};
+use rand::seq::IndexedRandom;
+use slog::{debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::boundary::{HostRecord, Registry, RegistryError, Wire};
 use crate::config_exchange;
-use crate::context::Host;
+use crate::context::{Host, State};
 use crate::endpoint_watch;
 use crate::listener::bind;
 use crate::peer_convert::{
@@ -33,6 +36,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Ticks between two registry state updates of an assigned reader.
 const TICKS_PER_REGISTRY_STATE: u64 = 2;
+/// Number of known hosts contacted in one attempt to join. Each of them replies with its whole view.
+const JOIN_CONTACTS: usize = 4;
 /// Time between two attempts to join through the known addresses.
 const JOIN_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout of a call to the registry.
@@ -77,7 +82,11 @@
     info!(cx.log, "joining peers"; "addresses" => addresses.len());
     loop {
         if cx.state.borrow().peers.live().next().is_none() {
-            cx.with_link(|link, out| link.request_sync(&addresses, out));
+            let contacts: Vec<SocketAddr> = {
+                let rng = &mut cx.state.borrow_mut().rng;
+                addresses.choose_multiple(rng, JOIN_CONTACTS).copied().collect()
+            };
+            cx.with_link(|link, out| link.request_sync(&contacts, out));
         }
         sleep(JOIN_RETRY_INTERVAL).await;
     }
@@ -160,9 +169,25 @@
     spawn_local(config_exchange::serve(cx.clone(), listener, keys.clone()));
     spawn_local(receive_all(cx.clone(), socket, keys));
     spawn_local(tick_all(cx.clone()));
+    spawn_local(forward_all(cx.clone()));
     Ok(())
 }
 
+/// Forwards the updates that other hosts send through this one.
+async fn forward_all<W, R>(cx: Rc<Host<W, R>>) {
+    loop {
+        let due_at = cx.state.borrow().peers.forward_at();
+        // Updates that arrive meanwhile may be due earlier.
+        let notified = cx.updates_buffered.notified();
+        match due_at {
+            Some(at) => drop(timeout_at(at.into(), notified).await),
+            None => notified.await,
+        }
+        let datagrams = cx.state.borrow_mut().peers.forward(Instant::now());
+        cx.send_datagrams(&datagrams);
+    }
+}
+
 async fn tick_all<W, R>(cx: Rc<Host<W, R>>)
 where
     W: Wire,
@@ -176,6 +201,7 @@
             link.set_config_version(version.unwrap_or_default());
             link.tick(now, out);
         });
+        cx.tick_relays(now);
         {
             let mut guard = cx.state.borrow_mut();
             let state = &mut *guard;
@@ -221,6 +247,7 @@
     R: Registry,
 {
     let datagram = &received.datagram;
+    cx.receive_for_others(received, now);
     for wire in &datagram.blames {
         let crashes = u8::try_from(wire.crashes).unwrap_or(u8::MAX);
         let count = CrashCount { fingerprint: wire.fingerprint, crashes };
@@ -251,11 +278,15 @@
     }
     let changes = datagram.endpoint_changes.iter().filter_map(change_from_wire);
     endpoint_watch::apply_changes(cx, changes, now, "host");
-    if let Some(registry) = &datagram.registry {
+    for registry in &datagram.registry {
+        let Ok(reader) = registry.reader.parse::<HostName>() else {
+            debug!(cx.log, "registry state without a valid reader"; "reader" => &registry.reader);
+            continue;
+        };
         let mut guard = cx.state.borrow_mut();
         let state = &mut *guard;
         let digest = state.fleet.list_digest();
-        state.peers.record_registry_state(&received.message.sender.host, registry, digest, now);
+        state.peers.record_registry_state(&reader, registry, digest, now);
     }
     let known = cx.serving().map_or(ConfigVersion(0), |serving| serving.version);
     if received.message.config_version > known && cx.try_begin_fetch(now) {
@@ -292,69 +323,100 @@
         }
     }
 
-    /// Sends this host's configuration version to all hosts immediately.
-    pub fn send_version(&self) {
-        let version = self.serving().map(|serving| serving.version).unwrap_or_default();
+    fn receive_for_others(&self, received: &Received, now: Instant) {
+        let sender = &received.message.sender;
+        let mut state = self.state.borrow_mut();
+        let result = state.peers.receive_for_others(sender, &received.datagram, now);
+        if let Err(err) = result {
+            warn!(self.log, "updates not forwarded"; "from" => %sender.host, "error" => %err);
+        }
+        if state.peers.forward_at().is_some() {
+            self.updates_buffered.notify_one();
+        }
+    }
+
+    fn tick_relays(&self, now: Instant) {
+        let mut out = Vec::new();
+        let excluded = self.state.borrow_mut().peers.tick_relays(now, &mut out);
+        self.send_datagrams(&out);
+        for relay in excluded {
+            info!(self.log, "relay does not acknowledge"; "relay" => %relay);
+        }
+    }
+
+    /// Distributes updates to other hosts, through relays in a large fleet.
+    fn distribute(&self, scope: UpdateScope, updates: Updates, now: Instant) {
         let datagrams = {
             let mut state = self.state.borrow_mut();
-            if let Some((link, _)) = state.peers.link_mut() {
-                link.set_config_version(version);
+            let datagrams = state.peers.distribute(scope, updates, now);
+            if state.peers.forward_at().is_some() {
+                self.updates_buffered.notify_one();
             }
-            state.peers.seal_update(UpdateScope::All, |_| {})
+            datagrams
         };
         self.send_datagrams(&datagrams);
     }
 
+    /// Sends this host's configuration version to all hosts immediately.
+    pub fn send_version(&self) {
+        let version = self.serving().map(|serving| serving.version).unwrap_or_default();
+        self.with_link(|link, out| {
+            link.set_config_version(version);
+            link.announce_version(out);
+        });
+    }
+
     /// Sends the placement of a generation of `kv_tokens` tokens, with `prefill_tokens` tokens to
     /// prefill, to other hosts.
     pub fn send_placement(&self, endpoint: EndpointIx, kv_tokens: u32, prefill_tokens: u32) {
-        let datagrams = {
-            let mut guard = self.state.borrow_mut();
-            let state = &mut *guard;
-            let Some(digest) = state.fleet.get(endpoint).map(|e| e.digest) else { return };
-            let placement =
-                WirePlacement { endpoint: digest, kv: kv_tokens, unread: prefill_tokens };
-            state
-                .peers
-                .seal_update(UpdateScope::All, |datagram| datagram.placements.push(placement))
-        };
-        self.send_datagrams(&datagrams);
+        let digest = self.state.borrow().fleet.get(endpoint).map(|e| e.digest);
+        let Some(endpoint) = digest else { return };
+        let placement = WirePlacement { endpoint, kv: kv_tokens, unread: prefill_tokens };
+        let updates = Updates { placements: vec![placement], ..Updates::default() };
+        self.distribute(UpdateScope::All, updates, Instant::now());
     }
 
     /// Sends the planned migration of a generation that holds `kv_tokens` tokens of KV cache.
     pub fn send_migration(&self, plan: &PlannedMigration, kv_tokens: u32) {
+        let now = Instant::now();
         let datagrams = {
             let mut guard = self.state.borrow_mut();
-            let state = &mut *guard;
-            let digest = |ix| state.fleet.get(ix).map(|endpoint| endpoint.digest);
-            let (Some(from), Some(to)) = (digest(plan.from), digest(plan.to)) else { return };
-            let wire = migration_to_wire(plan, (from, to), kv_tokens, Instant::now());
-            state.peers.seal_update(UpdateScope::All, |datagram| datagram.moves.push(wire))
+            let State { fleet, peers, .. } = &mut *guard;
+            let (Some(from), Some(to)) = (fleet.get(plan.from), fleet.get(plan.to)) else { return };
+            let wire = migration_to_wire(plan, (from.digest, to.digest), kv_tokens, now);
+            let updates = Updates { migrations: vec![wire], ..Updates::default() };
+            let region = fleet.locality().regions.get(&from.entry.zone);
+            match region {
+                Some(region) => peers.distribute_urgently(region, updates, now),
+                None => peers.distribute(UpdateScope::All, updates, now),
+            }
         };
+        self.updates_buffered.notify_one();
         self.send_datagrams(&datagrams);
     }
 
     /// Sends an engine's load report to other hosts.
     pub fn send_report(&self, endpoint: EndpointIx, report: &LoadReport, as_of: Instant) {
-        let datagrams = {
-            let mut guard = self.state.borrow_mut();
-            let state = &mut *guard;
-            let Some(digest) = state.fleet.get(endpoint).map(|e| e.digest) else { return };
-            let wire = report_to_wire(digest, report, as_of, Instant::now());
-            state.peers.seal_update(UpdateScope::All, |datagram| datagram.reports.push(wire))
-        };
-        self.send_datagrams(&datagrams);
+        let now = Instant::now();
+        let digest = self.state.borrow().fleet.get(endpoint).map(|e| e.digest);
+        let Some(digest) = digest else { return };
+        let reports = vec![report_to_wire(digest, report, as_of, now)];
+        self.distribute(UpdateScope::All, Updates { reports, ..Updates::default() }, now);
     }
 
-    /// Gossips crash counts of request fingerprints to other hosts.
+    /// Sends crash counts of request fingerprints to other hosts, and repeats them in further
+    /// datagrams.
     pub fn gossip_crash_counts(&self, crash_counts: &[CrashCount]) {
-        for count in crash_counts {
-            let wire = WireCrashCount {
-                fingerprint: count.fingerprint,
-                crashes: u32::from(count.crashes),
-            };
-            self.with_link(|link, out| link.gossip_crash_count(wire, out));
+        let to_wire = |count: &CrashCount| WireCrashCount {
+            fingerprint: count.fingerprint,
+            crashes: u32::from(count.crashes),
+        };
+        let crash_counts: Vec<WireCrashCount> = crash_counts.iter().map(to_wire).collect();
+        for count in &crash_counts {
+            self.with_link(|link, out| link.gossip_crash_count(*count, out));
         }
+        let updates = Updates { crash_counts, ..Updates::default() };
+        self.distribute(UpdateScope::All, updates, Instant::now());
     }
 
     /// Sends changes of the endpoint list to the hosts for which this host reads the registry, or to
@@ -365,7 +427,7 @@
         }
         let now = Instant::now();
         let scope = self.registry_read_scope(now).unwrap_or(UpdateScope::Region);
-        let datagrams = {
+        let endpoint_changes = {
             let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
             let wire = changes.iter().filter_map(|change| {
@@ -373,10 +435,9 @@
                 let listed = !matches!(change, FleetChange::Removed(_));
                 Some(change_to_wire(&entry.name, listed.then_some(entry)))
             });
-            let resent = state.peers.changes_to_send(wire.collect(), now);
-            state.peers.seal_update(scope, |datagram| datagram.endpoint_changes.clone_from(&resent))
+            state.peers.changes_to_send(wire.collect(), now)
         };
-        self.send_datagrams(&datagrams);
+        self.distribute(scope, Updates { endpoint_changes, ..Updates::default() }, now);
     }
 
     /// Sends this host's view of the registry to other hosts. `list_at` is when its own read last
@@ -387,20 +448,18 @@
             u32::try_from(age).unwrap_or(u32::MAX)
         };
         let version_at = self.version_read_at.get();
-        let datagrams = {
+        let updates = {
             let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
             let registry = WireRegistryState {
                 list_digest: state.fleet.list_digest(),
                 list_age_ms: age(list_at),
                 version_age_ms: age(version_at),
+                reader: self.settings.host.to_string(),
             };
-            let resent = state.peers.changes_to_send(Vec::new(), now);
-            state.peers.seal_update(scope, |datagram| {
-                datagram.registry = Some(registry);
-                datagram.endpoint_changes.clone_from(&resent);
-            })
+            let endpoint_changes = state.peers.changes_to_send(Vec::new(), now);
+            Updates { registry: vec![registry], endpoint_changes, ..Updates::default() }
         };
-        self.send_datagrams(&datagrams);
+        self.distribute(scope, updates, now);
     }
 }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,7 +6,10 @@
 
 use camphorloft_dispatch::assignment;
 use camphorloft_membership::Member;
+use camphorloft_peer::distribution::Distribution;
+use camphorloft_peer::forward_scope::{ForwardScope, ForwardScopeError};
 use camphorloft_peer::link::{Datagram, Link};
+use camphorloft_peer::updates::Updates;
 use camphorloft_peer::wire::{WireDatagram, WireEndpointChange, WireRegistryState};
 use camphorloft_types::prelude::*;
 use tokio::net::UdpSocket;
@@ -33,10 +36,6 @@
 /// Time for which the largest observed number of hosts stays in effect, so that the two sides of a
 /// network partition do not each spend the whole quota.
 const PEAK_HOSTS_RETENTION: Duration = Duration::from_secs(60);
-/// Maximum number of hosts that a peer update is sent to. In larger fleets each endpoint is used by
-/// only a few hosts.
-pub const MAX_UPDATE_RECIPIENTS: usize = 128;
-
 /// Name of the task to read the registry for other hosts, as input to the assignment.
 const REGISTRY_READER_TASK: &str = "registry";
 
@@ -56,12 +55,22 @@
     }
 }
 
+impl From<UpdateScope> for ForwardScope {
+    fn from(scope: UpdateScope) -> Self {
+        match scope {
+            UpdateScope::All => ForwardScope::Fleet,
+            UpdateScope::Region => ForwardScope::Region,
+        }
+    }
+}
+
 /// State of the other hosts.
 #[derive(Debug)]
 pub struct Peers {
     own: HostName,
     region: Region,
     link: Option<(Link, Rc<UdpSocket>)>,
+    distribution: Distribution,
     /// When the last update of any reader arrived.
     reader_seen_at: Option<Instant>,
     /// When this host last failed to reach the registry.
@@ -88,6 +97,7 @@
             own,
             region,
             link: None,
+            distribution: Distribution::default(),
             reader_seen_at: None,
             own_failed_at: None,
             failed_readers: BTreeMap::new(),
@@ -114,6 +124,16 @@
         self.link.iter().flat_map(|(link, _)| link.membership().live())
     }
 
+    /// Returns the bytes sent to other hosts in datagrams.
+    pub fn bytes_out(&self) -> u64 {
+        self.link.as_ref().map_or(0, |(link, _)| link.counts().bytes_out)
+    }
+
+    /// Returns the part of [`Self::bytes_out`] sent to other regions.
+    pub fn remote_bytes_out(&self) -> u64 {
+        self.link.as_ref().map_or(0, |(link, _)| link.counts().remote_bytes_out)
+    }
+
     /// Returns the number of hosts that share a quota, including this one.
     pub fn quota_hosts(&mut self, now: Instant) -> u32 {
         let live = self.live().count() as u32 + 1;
@@ -128,10 +148,10 @@
         self.peak_hosts.0
     }
 
-    /// Returns true when this host is assigned `task` within its region.
-    pub fn is_assigned(&self, task: &str) -> bool {
+    /// Returns the number of hosts of the region that rank before this one for `task`.
+    pub fn rank_in_region(&self, task: &str) -> usize {
         let region = self.live().filter(|member| member.region == self.region);
-        assignment::is_assigned(task, &self.own, region.map(|member| &member.host))
+        assignment::rank(task, &self.own, region.map(|member| &member.host))
     }
 
     /// Returns the scope of hosts for which this host is the assigned reader of the registry, if any.
@@ -241,20 +261,73 @@
         self.recent_changes.iter().map(|(_, change)| change.clone()).collect()
     }
 
-    /// Seals an update for the hosts in scope. `fill` adds the content to the empty datagram.
-    pub fn seal_update<Fill>(&mut self, scope: UpdateScope, fill: Fill) -> Vec<Datagram>
-    where
-        Fill: FnOnce(&mut WireDatagram),
-    {
-        let Some((link, _)) = &mut self.link else { return Vec::new() };
-        let own_region = &self.region;
-        let is_recipient = |member: &Member| scope.includes(&member.region, own_region);
-        let mut datagram = link.empty_datagram();
-        fill(&mut datagram);
+    /// Distributes updates to the hosts in scope.
+    pub fn distribute(
+        &mut self,
+        scope: UpdateScope,
+        updates: Updates,
+        now: Instant,
+    ) -> Vec<Datagram> {
         let mut out = Vec::new();
-        link.broadcast(datagram, is_recipient, MAX_UPDATE_RECIPIENTS, &mut out);
+        if let Some((link, _)) = &mut self.link {
+            self.distribution.submit(link, scope.into(), updates, now, &mut out);
+            self.distribution.flush(link, now, &mut out);
+        }
         out
     }
+
+    /// Distributes updates about an endpoint in `region` to all hosts, and to those of that region
+    /// without the delay of a relay.
+    pub fn distribute_urgently(
+        &mut self,
+        region: &Region,
+        updates: Updates,
+        now: Instant,
+    ) -> Vec<Datagram> {
+        let mut out = Vec::new();
+        if let Some((link, _)) = &mut self.link {
+            self.distribution.submit_to_region(link, region, updates.clone(), &mut out);
+        }
+        out.extend(self.distribute(UpdateScope::All, updates, now));
+        out
+    }
+
+    /// Buffers the updates in a received datagram that this host forwards.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ForwardScopeError`] if the datagram is to be forwarded to an unknown scope.
+    pub fn receive_for_others(
+        &mut self,
+        sender: &Member,
+        received: &WireDatagram,
+        now: Instant,
+    ) -> Result<(), ForwardScopeError> {
+        self.distribution.receive(sender, received, now)
+    }
+
+    /// Returns when [`Self::forward`] must be called next.
+    pub fn forward_at(&self) -> Option<Instant> {
+        self.distribution.due_at()
+    }
+
+    /// Forwards the updates of other hosts that are due.
+    pub fn forward(&mut self, now: Instant) -> Vec<Datagram> {
+        let mut out = Vec::new();
+        if let Some((link, _)) = &mut self.link {
+            self.distribution.flush(link, now, &mut out);
+        }
+        out
+    }
+
+    /// Acknowledges forwarded updates. Returns the relays that are excluded from now on because
+    /// they did not acknowledge.
+    pub fn tick_relays(&mut self, now: Instant, out: &mut Vec<Datagram>) -> Vec<HostName> {
+        match &mut self.link {
+            Some((link, _)) => self.distribution.tick(link, now, out),
+            None => Vec::new(),
+        }
+    }
 }
 
 fn is_fresh(known_at: Option<Instant>, max_age: Duration, now: Instant) -> bool {
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -24,8 +24,8 @@
 /// Assumed age of a report when it arrives, excluding network latency. Engines state that it is
 /// some hundred milliseconds.
 const REPORT_LAG: Duration = Duration::from_millis(400);
-/// Age of the last report at which a host polls the engine itself, because several reports of the
-/// assigned poller were lost.
+/// Age of the last report, multiplied by a host's rank among the stand-ins of the assigned poller, at
+/// which the host polls the engine itself. Several reports are then missing.
 const MISSED_REPORT_AGE: Duration = Duration::from_millis(1900);
 /// Maximum size of a report.
 const MAX_REPORT_BYTES: usize = 256 << 10;
@@ -51,8 +51,26 @@
     }
 }
 
+/// Returns how old the last report of an engine may be before the host polls the engine. `rank` is
+/// that of the host among those of its region. `is_near` is true for an engine of its region; engines
+/// of other regions are polled by hosts there, so those of this region only stand in.
+///
+/// One host of each region after the other stands in when reports stop. If all of a large fleet did at
+/// once, the loss of one poller would cause thousands of requests.
+///
+/// ```
+/// use camphorloft_host::report_poll::max_report_age;
+/// assert!(max_report_age(0, true).is_zero());
+/// assert!(!max_report_age(0, false).is_zero());
+/// assert!(max_report_age(2, true) > max_report_age(1, true));
+/// ```
+pub fn max_report_age(rank: usize, is_near: bool) -> Duration {
+    let position = rank.saturating_add(usize::from(!is_near));
+    MISSED_REPORT_AGE.saturating_mul(u32::try_from(position).unwrap_or(u32::MAX))
+}
+
 /// Returns the engines that this host polls: those of its region that it is the assigned poller of,
-/// and any whose last report is too old.
+/// and those for which it stands in.
 fn engines_to_poll<W, R>(cx: &Rc<Host<W, R>>) -> Vec<(EndpointIx, EndpointEntry)> {
     let Some(serving) = cx.serving() else { return Vec::new() };
     let state = cx.state.borrow();
@@ -65,9 +83,9 @@
         if !of_interest || !generates(&endpoint.entry.service) {
             return false;
         }
-        let near = endpoint.distance != Distance::Remote;
-        let assigned = near && state.peers.is_assigned(endpoint.entry.name.as_str());
-        assigned || endpoint.lacks_report(MISSED_REPORT_AGE, now)
+        let rank = state.peers.rank_in_region(endpoint.entry.name.as_str());
+        let max_age = max_report_age(rank, endpoint.distance != Distance::Remote);
+        max_age.is_zero() || endpoint.lacks_report(max_age, now)
     });
     engines.map(|(ix, endpoint)| (ix, endpoint.entry.clone())).collect()
 }
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -13,7 +13,12 @@
 use tokio::net::UdpSocket;
 
 pub fn state(list_digest: u64, age_ms: u32) -> WireRegistryState {
-    WireRegistryState { list_digest, list_age_ms: age_ms, version_age_ms: age_ms }
+    WireRegistryState {
+        list_digest,
+        list_age_ms: age_ms,
+        version_age_ms: age_ms,
+        reader: "h2".to_owned(),
+    }
 }
 
 /// Hosts of two regions, with their region.
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -21,6 +21,14 @@
 /// One synchronisation in this many goes to a host that is considered dead, so that regions merge
 /// again after a partition.
 const SYNC_DEAD_EVERY: u64 = 3;
+/// Delay of the first synchronisation after a host discovered another one. When many hosts start at
+/// once, the first views that they exchange are incomplete.
+const FIRST_SYNC_DELAY: Duration = Duration::from_millis(1000);
+/// Factor by which the delay grows after each synchronisation, up to the regular interval.
+const SYNC_DELAY_GROWTH: f64 = 1.5;
+/// One synchronisation in this many goes to a host of any region, and the others to the own region,
+/// because views are large.
+const SYNC_ANY_REGION_EVERY: u64 = 4;
 /// Number of hosts to which each host immediately sends updates that are new to it.
 const UPDATE_FANOUT: usize = 3;
 /// Mean number of hosts that probe a suspect ahead of their regular order.
@@ -41,6 +49,7 @@
     remote_probe_order: Vec<HostName>,
     next_probe_at: Instant,
     next_sync_at: Instant,
+    sync_delay: Duration,
     probes: u64,
     syncs: u64,
     /// Raised when this host's probes fail, lowered when they succeed. Larger values lengthen the
@@ -67,6 +76,7 @@
             remote_probe_order: Vec::new(),
             next_probe_at: now + offset,
             next_sync_at: now + offset,
+            sync_delay: FIRST_SYNC_DELAY.min(settings.sync_interval),
             probes: 0,
             syncs: 0,
             health_score: 0,
@@ -148,7 +158,9 @@
         }
         if now >= self.next_sync_at {
             let jitter = self.rng.random_range(0.75..1.25);
-            self.next_sync_at = now + self.settings.sync_interval.mul_f64(jitter);
+            self.next_sync_at = now + self.sync_delay.mul_f64(jitter);
+            self.sync_delay =
+                self.sync_delay.mul_f64(SYNC_DELAY_GROWTH).min(self.settings.sync_interval);
             self.start_sync(out);
         }
     }
@@ -358,8 +370,12 @@
             let is_live = known.member.state <= MemberState::Suspect;
             if sync_dead { is_dead } else { is_live }
         };
-        let candidates: Vec<Member> =
+        let mut candidates: Vec<Member> =
             self.members.values().filter(is_candidate).map(|known| known.member.clone()).collect();
+        let is_near = |member: &Member| member.region == self.own.region;
+        if !self.syncs.is_multiple_of(SYNC_ANY_REGION_EVERY) && candidates.iter().any(is_near) {
+            candidates.retain(is_near);
+        }
         let Some(target) = candidates.choose(&mut self.rng).cloned() else { return };
         let digest = self.view_digest();
         // The target needs the record about itself to refute it.
@@ -495,6 +511,10 @@
     }
 
     fn insert(&mut self, member: Member, now: Instant) {
+        if self.members.is_empty() {
+            self.sync_delay = FIRST_SYNC_DELAY.min(self.settings.sync_interval);
+            self.next_sync_at = self.next_sync_at.min(now + self.sync_delay);
+        }
         self.update_queue.push(member.clone());
         let known = self.members.get(&member.host);
         let config_version = known.map_or(ConfigVersion(0), |known| known.config_version);
--- a/crates/membership/tests/network.rs
+++ b/crates/membership/tests/network.rs
@@ -13,10 +13,14 @@
 
 const TICK: Duration = Duration::from_millis(100);
 const REGIONS: usize = 3;
+/// Time from the start of the hosts of a large deployment to its first requests.
+const START_TO_TRAFFIC: Duration = Duration::from_secs(14);
 
 /// A simulated network of membership views.
 struct Network {
     now: Instant,
+    /// Membership records sent, of which a message carries the sender's and its updates.
+    records_sent: usize,
     views: Vec<Option<Membership>>,
     loss: f64,
     /// Pairs of sender and receiver between which all messages are dropped.
@@ -56,6 +60,7 @@
         let rng = Pcg64Mcg::seed_from_u64(seed);
         let mut network = Self {
             now: Instant::now(),
+            records_sent: 0,
             views: Vec::new(),
             loss: 0.0,
             dropped_links: BTreeSet::new(),
@@ -90,16 +95,22 @@
                 }
                 out.extend(sent.into_iter().map(|outgoing| (ix, outgoing)));
             }
-            while let Some((from, outgoing)) = out.pop() {
-                let to = host_at(outgoing.to);
-                if self.dropped_links.contains(&(from, to)) || self.rng.random_bool(self.loss) {
-                    continue;
-                }
-                let Some(Some(view)) = self.views.get_mut(to) else { continue };
-                let mut replies = Vec::new();
-                view.receive(addr(from), &outgoing.message, self.now, &mut replies);
-                out.extend(replies.into_iter().map(|reply| (to, reply)));
+            self.deliver(out);
+        }
+    }
+
+    /// Delivers messages and all replies to them.
+    fn deliver(&mut self, mut out: Vec<(usize, Outgoing)>) {
+        while let Some((from, outgoing)) = out.pop() {
+            let to = host_at(outgoing.to);
+            self.records_sent += 1 + outgoing.message.updates.len();
+            if self.dropped_links.contains(&(from, to)) || self.rng.random_bool(self.loss) {
+                continue;
             }
+            let Some(Some(view)) = self.views.get_mut(to) else { continue };
+            let mut replies = Vec::new();
+            view.receive(addr(from), &outgoing.message, self.now, &mut replies);
+            out.extend(replies.into_iter().map(|reply| (to, reply)));
         }
     }
 
@@ -227,3 +238,33 @@
     let left = network.hosts_in_state(MemberState::Left);
     assert!(left.values().all(|seen| *seen == BTreeSet::from([2])), "{left:?}");
 }
+
+/// All hosts of a large fleet start at once. Each knows three seeds and a few of the hosts that
+/// announced themselves before it read the list.
+#[test]
+fn all_views_of_a_fleet_that_starts_at_once_are_soon_complete() {
+    const HOSTS: usize = 195;
+    const CONTACTS: usize = 4;
+    for seed in 1..4 {
+        let mut network = Network::start(0, seed);
+        for ix in 0..HOSTS {
+            let own = member(ix, 1);
+            let settings = MembershipSettings::default();
+            let mut view = Membership::new(own, settings, seed * 1000 + ix as u64, network.now);
+            let mut out = Vec::new();
+            for _ in 0..CONTACTS {
+                let contact = network.rng.random_range(0..ix.max(3));
+                view.request_sync(addr(contact), &mut out);
+            }
+            network.views.push(Some(view));
+            network.deliver(out.into_iter().map(|outgoing| (ix, outgoing)).collect());
+        }
+        network.run(START_TO_TRAFFIC);
+        let seen = network.hosts_in_state(MemberState::Alive);
+        let incomplete = seen.values().filter(|seen| seen.len() != HOSTS - 1).count();
+        assert_eq!(incomplete, 0, "seed {seed}");
+        // Views sent at the join and in the first synchronisation, and as much again for the gossip.
+        let limit = HOSTS * HOSTS * (CONTACTS + 1) * 2;
+        assert!(network.records_sent <= limit, "seed {seed}: {} records", network.records_sent);
+    }
+}
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -166,6 +166,12 @@
         }
     }
 
+    /// Announces the configuration version of this host to all hosts immediately.
+    pub fn announce_version(&mut self, out: &mut Vec<Datagram>) {
+        let datagram = self.empty_datagram();
+        self.broadcast(datagram, |_| true, out);
+    }
+
     /// Returns a datagram that contains only its sender and configuration version.
     pub fn empty_datagram(&self) -> WireDatagram {
         WireDatagram {
@@ -191,13 +197,37 @@
         out.push(Datagram { to, frame });
     }
 
-    /// Assigns a sequence number to a datagram, seals it once and adds it to `out` for up to `limit`
-    /// live hosts for which `accepts` returns true.
+    /// Assigns a sequence number to a datagram, seals it once and adds it to `out` for each
+    /// recipient.
+    pub fn send_to_all<'m, Recipients>(
+        &mut self,
+        datagram: WireDatagram,
+        recipients: Recipients,
+        out: &mut Vec<Datagram>,
+    ) where
+        Recipients: IntoIterator<Item = &'m Member>,
+    {
+        let mut recipients = recipients.into_iter().peekable();
+        if recipients.peek().is_none() {
+            return;
+        }
+        let frame = self.seal(datagram);
+        let own_region = &self.membership.own().region;
+        let before = out.len();
+        let mut remote = 0;
+        for member in recipients {
+            remote += usize::from(member.region != *own_region);
+            out.push(Datagram { to: member.addr, frame: frame.clone() });
+        }
+        self.count_out(frame.len(), out.len() - before, remote);
+    }
+
+    /// Assigns a sequence number to a datagram, seals it once and adds it to `out` for each live host
+    /// for which `accepts` returns true.
     pub fn broadcast<Accepts>(
         &mut self,
         datagram: WireDatagram,
         accepts: Accepts,
-        limit: usize,
         out: &mut Vec<Datagram>,
     ) where
         Accepts: Fn(&Member) -> bool,
@@ -206,7 +236,7 @@
         let own_region = &self.membership.own().region;
         let before = out.len();
         let mut remote = 0;
-        for member in self.membership.live().filter(|member| accepts(member)).take(limit) {
+        for member in self.membership.live().filter(|member| accepts(member)) {
             remote += usize::from(member.region != *own_region);
             out.push(Datagram { to: member.addr, frame: frame.clone() });
         }
@@ -222,7 +252,7 @@
         self.sequence += 1;
         datagram.sequence = self.sequence;
         datagram.started_ms = self.started_ms;
-        datagram.blames = self.take_crash_counts();
+        datagram.blames.extend(self.take_crash_counts());
         Bytes::from(self.keys.seal(&datagram.encode_to_vec()))
     }
 
--- /dev/null
+++ b/crates/peer/src/updates.rs
@@ -0,0 +1,114 @@
+//! Updates that hosts send each other about endpoints, requests and the registry.
+
+use std::time::Duration;
+
+use crate::wire::{
+    WireCrashCount, WireDatagram, WireEndpointChange, WireMigration, WirePlacement,
+    WireRegistryState, WireReport,
+};
+
+/// Updates about endpoints, requests and the registry.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Updates {
+    /// Placements of generations.
+    pub placements: Vec<WirePlacement>,
+    /// Load reports of engines.
+    pub reports: Vec<WireReport>,
+    /// Planned migrations.
+    pub migrations: Vec<WireMigration>,
+    /// Changes of the endpoint list.
+    pub endpoint_changes: Vec<WireEndpointChange>,
+    /// States of the registry, by reader.
+    pub registry: Vec<WireRegistryState>,
+    /// Crash counts of request fingerprints.
+    pub crash_counts: Vec<WireCrashCount>,
+}
+
+impl Updates {
+    /// Returns the updates in a datagram.
+    pub fn from_datagram(datagram: &WireDatagram) -> Self {
+        Self {
+            placements: datagram.placements.clone(),
+            reports: datagram.reports.clone(),
+            migrations: datagram.moves.clone(),
+            endpoint_changes: datagram.endpoint_changes.clone(),
+            registry: datagram.registry.clone(),
+            crash_counts: datagram.blames.clone(),
+        }
+    }
+
+    /// Adds the updates to a datagram that contains none.
+    pub fn fill(self, datagram: &mut WireDatagram) {
+        datagram.placements = self.placements;
+        datagram.reports = self.reports;
+        datagram.moves = self.migrations;
+        datagram.endpoint_changes = self.endpoint_changes;
+        datagram.registry = self.registry;
+        datagram.blames = self.crash_counts;
+    }
+
+    /// Returns true when there are no updates.
+    pub fn is_empty(&self) -> bool {
+        self.count() == 0
+    }
+
+    /// Returns the number of updates.
+    pub fn count(&self) -> usize {
+        self.placements.len()
+            + self.reports.len()
+            + self.migrations.len()
+            + self.endpoint_changes.len()
+            + self.registry.len()
+            + self.crash_counts.len()
+    }
+
+    /// Adds the time that the updates were held at this host to the ages that they state.
+    ///
+    /// ```
+    /// use camphorloft_peer::updates::Updates;
+    /// use camphorloft_peer::wire::WireReport;
+    /// use std::time::Duration;
+    /// let report = WireReport { age_ms: 400, ..WireReport::default() };
+    /// let mut updates = Updates { reports: vec![report], ..Updates::default() };
+    /// updates.add_age(Duration::from_millis(80));
+    /// assert_eq!(updates.reports[0].age_ms, 480);
+    /// ```
+    pub fn add_age(&mut self, held: Duration) {
+        let held_ms = u32::try_from(held.as_millis()).unwrap_or(u32::MAX);
+        let held_us = u32::try_from(held.as_micros()).unwrap_or(u32::MAX);
+        for report in &mut self.reports {
+            report.age_ms = report.age_ms.saturating_add(held_ms);
+        }
+        for migration in &mut self.migrations {
+            migration.begins_us = migration.begins_us.saturating_sub(held_us);
+        }
+        for state in &mut self.registry {
+            state.list_age_ms = state.list_age_ms.saturating_add(held_ms);
+            state.version_age_ms = state.version_age_ms.saturating_add(held_ms);
+        }
+    }
+
+    /// Adds newer updates. Reports, migrations, endpoint changes, registry states and crash counts
+    /// replace older ones about the same subject.
+    pub fn merge(&mut self, newer: Updates) {
+        self.placements.extend(newer.placements);
+        replace_by(&mut self.reports, newer.reports, |report| report.endpoint);
+        replace_by(&mut self.migrations, newer.migrations, |migration| migration.key);
+        replace_by(&mut self.endpoint_changes, newer.endpoint_changes, |c| c.name.clone());
+        replace_by(&mut self.registry, newer.registry, |state| state.reader.clone());
+        replace_by(&mut self.crash_counts, newer.crash_counts, |count| count.fingerprint);
+    }
+}
+
+/// Appends `newer` after removing the items with the same keys.
+fn replace_by<Item, Key, GetKey>(items: &mut Vec<Item>, newer: Vec<Item>, key: GetKey)
+where
+    Key: PartialEq,
+    GetKey: Fn(&Item) -> Key,
+{
+    for item in newer {
+        let replaced = key(&item);
+        items.retain(|known| key(known) != replaced);
+        items.push(item);
+    }
+}
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -186,7 +186,7 @@
 }
 
 /// State of the registry, as known to a host that reads it.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct WireRegistryState {
     /// Digest of the endpoint list.
     #[prost(fixed64, tag = "1")]
@@ -198,6 +198,9 @@
     /// milliseconds.
     #[prost(uint32, tag = "3")]
     pub version_age_ms: u32,
+    /// Name of the reader.
+    #[prost(string, tag = "4")]
+    pub reader: String,
 }
 
 /// A datagram.
@@ -233,12 +236,18 @@
     /// Changes of the endpoint list.
     #[prost(message, repeated, tag = "15")]
     pub endpoint_changes: Vec<WireEndpointChange>,
-    /// State of the registry, if the sender is an assigned reader.
-    #[prost(message, optional, tag = "16")]
-    pub registry: Option<WireRegistryState>,
+    /// States of the registry, by reader.
+    #[prost(message, repeated, tag = "16")]
+    pub registry: Vec<WireRegistryState>,
     /// Migrations that the sender plans.
     #[prost(message, repeated, tag = "17")]
     pub moves: Vec<WireMigration>,
+    /// Hosts that the receiver forwards the updates to: 0 none, 1 its zone, 2 its region, 3 all.
+    #[prost(uint32, tag = "18")]
+    pub forward: u32,
+    /// True in the acknowledgement of a datagram that was to be forwarded.
+    #[prost(bool, tag = "19")]
+    pub forward_ack: bool,
     /// Request or reply of the membership protocol.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
