--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -63,6 +63,8 @@
     pub log: Logger,
     /// Metrics.
     pub metrics: Metrics,
+    /// When the process started.
+    pub started_at: Instant,
     /// Mutable state. Must not be borrowed across an `await`.
     pub state: RefCell<State>,
     /// Total bytes of buffered request bodies.
@@ -101,6 +103,7 @@
             registry,
             log,
             metrics: Metrics::default(),
+            started_at: Instant::now(),
             state: RefCell::new(state),
             buffered_bytes: Cell::new(0),
             list_read_at: Cell::new(None),
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -16,6 +16,7 @@
 
 use crate::boundary::{EndpointChange, Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
+use crate::first_start;
 use crate::registry_outage::RegistryOutage;
 
 /// Duration of a long poll for changes. Other hosts rely on the assigned reader only if it confirmed
@@ -91,6 +92,7 @@
     R: Registry,
 {
     let mut list = ListState::default();
+    first_start::wait_to_read(&cx, || cx.is_list_maintained()).await;
     loop {
         if cx.is_list_maintained() {
             cx.list_read_at.set(None);
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
 //! - [`serving_watch`]: keeps the configuration version in force up to date.
 //! - [`endpoint_watch`]: keeps the endpoint list up to date.
+//! - [`first_start`]: reads of the registry while the whole fleet starts.
 //! - [`registry_outage`]: detection of registry outages.
 //! - [`report_poll`]: polls engines for load reports.
 //! - [`peers`]: state of the other hosts.
@@ -42,6 +43,7 @@
 pub mod context;
 pub mod endpoint_watch;
 pub mod event_splitter;
+pub mod first_start;
 pub mod generation_call;
 pub mod intake;
 pub mod lifecycle;
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -9,6 +9,7 @@
 
 use crate::boundary::{Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
+use crate::first_start;
 use crate::registry_outage::RegistryOutage;
 
 /// Duration of a long poll for a new version. A published version must be in force within 2.5 s, and
@@ -33,6 +34,7 @@
     W: Wire,
     R: Registry,
 {
+    first_start::wait_to_read(&cx, || cx.is_version_maintained()).await;
     wait_for_peer_version(&cx).await;
     let mut revision: Option<Revision> = None;
     let mut outage = RegistryOutage::default();
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -23,6 +23,8 @@
     pub peers: SocketAddr,
     /// Addresses of other hosts to join through, possibly outdated.
     pub seeds: Vec<SocketAddr>,
+    /// True when all hosts start for the first time, with no traffic for some seconds.
+    pub is_first_start: bool,
     /// Memory limit of the process.
     pub memory: ByteSize,
     /// Maximum number of open connections of the process.
@@ -37,9 +39,9 @@
 
 impl HostSettings {
     /// Returns true when `other` differs only in settings that a running host can reload: the grace
-    /// period and the quota.
+    /// period and the quota. Whether it is the first start does not matter to a running host.
     pub fn is_reloadable(&self, other: &Self) -> bool {
-        let Self { grace, quota, .. } = self.clone();
-        *self == Self { grace, quota, ..other.clone() }
+        let Self { grace, quota, is_first_start, .. } = self.clone();
+        *self == Self { grace, quota, is_first_start, ..other.clone() }
     }
 }
--- a/crates/host/tests/settings.rs
+++ b/crates/host/tests/settings.rs
@@ -21,6 +21,7 @@
         metrics: addr,
         peers: addr,
         seeds: Vec::new(),
+        is_first_start: false,
         memory: ByteSize(1 << 20),
         max_connections: 10,
         bandwidth: Some(ByteRate(1_250_000)),
