Use subsets of large services, and announce versions through relays

Cause: where endpoints grow with the fleet, reports and placements of all endpoints exceed what a host can process; a new version was fetched by all hosts from the one that had read it (1.4 s until in force on the slowest of 195).

Change: of a service with more than 128 endpoints a host uses about 48 of its region, by rendezvous hashing; updates about an endpoint go directly to the at least three hosts that use it, and the first of them polls it. A version is announced to the reader's zone and to two hosts of each other zone, which fetch it and announce it to their zones. The state line of the log has the bytes sent to peers and the datagrams dropped.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -32,7 +32,7 @@
 }
 
 /// Returns the endpoint of a service with the lowest cost, of those that are usable and not in
-/// `tried`.
+/// `tried`. Endpoints outside of this host's subset are considered only if none of the subset is left.
 pub(crate) fn cheapest<Evaluate>(
     fleet: &Fleet,
     service: &ServiceName,
@@ -43,18 +43,25 @@
 where
     Evaluate: FnMut(EndpointIx, &Endpoint) -> Choice,
 {
-    let mut best: Option<Choice> = None;
+    let mut best: Option<(bool, Choice)> = None;
     let (mut compared, mut unusable) = (0, 0);
     for (ix, endpoint) in fleet.of_service(service) {
         if tried.contains(&ix) || !endpoint.is_usable(now) {
             unusable += 1;
             continue;
         }
+        let subset_has_one = best.is_some_and(|(in_subset, _)| in_subset);
+        if subset_has_one && !endpoint.in_subset {
+            continue;
+        }
         compared += 1;
         let choice = evaluate(ix, endpoint);
-        if best.is_none_or(|best| choice.cost_ms < best.cost_ms) {
-            best = Some(choice);
+        let is_better = best.is_none_or(|(in_subset, best)| {
+            endpoint.in_subset && !in_subset || choice.cost_ms < best.cost_ms
+        });
+        if is_better {
+            best = Some((endpoint.in_subset, choice));
         }
     }
-    best.map(|best| Choice { compared, unusable, ..best })
+    best.map(|(_, best)| Choice { compared, unusable, ..best })
 }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -51,6 +51,9 @@
     pub distance: Distance,
     /// State.
     pub state: EndpointState,
+    /// Whether this host normally sends work to the endpoint. False for most endpoints of a service
+    /// with many.
+    pub in_subset: bool,
     /// When this host first received its entry.
     pub joined_at: Instant,
     /// When it shuts down, if announced.
@@ -90,6 +93,7 @@
             entry,
             distance,
             state,
+            in_subset: true,
             joined_at: now,
             shutdown_at: None,
             health: Health::default(),
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -57,6 +57,7 @@
     by_name: HashMap<EndpointName, EndpointIx>,
     /// All endpoints in the table: one that is no longer listed may still run generations.
     by_digest: HashMap<u64, EndpointIx>,
+    list_revision: u64,
     /// Planned migrations between endpoints.
     pub migrations: MigrationPlans,
     next_run: u64,
@@ -71,6 +72,7 @@
             free: Vec::new(),
             by_name: HashMap::new(),
             by_digest: HashMap::new(),
+            list_revision: 0,
             migrations: MigrationPlans::default(),
             next_run: 0,
         }
@@ -139,7 +141,13 @@
         changes.push(FleetChange::Joined(ix));
     }
 
+    /// Returns a number that changes whenever an endpoint joins or is removed.
+    pub fn list_revision(&self) -> u64 {
+        self.list_revision
+    }
+
     fn insert(&mut self, entry: EndpointEntry, now: Instant) -> EndpointIx {
+        self.list_revision += 1;
         let distance = self.locality.distance(&entry.zone);
         let endpoint = Some(Endpoint::new(entry, distance, now));
         match self.free.pop() {
@@ -171,6 +179,7 @@
     /// Removes an endpoint that is no longer listed. Like a draining one, it accepts no new work.
     pub fn remove(&mut self, name: &EndpointName, now: Instant, changes: &mut Vec<FleetChange>) {
         let Some(ix) = self.by_name.remove(name) else { return };
+        self.list_revision += 1;
         if let Some(endpoint) = self.get_mut(ix) {
             let since = endpoint.draining_since().unwrap_or(now);
             endpoint.state = EndpointState::Removed { since };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`health`]: failure rate of an endpoint, estimated from its responses.
 //! - [`load`]: load of an endpoint, estimated from reports and from the requests this host sent.
 //! - [`run`]: a request that this host sent to an endpoint.
+//! - [`subset`]: selects the endpoints that a host sends work to.
 //! - [`assignment`]: selects the host that performs a task for the others.
 //! - [`endpoint`]: state of one endpoint.
 //! - [`fleet`]: the table of endpoints.
@@ -36,3 +37,4 @@
 pub mod reclaim;
 pub mod retry_quota;
 pub mod run;
+pub mod subset;
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -124,7 +124,8 @@
         let is_source = endpoint.entry.name == source.entry.name;
         let distance = fleet.locality().between(&source.entry.zone, &endpoint.entry.zone);
         // A copy to another region takes longer than any notice and occupies both links.
-        let excluded = is_source || distance == Distance::Remote || tried.contains(&ix);
+        let out_of_reach = distance == Distance::Remote || !endpoint.in_subset;
+        let excluded = is_source || out_of_reach || tried.contains(&ix);
         if excluded || !endpoint.is_usable(now) {
             continue;
         }
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -125,7 +125,9 @@
     }
     match packed.unpack() {
         Ok(encoded) => {
-            cx.apply_encoded_serving(&encoded, Some(packed), "host");
+            if cx.apply_encoded_serving(&encoded, Some(packed), "host") {
+                cx.announce_version(false);
+            }
         }
         Err(err) => {
             warn!(cx.log, "version could not be decoded"; "source" => "host", "error" => %err)
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -18,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Peers, UpdateScope};
 use crate::settings::HostSettings;
+use crate::subset_table::SubsetTable;
 
 /// Lifecycle stage of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +43,8 @@
     pub serving_packed: PackedSet,
     /// Other hosts.
     pub peers: Peers,
+    /// The endpoints that this host sends work to.
+    pub subset: SubsetTable,
     /// Quota of retries.
     pub quota: RetryQuota,
     /// Crash counts of request fingerprints, to detect poison requests.
@@ -92,6 +95,7 @@
             serving: None,
             serving_packed: PackedSet::default(),
             peers: Peers::new(settings.host.clone(), settings.locality.region.clone(), hosts),
+            subset: SubsetTable::default(),
             quota: RetryQuota::new(settings.quota, hosts),
             poison: PoisonTable::default(),
             rng: SmallRng::from_os_rng(),
@@ -251,6 +255,13 @@
         true
     }
 
+    /// Derives the endpoints that this host sends work to from the endpoint list and the live hosts.
+    pub fn update_subset(&self, now: Instant) {
+        let mut guard = self.state.borrow_mut();
+        let State { fleet, peers, subset, .. } = &mut *guard;
+        peers.update_subset(subset, fleet, now);
+    }
+
     /// Logs changes of the fleet and notifies subscribers. When an endpoint was removed, its crash is
     /// attributed to the requests that were interrupted on it.
     pub fn handle_fleet_changes(&self, changes: &[FleetChange], source: &str) {
@@ -258,6 +269,7 @@
             return;
         }
         let now = Instant::now();
+        self.update_subset(now);
         for change in changes {
             let mut state = self.state.borrow_mut();
             let Some(endpoint) = state.fleet.get_mut(change.endpoint()) else { continue };
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -27,6 +27,7 @@
 //! - [`first_start`]: reads of the registry while the whole fleet starts.
 //! - [`registry_outage`]: detection of registry outages.
 //! - [`report_poll`]: polls engines for load reports.
+//! - [`subset_table`]: the endpoints that this host sends work to.
 //! - [`peers`]: state of the other hosts.
 //! - [`peer_link`]: joins the membership of hosts and exchanges datagrams.
 //! - [`peer_convert`]: conversions to and from peer messages.
@@ -64,6 +65,7 @@
 pub mod settings;
 pub mod stream_migration;
 pub mod stream_relay;
+pub mod subset_table;
 pub mod task;
 pub mod transfer;
 pub mod upstream;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -145,16 +145,19 @@
 
 /// Logs a periodic summary of the host's state, to help reconstruct a given point in time.
 fn log_state<W, R>(cx: &Rc<Host<W, R>>) {
+    const BYTES_PER_KB: u64 = 1000;
     let now = Instant::now();
     let calls = cx.metrics.registry_call_counts();
     let version = cx.serving().map(|serving| serving.version.to_string());
     let reads = cx.registry_read_scope(now).is_some();
     let list_age = cx.list_read_at.get().map(|at| (now - at).as_millis() as u64);
     let state = cx.state.borrow();
+    let traffic = state.peers.link_counts();
     let ready = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
     info!(cx.log, "state"; "version" => version, "endpoints_ready" => ready,
         "hosts_live" => state.peers.live().count() + 1, "reads_registry" => reads,
-        "list_age_ms" => list_age, "peer_kb_out" => state.peers.bytes_out() / 1000,
-        "peer_kb_out_remote" => state.peers.remote_bytes_out() / 1000,
+        "list_age_ms" => list_age, "peer_kb_out" => traffic.bytes_out / BYTES_PER_KB,
+        "peer_kb_out_remote" => traffic.remote_bytes_out / BYTES_PER_KB,
+        "datagrams_dropped" => traffic.dropped,
         "registry_calls" => calls);
 }
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -31,6 +31,7 @@
     report_to_wire,
 };
 use crate::peers::UpdateScope;
+use crate::subset_table::Recipients;
 
 /// Time between two ticks of the peer protocols.
 const TICK: Duration = Duration::from_millis(100);
@@ -202,6 +203,7 @@
             link.tick(now, out);
         });
         cx.tick_relays(now);
+        cx.update_subset(now);
         {
             let mut guard = cx.state.borrow_mut();
             let state = &mut *guard;
@@ -279,7 +281,12 @@
     let changes = datagram.endpoint_changes.iter().filter_map(change_from_wire);
     endpoint_watch::apply_changes(cx, changes, now, "host");
     for registry in &datagram.registry {
-        let Ok(reader) = registry.reader.parse::<HostName>() else {
+        // Earlier releases do not name the reader, which is then the sender.
+        let reader = match registry.reader.as_str() {
+            "" => Ok(received.message.sender.host.clone()),
+            name => name.parse::<HostName>(),
+        };
+        let Ok(reader) = reader else {
             debug!(cx.log, "registry state without a valid reader"; "reader" => &registry.reader);
             continue;
         };
@@ -357,51 +364,74 @@
         self.send_datagrams(&datagrams);
     }
 
-    /// Sends this host's configuration version to all hosts immediately.
-    pub fn send_version(&self) {
+    /// Announces this host's configuration version immediately. `is_source` is true if it read the
+    /// version from the registry.
+    pub fn announce_version(&self, is_source: bool) {
         let version = self.serving().map(|serving| serving.version).unwrap_or_default();
-        self.with_link(|link, out| {
-            link.set_config_version(version);
-            link.announce_version(out);
-        });
+        let now = Instant::now();
+        let datagrams = self.state.borrow_mut().peers.announce_version(version, is_source, now);
+        self.send_datagrams(&datagrams);
+    }
+
+    /// Sends updates about endpoints to the hosts that use them. Those of the region of the first one
+    /// receive `urgent` ones without the delay of a relay.
+    fn send_about(&self, endpoints: &[EndpointIx], updates: Updates, urgent: bool) {
+        let now = Instant::now();
+        let mut guard = self.state.borrow_mut();
+        let State { fleet, peers, subset, .. } = &mut *guard;
+        let mut hosts: Vec<Member> = Vec::new();
+        let mut all = false;
+        for ix in endpoints {
+            match subset.recipients(fleet, *ix, peers.live()) {
+                Recipients::All => all = true,
+                Recipients::Hosts(more) => hosts.extend(more),
+            }
+        }
+        let zone = endpoints.first().and_then(|ix| Some(&fleet.get(*ix)?.entry.zone));
+        let region = zone.and_then(|zone| fleet.locality().regions.get(zone));
+        let datagrams = match region {
+            _ if !all => {
+                hosts.sort_unstable_by(|a, b| a.host.cmp(&b.host));
+                hosts.dedup_by(|a, b| a.host == b.host);
+                peers.send_to_hosts(&hosts, updates)
+            }
+            Some(region) if urgent => peers.distribute_urgently(region, updates, now),
+            _ => peers.distribute(UpdateScope::All, updates, now),
+        };
+        if peers.forward_at().is_some() {
+            self.updates_buffered.notify_one();
+        }
+        drop(guard);
+        self.send_datagrams(&datagrams);
     }
 
     /// Sends the placement of a generation of `kv_tokens` tokens, with `prefill_tokens` tokens to
     /// prefill, to other hosts.
     pub fn send_placement(&self, endpoint: EndpointIx, kv_tokens: u32, prefill_tokens: u32) {
-        let digest = self.state.borrow().fleet.get(endpoint).map(|e| e.digest);
-        let Some(endpoint) = digest else { return };
-        let placement = WirePlacement { endpoint, kv: kv_tokens, unread: prefill_tokens };
+        let Some(digest) = self.endpoint_digest(endpoint) else { return };
+        let placement = WirePlacement { endpoint: digest, kv: kv_tokens, unread: prefill_tokens };
         let updates = Updates { placements: vec![placement], ..Updates::default() };
-        self.distribute(UpdateScope::All, updates, Instant::now());
+        self.send_about(&[endpoint], updates, false);
     }
 
     /// Sends the planned migration of a generation that holds `kv_tokens` tokens of KV cache.
     pub fn send_migration(&self, plan: &PlannedMigration, kv_tokens: u32) {
-        let now = Instant::now();
-        let datagrams = {
-            let mut guard = self.state.borrow_mut();
-            let State { fleet, peers, .. } = &mut *guard;
-            let (Some(from), Some(to)) = (fleet.get(plan.from), fleet.get(plan.to)) else { return };
-            let wire = migration_to_wire(plan, (from.digest, to.digest), kv_tokens, now);
-            let updates = Updates { migrations: vec![wire], ..Updates::default() };
-            let region = fleet.locality().regions.get(&from.entry.zone);
-            match region {
-                Some(region) => peers.distribute_urgently(region, updates, now),
-                None => peers.distribute(UpdateScope::All, updates, now),
-            }
-        };
-        self.updates_buffered.notify_one();
-        self.send_datagrams(&datagrams);
+        let ends = self.endpoint_digest(plan.from).zip(self.endpoint_digest(plan.to));
+        let Some(ends) = ends else { return };
+        let migrations = vec![migration_to_wire(plan, ends, kv_tokens, Instant::now())];
+        let updates = Updates { migrations, ..Updates::default() };
+        self.send_about(&[plan.from, plan.to], updates, true);
     }
 
     /// Sends an engine's load report to other hosts.
     pub fn send_report(&self, endpoint: EndpointIx, report: &LoadReport, as_of: Instant) {
-        let now = Instant::now();
-        let digest = self.state.borrow().fleet.get(endpoint).map(|e| e.digest);
-        let Some(digest) = digest else { return };
-        let reports = vec![report_to_wire(digest, report, as_of, now)];
-        self.distribute(UpdateScope::All, Updates { reports, ..Updates::default() }, now);
+        let Some(digest) = self.endpoint_digest(endpoint) else { return };
+        let reports = vec![report_to_wire(digest, report, as_of, Instant::now())];
+        self.send_about(&[endpoint], Updates { reports, ..Updates::default() }, false);
+    }
+
+    fn endpoint_digest(&self, endpoint: EndpointIx) -> Option<u64> {
+        self.state.borrow().fleet.get(endpoint).map(|endpoint| endpoint.digest)
     }
 
     /// Sends crash counts of request fingerprints to other hosts, and repeats them in further
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -5,15 +5,18 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::assignment;
+use camphorloft_dispatch::prelude::Fleet;
 use camphorloft_membership::Member;
 use camphorloft_peer::distribution::Distribution;
 use camphorloft_peer::forward_scope::{ForwardScope, ForwardScopeError};
-use camphorloft_peer::link::{Datagram, Link};
+use camphorloft_peer::link::{Datagram, Link, LinkCounts};
 use camphorloft_peer::updates::Updates;
 use camphorloft_peer::wire::{WireDatagram, WireEndpointChange, WireRegistryState};
 use camphorloft_types::prelude::*;
 use tokio::net::UdpSocket;
 
+use crate::subset_table::SubsetTable;
+
 /// Age at which a reader's confirmation of the endpoint list is stale, and a host of the region takes
 /// over reading for its region. Readers send several updates within this time.
 const LIST_STALE_AFTER: Duration = Duration::from_millis(1100);
@@ -124,14 +127,9 @@
         self.link.iter().flat_map(|(link, _)| link.membership().live())
     }
 
-    /// Returns the bytes sent to other hosts in datagrams.
-    pub fn bytes_out(&self) -> u64 {
-        self.link.as_ref().map_or(0, |(link, _)| link.counts().bytes_out)
-    }
-
-    /// Returns the part of [`Self::bytes_out`] sent to other regions.
-    pub fn remote_bytes_out(&self) -> u64 {
-        self.link.as_ref().map_or(0, |(link, _)| link.counts().remote_bytes_out)
+    /// Returns the traffic counters of the link to the other hosts.
+    pub fn link_counts(&self) -> LinkCounts {
+        self.link.as_ref().map(|(link, _)| link.counts()).unwrap_or_default()
     }
 
     /// Returns the number of hosts that share a quota, including this one.
@@ -261,6 +259,28 @@
         self.recent_changes.iter().map(|(_, change)| change.clone()).collect()
     }
 
+    /// Derives the endpoints that this host sends work to from the endpoint list and the live hosts.
+    pub fn update_subset(&self, subset: &mut SubsetTable, fleet: &mut Fleet, now: Instant) {
+        let revision = self.link.as_ref().map_or(0, |(link, _)| link.membership().revision());
+        if !subset.is_outdated(fleet, revision, now) {
+            return;
+        }
+        let region: Vec<Member> =
+            self.live().filter(|member| member.region == self.region).cloned().collect();
+        subset.update(fleet, &self.own, &region, revision, now);
+    }
+
+    /// Sends updates about endpoints directly to the hosts that use them.
+    pub fn send_to_hosts(&mut self, recipients: &[Member], updates: Updates) -> Vec<Datagram> {
+        let mut out = Vec::new();
+        if let Some((link, _)) = &mut self.link {
+            let mut datagram = link.empty_datagram();
+            updates.fill(&mut datagram);
+            link.send_to_all(datagram, recipients, &mut out);
+        }
+        out
+    }
+
     /// Distributes updates to the hosts in scope.
     pub fn distribute(
         &mut self,
@@ -292,6 +312,22 @@
         out
     }
 
+    /// Announces this host's configuration version. `is_source` is true if it read the version from
+    /// the registry.
+    pub fn announce_version(
+        &mut self,
+        version: ConfigVersion,
+        is_source: bool,
+        now: Instant,
+    ) -> Vec<Datagram> {
+        let mut out = Vec::new();
+        if let Some((link, _)) = &mut self.link {
+            link.set_config_version(version);
+            self.distribution.announce_version(link, is_source, now, &mut out);
+        }
+        out
+    }
+
     /// Buffers the updates in a received datagram that this host forwards.
     ///
     /// # Errors
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -78,13 +78,18 @@
     let generates = |service: &ServiceName| {
         serving.services.values().any(|known| known.name == *service && known.engine.is_some())
     };
-    let engines = state.fleet.iter().filter(|(_, endpoint)| {
+    let engines = state.fleet.iter().filter(|(ix, endpoint)| {
         let of_interest = endpoint.is_ready() || !endpoint.runs.is_empty();
         if !of_interest || !generates(&endpoint.entry.service) {
             return false;
         }
-        let rank = state.peers.rank_in_region(endpoint.entry.name.as_str());
-        let max_age = max_report_age(rank, endpoint.distance != Distance::Remote);
+        let is_near = endpoint.distance != Distance::Remote;
+        let rank = match state.subset.is_limited(&endpoint.entry.service) {
+            true => state.subset.rank(*ix),
+            false => Some(state.peers.rank_in_region(endpoint.entry.name.as_str())),
+        };
+        let Some(rank) = rank else { return false };
+        let max_age = max_report_age(rank, is_near);
         max_age.is_zero() || endpoint.lacks_report(max_age, now)
     });
     engines.map(|(ix, endpoint)| (ix, endpoint.entry.clone())).collect()
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -57,7 +57,7 @@
                 cx.version_read_at.set(Some(Instant::now()));
                 for encoded in listing.items {
                     if cx.apply_encoded_serving(&encoded, None, "registry") {
-                        cx.send_version();
+                        cx.announce_version(true);
                     }
                 }
                 if is_first && cx.registry_read_scope(Instant::now()).is_none() {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -42,6 +42,7 @@
     own: Member,
     config_version: ConfigVersion,
     members: BTreeMap<HostName, KnownMember>,
+    revision: u64,
     update_queue: UpdateQueue,
     probe: Option<Probe>,
     relayed: Vec<RelayedProbe>,
@@ -69,6 +70,7 @@
             own,
             config_version: ConfigVersion(0),
             members: BTreeMap::new(),
+            revision: 0,
             update_queue: UpdateQueue::default(),
             probe: None,
             relayed: Vec::new(),
@@ -106,6 +108,11 @@
         self.members.values().filter(live).map(|known| &known.member)
     }
 
+    /// Returns a number that changes whenever the record of another host changes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// Returns how many times this host declared another one dead.
     pub fn evictions(&self) -> u64 {
         self.evictions
@@ -511,6 +518,7 @@
     }
 
     fn insert(&mut self, member: Member, now: Instant) {
+        self.revision += 1;
         if self.members.is_empty() {
             self.sync_delay = FIRST_SYNC_DELAY.min(self.settings.sync_interval);
             self.next_sync_at = self.next_sync_at.min(now + self.sync_delay);
--- a/crates/peer/src/distribution.rs
+++ b/crates/peer/src/distribution.rs
@@ -24,6 +24,10 @@
 /// a small fleet.
 pub const MAX_DIRECT_RECIPIENTS: usize = 24;
 
+/// Number of hosts in each zone to which a new version is announced first. They fetch it and announce
+/// it to their zone, so that not all hosts fetch it from the same one.
+const VERSION_RELAYS: usize = 2;
+
 /// Distributes updates to the other hosts.
 #[derive(Debug, Default)]
 pub struct Distribution {
@@ -85,6 +89,42 @@
         link.broadcast(datagram, |member| member.region == *region, out);
     }
 
+    /// Announces the configuration version of this host. `is_source` is true if it read the version
+    /// from the registry, and false if it fetched it from another host.
+    pub fn announce_version(
+        &mut self,
+        link: &mut Link,
+        is_source: bool,
+        now: Instant,
+        out: &mut Vec<Datagram>,
+    ) {
+        let own = link.membership().own().clone();
+        let datagram = link.empty_datagram();
+        if link.membership().live().count() <= MAX_DIRECT_RECIPIENTS {
+            if is_source {
+                link.broadcast(datagram, |_| true, out);
+            }
+            return;
+        }
+        let mut zones = group(link, |_| true, |member| &member.zone);
+        let mut own_zone = zones.remove(&own.zone).unwrap_or_default();
+        own_zone.push(&own);
+        let is_relay = |relays: Vec<&Member>| relays.iter().any(|relay| relay.host == own.host);
+        let relays = self.relays.zone_relays(&own.zone, own_zone, VERSION_RELAYS, now);
+        let announces_to_zone = is_source || is_relay(relays);
+        let mut recipients: Vec<Member> = Vec::new();
+        if is_source {
+            for (zone, members) in zones {
+                let relays = self.relays.zone_relays(zone, members, VERSION_RELAYS, now);
+                recipients.extend(relays.into_iter().cloned());
+            }
+        }
+        link.send_to_all(datagram.clone(), &recipients, out);
+        if announces_to_zone {
+            link.broadcast(datagram, |member| member.zone == own.zone, out);
+        }
+    }
+
     /// Processes the forwarding instructions in a received datagram.
     ///
     /// # Errors
@@ -231,11 +271,11 @@
 }
 
 /// Returns the live hosts that `accepts` returns true for, by key.
-fn group<'l, Key, Accepts, GetKey>(
-    link: &'l Link,
+fn group<Key, Accepts, GetKey>(
+    link: &Link,
     accepts: Accepts,
     key: GetKey,
-) -> BTreeMap<&'l Key, Vec<&'l Member>>
+) -> BTreeMap<&Key, Vec<&Member>>
 where
     Key: Ord,
     Accepts: Fn(&Member) -> bool,
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -166,12 +166,6 @@
         }
     }
 
-    /// Announces the configuration version of this host to all hosts immediately.
-    pub fn announce_version(&mut self, out: &mut Vec<Datagram>) {
-        let datagram = self.empty_datagram();
-        self.broadcast(datagram, |_| true, out);
-    }
-
     /// Returns a datagram that contains only its sender and configuration version.
     pub fn empty_datagram(&self) -> WireDatagram {
         WireDatagram {
--- a/crates/peer/src/relay_table.rs
+++ b/crates/peer/src/relay_table.rs
@@ -47,23 +47,37 @@
     /// assert!(RelayTable::default().zone_relay(&zone, [], Instant::now()).is_none());
     /// ```
     pub fn zone_relay<'m, Members>(
-        &mut self,
+        &self,
         zone: &AvailabilityZone,
         members: Members,
         now: Instant,
     ) -> Option<&'m Member>
+    where
+        Members: IntoIterator<Item = &'m Member>,
+    {
+        self.zone_relays(zone, members, 1, now).pop()
+    }
+
+    /// Returns the relay of a zone and those that rank next, up to `count` in all.
+    pub fn zone_relays<'m, Members>(
+        &self,
+        zone: &AvailabilityZone,
+        members: Members,
+        count: usize,
+        now: Instant,
+    ) -> Vec<&'m Member>
     where
         Members: IntoIterator<Item = &'m Member>,
     {
         let key = format!("{ZONE_RELAY_TASK}:{zone}");
         let score = |member: &Member| rendezvous::score(&key, member.host.as_str());
-        self.first_responsive(members.into_iter().map(|member| (score(member), member)), now)
+        self.rank(members.into_iter().map(|member| (score(member), member)), count, now)
     }
 
     /// Returns the relay of a region, where `members` are its live hosts. It is the relay of one of
     /// the region's zones.
     pub fn region_relay<'m, Members>(
-        &mut self,
+        &self,
         region: &Region,
         members: Members,
         now: Instant,
@@ -81,16 +95,11 @@
             ((*zone_score, rendezvous::score(zone_key, member.host.as_str())), member)
         });
         let scored: Vec<((u64, u64), &Member)> = scored.collect();
-        self.first_responsive(scored, now)
+        self.rank(scored, 1, now).pop()
     }
 
-    /// Returns the member with the highest score among those that are not excluded, or among all if
-    /// all are.
-    fn first_responsive<'m, Score, Scored>(
-        &mut self,
-        scored: Scored,
-        now: Instant,
-    ) -> Option<&'m Member>
+    /// Returns the `count` members with the highest scores, best first. Excluded ones rank last.
+    fn rank<'m, Score, Scored>(&self, scored: Scored, count: usize, now: Instant) -> Vec<&'m Member>
     where
         Score: Ord + Copy,
         Scored: IntoIterator<Item = (Score, &'m Member)>,
@@ -99,7 +108,9 @@
             let excluded = self.is_excluded(&member.host, now);
             ((Reverse(excluded), score, &member.host), member)
         });
-        ranked.max_by(|a, b| a.0.cmp(&b.0)).map(|(_, member)| member)
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort_unstable_by(|a, b| b.0.cmp(&a.0));
+        ranked.into_iter().take(count).map(|(_, member)| member).collect()
     }
 
     fn is_excluded(&self, host: &HostName, now: Instant) -> bool {
--- a/crates/peer/tests/distribution.rs
+++ b/crates/peer/tests/distribution.rs
@@ -274,3 +274,25 @@
     assert!(host.distribution.receive(&sender, &datagram, network.now).is_err());
     assert_eq!(host.distribution.due_at(), None);
 }
+
+/// All 194 other hosts fetched a new version from the host that had read it.
+#[test]
+fn few_hosts_fetch_a_new_version_from_the_same_one() {
+    const HOSTS: usize = 195;
+    let mut network = Network::start(HOSTS);
+    let mut informed: BTreeSet<usize> = BTreeSet::from([0]);
+    let mut announcing = vec![0];
+    while let Some(from) = announcing.pop() {
+        let mut out = Vec::new();
+        let host = &mut network.hosts[from];
+        host.distribution.announce_version(&mut host.link, from == 0, network.now, &mut out);
+        let recipients: Vec<usize> =
+            out.iter().map(|datagram| network.by_addr[&datagram.to]).collect();
+        assert!(
+            recipients.len() <= HOSTS / ZONES.len() + 2 * ZONES.len(),
+            "{from} to {recipients:?}"
+        );
+        announcing.extend(recipients.into_iter().filter(|to| informed.insert(*to)));
+    }
+    assert_eq!(informed.len(), HOSTS);
+}
