Start from running hosts, and stagger the hosts that stand in for the reader

A host that starts in an outage makes one kind of call until the store serves it. Hosts whose list or version becomes stale read one after the other, 0.25 s apart by rank in their region, 4 s at most, and at once if they hear from no other host.

--- a/crates/daemon/src/config_exchange.rs
+++ b/crates/daemon/src/config_exchange.rs
@@ -55,7 +55,11 @@
         true => PackedSet::pack(known.set.to_value().to_string().as_bytes())?.bytes().to_vec(),
         false => Vec::new(),
     };
-    write_frame(&mut stream, keys, &WireConfigReply { version: known.version.0, packed_set })
+    write_frame(
+        &mut stream,
+        keys,
+        &WireConfigReply { version: known.version.0, packed_set, ..WireConfigReply::default() },
+    )
 }
 
 /// Fetches the set of another host if it is newer than `known`.
@@ -71,7 +75,7 @@
     let mut stream = TcpStream::connect_timeout(&peer, TIMEOUT)?;
     stream.set_read_timeout(Some(TIMEOUT))?;
     stream.set_write_timeout(Some(TIMEOUT))?;
-    write_frame(&mut stream, keys, &WireConfigRequest { known: known.0 })?;
+    write_frame(&mut stream, keys, &WireConfigRequest { known: known.0, wants_endpoints: false })?;
     let reply: WireConfigReply = read_frame(&mut stream, keys)?;
     if reply.version <= known.0 {
         return Ok(None);
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -115,6 +115,11 @@
         self.state == EndpointState::Ready
     }
 
+    /// Returns true if the endpoint is in the list, ready or draining.
+    pub fn is_listed(&self) -> bool {
+        !matches!(self.state, EndpointState::Removed { .. })
+    }
+
     /// Returns true if no report from within the last `age` is known, although one could have
     /// arrived.
     pub fn lacks_report(&self, age: Duration, now: Instant) -> bool {
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -1,15 +1,16 @@
-//! Transfers the version in force between hosts, for hosts that the registry refuses to serve.
+//! Transfers the version in force and the endpoint list between hosts, for hosts that start and for
+//! those that the registry refuses to serve.
 
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use camphorloft_peer::packed::PackedSet;
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::stream::codec;
-use camphorloft_peer::wire::{WireConfigReply, WireConfigRequest};
+use camphorloft_peer::wire::{WireConfigReply, WireConfigRequest, WireEndpointList};
 use prost::Message;
 use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,7 +19,9 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::boundary::{Registry, Wire};
-use crate::context::Host;
+use crate::context::{Host, State};
+use crate::endpoint_watch;
+use crate::peer_convert::{change_from_wire, change_to_wire};
 
 /// Timeout of an exchange; a version is at most 1 MB.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -90,14 +93,46 @@
     let version = cx.serving().map_or(0, |serving| serving.version.0);
     let packed = cx.state.borrow().serving_packed.clone();
     let packed_set = if version > request.known { packed.bytes().to_vec() } else { Vec::new() };
+    let packed_endpoints = match request.wants_endpoints {
+        true => cx.packed_endpoint_list()?.bytes().to_vec(),
+        false => Vec::new(),
+    };
     info!(cx.log, "version sent"; "version" => version, "known" => request.known,
-        "bytes" => packed_set.len());
-    frames.write(&WireConfigReply { version, packed_set }).await
+        "bytes" => packed_set.len(), "endpoints_bytes" => packed_endpoints.len());
+    frames.write(&WireConfigReply { version, packed_set, packed_endpoints }).await
 }
 
-/// Fetches the version in force of another host and applies it if it is newer.
-pub async fn fetch<W, R>(cx: Rc<Host<W, R>>, from: SocketAddr, keys: FrameKeys)
-where
+impl<W, R> Host<W, R> {
+    /// Returns the compressed endpoint list, which is empty unless this host knows it to be complete.
+    fn packed_endpoint_list(&self) -> io::Result<PackedSet> {
+        if !self.is_list_current() {
+            return Ok(PackedSet::default());
+        }
+        let mut guard = self.state.borrow_mut();
+        let State { fleet, packed_list, .. } = &mut *guard;
+        let digest = fleet.list_digest();
+        if let Some((known, packed)) = packed_list
+            && *known == digest
+        {
+            return Ok(packed.clone());
+        }
+        let listed = fleet.iter().filter(|(_, endpoint)| endpoint.is_listed());
+        let endpoints = listed.map(|(_, e)| change_to_wire(&e.entry.name, Some(&e.entry)));
+        let list = WireEndpointList { endpoints: endpoints.collect() };
+        let packed = PackedSet::pack(&list.encode_to_vec())?;
+        *packed_list = Some((digest, packed.clone()));
+        Ok(packed)
+    }
+}
+
+/// Fetches the version in force of another host and applies it if it is newer. Fetches the endpoint
+/// list too if `wants_endpoints` is true.
+pub async fn fetch<W, R>(
+    cx: Rc<Host<W, R>>,
+    from: SocketAddr,
+    keys: FrameKeys,
+    wants_endpoints: bool,
+) where
     W: Wire,
     R: Registry,
 {
@@ -105,7 +140,7 @@
     let exchange = async {
         let stream = TcpStream::connect(from).await?;
         let mut frames = FrameStream::new(stream, keys);
-        frames.write(&WireConfigRequest { known }).await?;
+        frames.write(&WireConfigRequest { known, wants_endpoints }).await?;
         frames.read::<WireConfigReply>().await
     };
     let reply = match timeout(EXCHANGE_TIMEOUT, exchange).await {
@@ -119,7 +154,14 @@
             return;
         }
     };
-    let packed = PackedSet::from(reply.packed_set);
+    apply_version(&cx, PackedSet::from(reply.packed_set));
+    apply_endpoints(&cx, PackedSet::from(reply.packed_endpoints));
+}
+
+fn apply_version<W, R>(cx: &Rc<Host<W, R>>, packed: PackedSet)
+where
+    R: Registry,
+{
     if packed.is_empty() {
         return;
     }
@@ -134,3 +176,26 @@
         }
     }
 }
+
+fn apply_endpoints<W, R>(cx: &Rc<Host<W, R>>, packed: PackedSet)
+where
+    W: Wire,
+    R: Registry,
+{
+    if packed.is_empty() {
+        return;
+    }
+    let list = packed
+        .unpack()
+        .and_then(|list| WireEndpointList::decode(list.as_slice()).map_err(io::Error::other));
+    match list {
+        Ok(list) => {
+            let changes = list.endpoints.iter().filter_map(change_from_wire);
+            endpoint_watch::apply_changes(cx, changes, Instant::now(), "host");
+            cx.has_full_list.set(true);
+        }
+        Err(err) => {
+            warn!(cx.log, "endpoint list could not be decoded"; "source" => "host", "error" => %err)
+        }
+    }
+}
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -41,6 +41,8 @@
     pub serving: Option<Rc<ServingSet>>,
     /// The version in force in the registry's encoding, compressed for transfer to other hosts.
     pub serving_packed: PackedSet,
+    /// The endpoint list, compressed for transfer to other hosts, with its digest.
+    pub packed_list: Option<(u64, PackedSet)>,
     /// Other hosts.
     pub peers: Peers,
     /// The endpoints that this host sends work to.
@@ -68,6 +70,10 @@
     pub metrics: Metrics,
     /// When the process started.
     pub started_at: Instant,
+    /// Whether this host has received a complete endpoint list.
+    pub has_full_list: Cell<bool>,
+    /// Number of hosts that the registry listed when this one started.
+    pub announced_hosts: Cell<usize>,
     /// Mutable state. Must not be borrowed across an `await`.
     pub state: RefCell<State>,
     /// Total bytes of buffered request bodies.
@@ -84,6 +90,7 @@
     last_fetch_at: Cell<Option<Instant>>,
     fleet_revision: watch::Sender<u64>,
     stage: watch::Sender<Stage>,
+    registry_reached: watch::Sender<bool>,
 }
 
 impl<W, R> Host<W, R> {
@@ -94,6 +101,7 @@
             fleet: Fleet::new(settings.locality.clone()),
             serving: None,
             serving_packed: PackedSet::default(),
+            packed_list: None,
             peers: Peers::new(settings.host.clone(), settings.locality.region.clone(), hosts),
             subset: SubsetTable::default(),
             quota: RetryQuota::new(settings.quota, hosts),
@@ -108,6 +116,8 @@
             log,
             metrics: Metrics::default(),
             started_at: Instant::now(),
+            has_full_list: Cell::new(false),
+            announced_hosts: Cell::new(0),
             state: RefCell::new(state),
             buffered_bytes: Cell::new(0),
             list_read_at: Cell::new(None),
@@ -116,6 +126,7 @@
             last_fetch_at: Cell::new(None),
             fleet_revision: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
+            registry_reached: watch::Sender::new(false),
         })
     }
 
@@ -146,6 +157,19 @@
         self.stage.subscribe()
     }
 
+    /// Records that the registry served a call of this host.
+    pub fn set_registry_reached(&self) {
+        self.registry_reached.send_replace(true);
+    }
+
+    /// Waits until the registry has served a call of this host. Hosts that start during an outage
+    /// know no other host that could read for them, so each makes only one kind of call until then.
+    pub async fn wait_until_registry_reached(&self) {
+        let mut reached = self.registry_reached.subscribe();
+        // The sender lives as long as the host.
+        let _ = reached.wait_for(|reached| *reached).await;
+    }
+
     /// Starts draining. Has no effect if the host is already draining.
     pub fn drain(&self) {
         self.stage.send_if_modified(|stage| {
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -16,8 +16,8 @@
 
 use crate::boundary::{EndpointChange, Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
-use crate::first_start;
 use crate::registry_outage::RegistryOutage;
+use crate::start_reads;
 
 /// Duration of a long poll for changes. Other hosts rely on the assigned reader only if it confirmed
 /// the list within about the last second.
@@ -92,7 +92,7 @@
     R: Registry,
 {
     let mut list = ListState::default();
-    first_start::wait_to_read(&cx, || cx.is_list_maintained()).await;
+    start_reads::wait_to_read(&cx, || cx.is_list_maintained()).await;
     loop {
         if cx.is_list_maintained() {
             cx.list_read_at.set(None);
@@ -102,6 +102,10 @@
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        if cx.is_list_left_to_others() {
+            sleep(READER_CHECK_INTERVAL).await;
+            continue;
+        }
         let result = match list.revision {
             None => read_all(&cx, &mut list).await,
             Some(after) => read_changes(&cx, &mut list, after).await,
@@ -139,6 +143,13 @@
         self.registry_read_scope(now).is_none() && self.state.borrow().peers.is_list_maintained(now)
     }
 
+    /// Returns true while other hosts stand in for the reader before this one.
+    fn is_list_left_to_others(&self) -> bool {
+        let now = Instant::now();
+        let is_reader = self.registry_read_scope(now).is_some();
+        !is_reader && self.state.borrow().peers.is_list_left_to_others(now)
+    }
+
     fn list_interval(&self, saw_draining: bool) -> Duration {
         let joined = self.state.borrow().peers.live().next().is_some();
         interval(joined, saw_draining)
@@ -163,7 +174,12 @@
             sleep(READER_CHECK_INTERVAL).await;
             let now = Instant::now();
             let is_reader = self.registry_read_scope(now).is_some();
-            let delay = retry_delay(is_reader, self.state.borrow().peers.has_live_reader(now));
+            let state = self.state.borrow();
+            let mut delay = retry_delay(is_reader, state.peers.has_live_reader(now));
+            if !is_reader {
+                delay += state.peers.stand_in_delay(now);
+            }
+            drop(state);
             if is_reader && !was_reader || now - failed_at >= delay.mul_f64(jitter) {
                 return;
             }
@@ -231,6 +247,7 @@
     cx.handle_fleet_changes(&changes, "registry_list");
     cx.send_endpoint_changes(&changes);
     list.revision = Some(listing.revision);
+    cx.has_full_list.set(true);
     Ok(())
 }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,7 +24,7 @@
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
 //! - [`serving_watch`]: keeps the configuration version in force up to date.
 //! - [`endpoint_watch`]: keeps the endpoint list up to date.
-//! - [`first_start`]: reads of the registry while the whole fleet starts.
+//! - [`start_reads`]: when a starting host reads the registry by itself.
 //! - [`registry_outage`]: detection of registry outages.
 //! - [`report_poll`]: polls engines for load reports.
 //! - [`subset_table`]: the endpoints that this host sends work to.
@@ -44,7 +44,6 @@
 pub mod context;
 pub mod endpoint_watch;
 pub mod event_splitter;
-pub mod first_start;
 pub mod generation_call;
 pub mod intake;
 pub mod lifecycle;
@@ -63,6 +62,7 @@
 pub mod sending;
 pub mod serving_watch;
 pub mod settings;
+pub mod start_reads;
 pub mod stream_migration;
 pub mod stream_relay;
 pub mod subset_table;
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -65,6 +65,8 @@
     })
     .await;
     let known = retry_until_ok(&cx, "hosts", || cx.registry.announced_hosts()).await;
+    cx.announced_hosts.set(known.len());
+    cx.set_registry_reached();
     let started_ms = started_ms(&cx, &known);
     let record = HostRecord { host: cx.settings.host.clone(), addr: cx.settings.peers, started_ms };
     // Joining through the known hosts does not wait for the announcement: while a fleet starts,
@@ -238,6 +240,7 @@
         // The link counts dropped datagrams.
         let Some(received) = received else { continue };
         cx.metrics.datagrams.with_label_values(&["received"]).inc();
+        cx.state.borrow_mut().peers.record_contact(now);
         apply_datagram(&cx, &received, &keys, now);
     }
 }
@@ -298,7 +301,8 @@
     let known = cx.serving().map_or(ConfigVersion(0), |serving| serving.version);
     if received.message.config_version > known && cx.try_begin_fetch(now) {
         let addr = received.message.sender.addr;
-        spawn_local(config_exchange::fetch(cx.clone(), addr, keys.clone()));
+        let wants_endpoints = cx.wants_endpoint_list();
+        spawn_local(config_exchange::fetch(cx.clone(), addr, keys.clone(), wants_endpoints));
     }
 }
 
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,7 +6,7 @@
 
 use camphorloft_dispatch::assignment;
 use camphorloft_dispatch::prelude::Fleet;
-use camphorloft_membership::Member;
+use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::distribution::Distribution;
 use camphorloft_peer::forward_scope::{ForwardScope, ForwardScopeError};
 use camphorloft_peer::link::{Datagram, Link, LinkCounts};
@@ -26,6 +26,14 @@
 /// Age up to which a host relies on a reader's confirmation of the version in force. A reader's long
 /// poll for a new version lasts 2 s.
 const VERSION_RELIANCE_LIMIT: Duration = Duration::from_millis(3600);
+/// Time by which each further host of the region waits longer before it reads by itself, in the order
+/// of their ranks. When the registry is unavailable, a large fleet would otherwise call it at once.
+const STAND_IN_STEP: Duration = Duration::from_millis(250);
+/// Maximum of that delay. A host that alone reaches the registry must notice a draining endpoint in time.
+const MAX_STAND_IN_DELAY: Duration = Duration::from_secs(4);
+/// Time without datagrams after which a host counts as isolated. Every host is probed about once a
+/// second.
+const ISOLATED_AFTER: Duration = Duration::from_millis(2500);
 /// Time for which a list may differ from the reader's, because changes are still in transit.
 const MISMATCH_TOLERANCE: Duration = Duration::from_millis(1000);
 /// Time for which a reader that failed to reach the registry is excluded from the assignment. Then
@@ -74,6 +82,8 @@
     region: Region,
     link: Option<(Link, Rc<UdpSocket>)>,
     distribution: Distribution,
+    /// When the last datagram of another host arrived.
+    contact_at: Option<Instant>,
     /// When the last update of any reader arrived.
     reader_seen_at: Option<Instant>,
     /// When this host last failed to reach the registry.
@@ -101,6 +111,7 @@
             region,
             link: None,
             distribution: Distribution::default(),
+            contact_at: None,
             reader_seen_at: None,
             own_failed_at: None,
             failed_readers: BTreeMap::new(),
@@ -127,6 +138,14 @@
         self.link.iter().flat_map(|(link, _)| link.membership().live())
     }
 
+    /// Returns true if another live host has a version in force.
+    pub fn knows_version(&self) -> bool {
+        let members = self.link.iter().flat_map(|(link, _)| link.membership().members());
+        members.into_iter().any(|known| {
+            known.member.state <= MemberState::Suspect && known.config_version > ConfigVersion(0)
+        })
+    }
+
     /// Returns the traffic counters of the link to the other hosts.
     pub fn link_counts(&self) -> LinkCounts {
         self.link.as_ref().map(|(link, _)| link.counts()).unwrap_or_default()
@@ -230,6 +249,44 @@
         fresh && same
     }
 
+    /// Returns true while a stale list is left to the hosts of the region that stand in for the reader
+    /// before this one.
+    pub fn is_list_left_to_others(&self, now: Instant) -> bool {
+        self.mismatch_since.is_none()
+            && self.is_left_to_others(self.list_known_at, LIST_RELIANCE_LIMIT, now)
+    }
+
+    /// Like [`Self::is_list_left_to_others`], for the version in force.
+    pub fn is_version_left_to_others(&self, now: Instant) -> bool {
+        self.is_left_to_others(self.version_known_at, VERSION_RELIANCE_LIMIT, now)
+    }
+
+    fn is_left_to_others(
+        &self,
+        known_at: Option<Instant>,
+        reliance_limit: Duration,
+        now: Instant,
+    ) -> bool {
+        known_at.is_some_and(|at| {
+            now.saturating_duration_since(at) < reliance_limit + self.stand_in_delay(now)
+        })
+    }
+
+    /// Records that a datagram of another host arrived.
+    pub fn record_contact(&mut self, now: Instant) {
+        self.contact_at = Some(now);
+    }
+
+    /// Returns the delay after which this host stands in for the reader of the registry. An isolated
+    /// host does not wait for others.
+    pub fn stand_in_delay(&self, now: Instant) -> Duration {
+        if !is_fresh(self.contact_at, ISOLATED_AFTER, now) {
+            return Duration::ZERO;
+        }
+        let rank = u32::try_from(self.rank_in_region(REGISTRY_READER_TASK)).unwrap_or(u32::MAX);
+        STAND_IN_STEP.saturating_mul(rank).min(MAX_STAND_IN_DELAY)
+    }
+
     /// Clears the list mismatch after this host read the list itself.
     pub fn clear_list_mismatch(&mut self) {
         self.mismatch_since = None;
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -9,8 +9,8 @@
 
 use crate::boundary::{Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
-use crate::first_start;
 use crate::registry_outage::RegistryOutage;
+use crate::start_reads;
 
 /// Duration of a long poll for a new version. A published version must be in force within 2.5 s, and
 /// an unresponsive connection must be detected before that.
@@ -34,7 +34,7 @@
     W: Wire,
     R: Registry,
 {
-    first_start::wait_to_read(&cx, || cx.is_version_maintained()).await;
+    start_reads::wait_to_read(&cx, || cx.is_version_maintained()).await;
     wait_for_peer_version(&cx).await;
     let mut revision: Option<Revision> = None;
     let mut outage = RegistryOutage::default();
@@ -46,6 +46,10 @@
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        if cx.is_version_left_to_others() {
+            sleep(READER_CHECK_INTERVAL).await;
+            continue;
+        }
         let response = read_or_await(&cx, revision).await;
         let result = if response.is_ok() { "ok" } else { "failed" };
         cx.metrics.registry_calls.with_label_values(&["serving", result]).inc();
@@ -130,6 +134,14 @@
 }
 
 impl<W, R> Host<W, R> {
+    /// Returns true while other hosts stand in for the reader before this one.
+    fn is_version_left_to_others(&self) -> bool {
+        let now = Instant::now();
+        let is_reader = self.registry_read_scope(now).is_some();
+        let state = self.state.borrow();
+        !is_reader && state.serving.is_some() && state.peers.is_version_left_to_others(now)
+    }
+
     /// Returns true while another host reads new versions for this one.
     fn is_version_maintained(&self) -> bool {
         let now = Instant::now();
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -25,6 +25,8 @@
     pub seeds: Vec<SocketAddr>,
     /// True when all hosts start for the first time, with no traffic for some seconds.
     pub is_first_start: bool,
+    /// Reads a second that the registry serves to all hosts together, if configured.
+    pub registry_reads_per_s: Option<u32>,
     /// Memory limit of the process.
     pub memory: ByteSize,
     /// Maximum number of open connections of the process.
--- a/crates/host/tests/assigned_reader.rs
+++ b/crates/host/tests/assigned_reader.rs
@@ -75,6 +75,7 @@
         for (ix, host) in self.hosts.iter_mut().enumerate().filter(|(ix, _)| *ix != from) {
             let in_scope = to == UpdateScope::All || FLEET[ix].1 == FLEET[from].1;
             if in_scope && !faults.partitioned[ix] && !faults.partitioned[from] {
+                host.peers.record_contact(now);
                 host.peers.record_registry_state(&name, &state(7, age), 7, now);
                 if let Some(at) = read_at {
                     self.known_at[ix] = self.known_at[ix].max(at);
@@ -109,7 +110,8 @@
         for ix in 0..self.hosts.len() {
             let host = &mut self.hosts[ix];
             let is_reader = host.peers.registry_read_scope(now).is_some();
-            if !is_reader && host.peers.is_list_maintained(now) {
+            let is_informed = host.peers.is_list_maintained(now);
+            if !is_reader && (is_informed || host.peers.is_list_left_to_others(now)) {
                 host.read_at = None;
                 host.next_read_at = now;
                 continue;
@@ -117,7 +119,10 @@
             let is_due = match host.failed {
                 None => now >= host.next_read_at,
                 Some((at, was_reader)) => {
-                    let delay = retry_delay(is_reader, host.peers.has_live_reader(now));
+                    let mut delay = retry_delay(is_reader, host.peers.has_live_reader(now));
+                    if !is_reader {
+                        delay += host.peers.stand_in_delay(now);
+                    }
                     is_reader && !was_reader || now - at >= delay
                 }
             };
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -133,3 +133,25 @@
     assert!(!reads(peers, later));
     assert!(reads(peers, now + Duration::from_secs(3)));
 }
+
+/// In an outage of the registry every host of a large fleet called it as soon as its list was stale.
+#[tokio::test]
+async fn hosts_stand_in_for_the_reader_one_after_the_other() {
+    let now = Instant::now() + Duration::from_secs(10);
+    let mut fleet = fleet(now).await;
+    for peers in &mut fleet {
+        peers.record_contact(now);
+        peers.record_registry_state(&reader(), &state(7, 0), 7, now);
+    }
+    let waiting = |fleet: &[Peers], at: Instant| {
+        fleet.iter().filter(|peers| peers.is_list_left_to_others(at)).count()
+    };
+    let stale = now + Duration::from_millis(1_600);
+    assert_eq!(waiting(&fleet, stale), FLEET.len() / 2, "one host of each region may read");
+    assert_eq!(waiting(&fleet, stale + Duration::from_millis(300)), 0);
+    // A host that hears from no other does not wait.
+    assert_eq!(fleet[0].stand_in_delay(now + Duration::from_secs(4)), Duration::ZERO);
+    // Neither does one whose list differs.
+    fleet[1].record_registry_state(&reader(), &state(8, 0), 7, now);
+    assert!(!fleet[1].is_list_left_to_others(stale));
+}
--- a/crates/host/tests/settings.rs
+++ b/crates/host/tests/settings.rs
@@ -22,6 +22,7 @@
         peers: addr,
         seeds: Vec::new(),
         is_first_start: false,
+        registry_reads_per_s: None,
         memory: ByteSize(1 << 20),
         max_connections: 10,
         bandwidth: Some(ByteRate(1_250_000)),
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -259,6 +259,9 @@
     /// Version that the requesting host has.
     #[prost(uint64, tag = "1")]
     pub known: u64,
+    /// True if the endpoint list is requested too.
+    #[prost(bool, tag = "2")]
+    pub wants_endpoints: bool,
 }
 
 /// Reply to a [`WireConfigRequest`].
@@ -271,4 +274,16 @@
     /// Tag 2 held the uncompressed set.
     #[prost(bytes = "vec", tag = "3")]
     pub packed_set: Vec<u8>,
+    /// The endpoint list as a compressed [`WireEndpointList`]; empty when it was not requested or the
+    /// replying host does not know it to be complete.
+    #[prost(bytes = "vec", tag = "4")]
+    pub packed_endpoints: Vec<u8>,
+}
+
+/// An endpoint list.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireEndpointList {
+    /// All listed endpoints.
+    #[prost(message, repeated, tag = "1")]
+    pub endpoints: Vec<WireEndpointChange>,
 }
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -32,9 +32,14 @@
     }
 
     #[test]
-    fn a_truncated_stream_is_an_error(version: u64, set: Vec<u8>, length: prop::sample::Index) {
+    fn a_truncated_stream_is_an_error(
+        version: u64,
+        set: Vec<u8>,
+        endpoints: Vec<u8>,
+        length: prop::sample::Index,
+    ) {
         let mut bytes = Vec::new();
-        let reply = WireConfigReply { version, packed_set: set };
+        let reply = WireConfigReply { version, packed_set: set, packed_endpoints: endpoints };
         write_frame(&mut bytes, &keys(), &reply).unwrap();
         let whole: WireConfigReply = read_frame(&mut bytes.as_slice(), &keys()).unwrap();
         prop_assert_eq!(&whole, &reply);
@@ -60,7 +65,8 @@
 fn a_frame_sealed_with_another_secret_is_rejected_over_tcp() {
     let mut bytes = Vec::new();
     let other = FrameKeys::derive(&[b"another secret".to_vec()]);
-    write_frame(&mut bytes, &other, &WireConfigRequest { known: 1 }).unwrap();
+    write_frame(&mut bytes, &other, &WireConfigRequest { known: 1, wants_endpoints: false })
+        .unwrap();
     let result: io::Result<WireConfigRequest> = read_frame(&mut bytes.as_slice(), &keys());
     assert_eq!(result.unwrap_err().kind(), io::ErrorKind::InvalidData);
 }
