Read long endpoint lists in pages, and fetch them from other hosts

The read of the whole list had to end within 0.7 s, which 3,000 entries on a slow link do not, and began again; the reader sent all entries as changes in one datagram, beyond the maximum size of one, together with its registry state.

Change: a read of the whole list may take 6 s, while the client of the store still detects an unresponsive connection; before the first list it is not paced.

--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -297,13 +297,16 @@
     /// Returns [`RegistryError::Malformed`] when it cannot be decoded.
     fn decode_serving(&self, encoded: &[u8]) -> Result<RawServing, RegistryError>;
 
-    /// Reads the endpoint list.
+    /// Reads the endpoint list, at the rate at which the host's own link stays free for client traffic
+    /// if `paced` is true.
     ///
     /// # Errors
     ///
     /// Returns [`RegistryError`] when the call fails.
-    fn read_endpoints(&self)
-    -> impl Future<Output = Result<Listing<EndpointEntry>, RegistryError>>;
+    fn read_endpoints(
+        &self,
+        paced: bool,
+    ) -> impl Future<Output = Result<Listing<EndpointEntry>, RegistryError>>;
 
     /// Waits up to `wait` for changes of the endpoint list after `after`.
     ///
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -25,6 +25,9 @@
 
 /// Timeout of an exchange; a version is at most 1 MB.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Timeout of an exchange with the endpoint list, which the hosts of a zone may fetch from the same
+/// host at once: tens of times 100 KB.
+const LIST_EXCHANGE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -69,7 +72,8 @@
             Ok((stream, from)) => {
                 let (cx, keys) = (cx.clone(), keys.clone());
                 spawn_local(async move {
-                    let served = timeout(EXCHANGE_TIMEOUT, serve_request(&cx, stream, keys)).await;
+                    let served =
+                        timeout(LIST_EXCHANGE_TIMEOUT, serve_request(&cx, stream, keys)).await;
                     if let Ok(Err(err)) = served {
                         debug!(cx.log, "version could not be sent"; "to" => %from, "error" => %err);
                     }
@@ -143,7 +147,8 @@
         frames.write(&WireConfigRequest { known, wants_endpoints }).await?;
         frames.read::<WireConfigReply>().await
     };
-    let reply = match timeout(EXCHANGE_TIMEOUT, exchange).await {
+    let limit = if wants_endpoints { LIST_EXCHANGE_TIMEOUT } else { EXCHANGE_TIMEOUT };
+    let reply = match timeout(limit, exchange).await {
         Ok(Ok(reply)) => reply,
         Ok(Err(err)) => {
             info!(cx.log, "version could not be fetched"; "from" => %from, "error" => %err);
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -24,6 +24,9 @@
 const LONG_POLL_WAIT: Duration = Duration::from_millis(500);
 /// Timeout of a response, in addition to the duration of a long poll.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeout of a read of the whole list, which has several pages if there are thousands of endpoints.
+/// The client of the registry detects an unresponsive connection sooner.
+const LIST_TIMEOUT: Duration = Duration::from_secs(6);
 /// Time between two reads. Every endpoint writes a heartbeat about once a second, and every call to
 /// the registry is billed.
 const POLL_INTERVAL: Duration = Duration::from_millis(180);
@@ -224,7 +227,9 @@
 where
     R: Registry,
 {
-    let listing = with_timeout(RESPONSE_TIMEOUT, cx.registry.read_endpoints()).await?;
+    // Before the first list there are no streams that a large read could delay.
+    let paced = cx.has_full_list.get();
+    let listing = with_timeout(LIST_TIMEOUT, cx.registry.read_endpoints(paced)).await?;
     record_available(cx, list);
     let now = Instant::now();
     let mut changes = Vec::new();
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -299,9 +299,12 @@
         state.peers.record_registry_state(&reader, registry, digest, now);
     }
     let known = cx.serving().map_or(ConfigVersion(0), |serving| serving.version);
-    if received.message.config_version > known && cx.try_begin_fetch(now) {
+    let wants_version = received.message.config_version > known;
+    // A sender of registry states has the list, or forwards them for a host that does.
+    let wants_endpoints = cx.wants_endpoint_list();
+    let may_have_list = !datagram.registry.is_empty();
+    if (wants_version || wants_endpoints && may_have_list) && cx.try_begin_fetch(now) {
         let addr = received.message.sender.addr;
-        let wants_endpoints = cx.wants_endpoint_list();
         spawn_local(config_exchange::fetch(cx.clone(), addr, keys.clone(), wants_endpoints));
     }
 }
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -60,6 +60,17 @@
     assert!(peers.changes_to_send(Vec::new(), later).is_empty());
 }
 
+/// A list of thousands of endpoints does not fit into a datagram.
+#[test]
+fn a_long_list_is_not_sent_as_changes() {
+    let (mut peers, now) = (peers(), Instant::now());
+    let change = |ix: usize| WireEndpointChange { name: format!("e{ix}"), entry: None };
+    assert_eq!(peers.changes_to_send((0..200).map(change).collect(), now).len(), 200);
+    assert!(peers.changes_to_send((200..3_000).map(change).collect(), now).is_empty());
+    let later = now + Duration::from_secs(2);
+    assert_eq!(peers.changes_to_send(vec![change(1)], later).len(), 1);
+}
+
 /// Every call to the registry is billed, so one host reads for all. A region that receives no updates
 /// from it has one reader of its own.
 #[tokio::test]
