Send an endpoint list only if a reader confirms it

A host counted its list as maintained for a second while it differed from the reader's, sent an empty or partial list to hosts that started, and these then read the whole list from the store.

Change: a list is sent only if its digest is the reader's, and a starting host waits for such a list up to 3 s. Test: a_list_that_differs_is_not_confirmed.

--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -109,7 +109,7 @@
 impl<W, R> Host<W, R> {
     /// Returns the compressed endpoint list, which is empty unless this host knows it to be complete.
     fn packed_endpoint_list(&self) -> io::Result<PackedSet> {
-        if !self.is_list_current() {
+        if !self.is_list_confirmed() {
             return Ok(PackedSet::default());
         }
         let mut guard = self.state.borrow_mut();
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -209,11 +209,21 @@
     /// Returns true when the endpoint list was recently confirmed to be complete, by this host or an
     /// assigned reader.
     pub fn is_list_current(&self) -> bool {
-        const FRESH: Duration = Duration::from_millis(1500);
         let now = Instant::now();
-        let own = self.list_read_at.get();
-        let read = own.is_some_and(|at| now.saturating_duration_since(at) < FRESH);
-        read || self.state.borrow().peers.is_list_maintained(now)
+        self.has_read_list(now) || self.state.borrow().peers.is_list_maintained(now)
+    }
+
+    /// Returns true when this host has the same endpoint list as a reader of the registry, so that it
+    /// may send the list to others.
+    pub fn is_list_confirmed(&self) -> bool {
+        let now = Instant::now();
+        self.has_read_list(now) || self.state.borrow().peers.is_list_confirmed(now)
+    }
+
+    /// Returns true when this host's own read of the list is recent.
+    fn has_read_list(&self, now: Instant) -> bool {
+        const FRESH: Duration = Duration::from_millis(1500);
+        self.list_read_at.get().is_some_and(|at| now.saturating_duration_since(at) < FRESH)
     }
 
     /// Returns true if a fetch from another host may start now, and records its time.
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -95,7 +95,7 @@
     R: Registry,
 {
     let mut list = ListState::default();
-    start_reads::wait_to_read(&cx, || cx.is_list_maintained()).await;
+    start_reads::wait_to_read(&cx, || cx.is_list_confirmed()).await;
     loop {
         if cx.is_list_maintained() {
             cx.list_read_at.set(None);
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -252,6 +252,12 @@
         fresh && same
     }
 
+    /// Returns true while a reader confirms that this host's endpoint list is complete. Unlike
+    /// [`Self::is_list_maintained`], a list that differs for a moment does not count.
+    pub fn is_list_confirmed(&self, now: Instant) -> bool {
+        is_fresh(self.list_known_at, LIST_RELIANCE_LIMIT, now) && self.mismatch_since.is_none()
+    }
+
     /// Returns true while a stale list is left to the hosts of the region that stand in for the reader
     /// before this one.
     pub fn is_list_left_to_others(&self, now: Instant) -> bool {
--- a/crates/host/src/start_reads.rs
+++ b/crates/host/src/start_reads.rs
@@ -21,8 +21,9 @@
 /// Time in which a restarted host of a large fleet receives the state of a running one: two round
 /// trips between regions, and the transfer.
 const JOIN_PERIOD: Duration = Duration::from_millis(150);
-/// Time in which a running host replies with its version and list, after its first datagram.
-const TRANSFER_PERIOD: Duration = Duration::from_millis(1500);
+/// Time in which a running host replies with its version and list, which all hosts of a zone may fetch
+/// from it at once.
+const TRANSFER_PERIOD: Duration = Duration::from_secs(3);
 /// Calls to the registry of one starting host, with a list of a few thousand endpoints.
 const CALLS_PER_HOST: f64 = 8.0;
 /// Fraction of the registry's rate that starting hosts use.
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -50,6 +50,18 @@
     assert!(peers.is_list_maintained(later));
 }
 
+/// A host that starts hears of the reader before it has the list. It must not send its list to others.
+#[test]
+fn a_list_that_differs_is_not_confirmed() {
+    let (mut peers, now) = (peers(), Instant::now() + Duration::from_secs(10));
+    assert!(!peers.is_list_confirmed(now));
+    peers.record_registry_state(&reader(), &state(7, 0), 0, now);
+    assert!(peers.is_list_maintained(now) && !peers.is_list_confirmed(now));
+    peers.record_registry_state(&reader(), &state(7, 0), 7, now);
+    assert!(peers.is_list_confirmed(now));
+    assert!(!peers.is_list_confirmed(now + Duration::from_secs(2)));
+}
+
 #[test]
 fn a_change_is_resent_until_a_newer_one_replaces_it() {
     let (mut peers, now) = (peers(), Instant::now());
