Send many endpoint changes in several datagrams

Cause: more than 256 changes of the endpoint list were not sent at all, so that every host of a fleet with thousands of endpoints read the whole list from the store when hundreds were reclaimed at once. Before that they were sent in one datagram beyond the maximum size of one.

Change: updates are split into datagrams of up to 256 changes, and more than 256 recent changes are sent once instead of repeatedly. Tests: many_endpoint_changes_are_sent_in_several_datagrams (a datagram of 120 KB before), many_changes_are_sent_once in place of a_long_list_is_not_sent_as_changes, which asserted the fault.

--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -44,9 +44,9 @@
 const READER_TIMEOUT: Duration = Duration::from_millis(1100);
 /// Time for which a change of the list is sent repeatedly, because datagrams may be lost.
 const CHANGE_RESEND_PERIOD: Duration = Duration::from_millis(1500);
-/// Maximum number of changes that are sent to other hosts; a datagram holds some hundreds. A host that
-/// misses more fetches the list.
-const MAX_CHANGES_SENT: usize = 256;
+/// Maximum number of recent changes that are sent repeatedly. A host that misses some of more changes
+/// reads the list again.
+const MAX_CHANGES_RESENT: usize = 256;
 /// Time for which the largest observed number of hosts stays in effect, so that the two sides of a
 /// network partition do not each spend the whole quota.
 const PEAK_HOSTS_RETENTION: Duration = Duration::from_secs(60);
@@ -306,8 +306,7 @@
         is_fresh(self.version_known_at, VERSION_RELIANCE_LIMIT, now)
     }
 
-    /// Adds changes to those sent repeatedly, and returns all changes to send now. Returns none if they
-    /// are too many for a datagram.
+    /// Adds changes to those sent repeatedly, and returns all changes to send now.
     pub fn changes_to_send(
         &mut self,
         new: Vec<WireEndpointChange>,
@@ -319,12 +318,12 @@
         while self.recent_changes.front().is_some_and(is_old) {
             self.recent_changes.pop_front();
         }
-        for change in new {
+        for change in new.iter().cloned() {
             self.recent_changes.retain(|(_, sent)| sent.name != change.name);
             self.recent_changes.push_back((now, change));
         }
-        if self.recent_changes.len() > MAX_CHANGES_SENT {
-            return Vec::new();
+        if self.recent_changes.len() > MAX_CHANGES_RESENT {
+            return new;
         }
         self.recent_changes.iter().map(|(_, change)| change.clone()).collect()
     }
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -72,13 +72,14 @@
     assert!(peers.changes_to_send(Vec::new(), later).is_empty());
 }
 
-/// A list of thousands of endpoints does not fit into a datagram.
+/// Hundreds of endpoints are reclaimed at once. Their changes are sent, but not again and again.
 #[test]
-fn a_long_list_is_not_sent_as_changes() {
+fn many_changes_are_sent_once() {
     let (mut peers, now) = (peers(), Instant::now());
     let change = |ix: usize| WireEndpointChange { name: format!("e{ix}"), entry: None };
     assert_eq!(peers.changes_to_send((0..200).map(change).collect(), now).len(), 200);
-    assert!(peers.changes_to_send((200..3_000).map(change).collect(), now).is_empty());
+    assert_eq!(peers.changes_to_send((200..3_000).map(change).collect(), now).len(), 2_800);
+    assert!(peers.changes_to_send(Vec::new(), now).is_empty());
     let later = now + Duration::from_secs(2);
     assert_eq!(peers.changes_to_send(vec![change(1)], later).len(), 1);
 }
--- a/crates/peer/src/distribution.rs
+++ b/crates/peer/src/distribution.rs
@@ -66,8 +66,10 @@
         match relay {
             Some(relay) if relay.host != own.host => {
                 self.relays.record_sent(&relay.host, now);
-                let datagram = datagram(link, scope, updates);
-                link.send_to_all(datagram, [&relay], out);
+                for part in updates.into_datagrams() {
+                    let datagram = datagram(link, scope, part);
+                    link.send_to_all(datagram, [&relay], out);
+                }
             }
             _ => self.buffer(&own.host, scope, updates, now),
         }
@@ -202,16 +204,20 @@
         for sender in &senders {
             let updates = self.to_zone.updates_of_others(&sender.host, now);
             if !updates.is_empty() {
-                let datagram = datagram(link, ForwardScope::None, updates);
-                link.send_to_all(datagram, [sender], out);
+                for part in updates.into_datagrams() {
+                    let datagram = datagram(link, ForwardScope::None, part);
+                    link.send_to_all(datagram, [sender], out);
+                }
             }
         }
         let updates = self.to_zone.take(now);
-        let datagram = datagram(link, ForwardScope::None, updates);
         let is_other = |member: &Member| {
             member.zone == own_zone && !senders.iter().any(|sender| sender.host == member.host)
         };
-        link.broadcast(datagram, is_other, out);
+        for part in updates.into_datagrams() {
+            let datagram = datagram(link, ForwardScope::None, part);
+            link.broadcast(datagram, is_other, out);
+        }
     }
 
     fn send_to_relays(
@@ -226,8 +232,10 @@
         for relay in relays {
             self.relays.record_sent(&relay.host, now);
         }
-        let datagram = datagram(link, scope, updates);
-        link.send_to_all(datagram, relays, out);
+        for part in updates.into_datagrams() {
+            let datagram = datagram(link, scope, part);
+            link.send_to_all(datagram, relays, out);
+        }
     }
 
     /// Sends acknowledgements and probes of excluded relays. Returns the relays that are excluded from
@@ -265,9 +273,11 @@
 
 fn send_directly(link: &mut Link, scope: ForwardScope, updates: Updates, out: &mut Vec<Datagram>) {
     let own_region = link.membership().own().region.clone();
-    let datagram = datagram(link, ForwardScope::None, updates);
     let in_scope = |member: &Member| scope == ForwardScope::Fleet || member.region == own_region;
-    link.broadcast(datagram, in_scope, out);
+    for part in updates.into_datagrams() {
+        let datagram = datagram(link, ForwardScope::None, part);
+        link.broadcast(datagram, in_scope, out);
+    }
 }
 
 /// Returns the live hosts that `accepts` returns true for, by key.
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -7,6 +7,10 @@
     WireRegistryState, WireReport,
 };
 
+/// Maximum number of changes of the endpoint list in a datagram, which holds 64 KB. A change takes
+/// about 100 bytes.
+const MAX_CHANGES_PER_DATAGRAM: usize = 256;
+
 /// Updates about endpoints, requests and the registry.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Updates {
@@ -47,6 +51,27 @@
         datagram.blames = self.crash_counts;
     }
 
+    /// Splits the updates into parts that fit into a datagram each. The first contains all but the
+    /// changes of the endpoint list beyond the limit.
+    ///
+    /// ```
+    /// use camphorloft_peer::updates::Updates;
+    /// use camphorloft_peer::wire::WireEndpointChange;
+    /// let endpoint_changes = vec![WireEndpointChange::default(); 600];
+    /// let updates = Updates { endpoint_changes, ..Updates::default() };
+    /// assert_eq!(updates.into_datagrams().len(), 3);
+    /// assert_eq!(Updates::default().into_datagrams().len(), 1);
+    /// ```
+    pub fn into_datagrams(mut self) -> Vec<Self> {
+        let first = self.endpoint_changes.len().min(MAX_CHANGES_PER_DATAGRAM);
+        let rest = self.endpoint_changes.split_off(first);
+        let parts = rest
+            .chunks(MAX_CHANGES_PER_DATAGRAM)
+            .map(|changes| Updates { endpoint_changes: changes.to_vec(), ..Updates::default() });
+        let parts: Vec<Self> = parts.collect();
+        std::iter::once(self).chain(parts).collect()
+    }
+
     /// Returns true when there are no updates.
     pub fn is_empty(&self) -> bool {
         self.count() == 0
--- a/crates/peer/tests/distribution.rs
+++ b/crates/peer/tests/distribution.rs
@@ -11,7 +11,9 @@
 use camphorloft_peer::link::{Datagram, Link, LinkConfig};
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::updates::Updates;
-use camphorloft_peer::wire::{WireMigration, WirePlacement, WireReport};
+use camphorloft_peer::wire::{
+    WireEndpoint, WireEndpointChange, WireMigration, WirePlacement, WireReport,
+};
 use camphorloft_types::prelude::*;
 
 /// Zones of the simulated fleets, with their regions.
@@ -50,6 +52,8 @@
     /// Endpoint digests of the placements received, with the number of receipts.
     received: BTreeMap<u64, u32>,
     datagrams_received: u32,
+    /// Changes of the endpoint list received.
+    endpoints_received: usize,
 }
 
 struct Network {
@@ -83,6 +87,7 @@
                 is_down: false,
                 received: BTreeMap::new(),
                 datagrams_received: 0,
+                endpoints_received: 0,
             }
         };
         let by_addr = members.iter().enumerate().map(|(ix, m)| (m.addr, ix)).collect();
@@ -135,6 +140,7 @@
             let sender = &received.message.sender;
             host.distribution.receive(sender, &received.datagram, self.now).unwrap();
             host.datagrams_received += 1;
+            host.endpoints_received += received.datagram.endpoint_changes.len();
             for placement in &received.datagram.placements {
                 *host.received.entry(placement.endpoint).or_default() += 1;
             }
@@ -261,6 +267,27 @@
     assert_eq!(held, 0, "all relays have forwarded it");
 }
 
+/// Thousands of endpoints join at once. A datagram holds 64 KB.
+#[test]
+fn many_endpoint_changes_are_sent_in_several_datagrams() {
+    const ENDPOINTS: usize = 3_000;
+    const MAX_DATAGRAM_BYTES: usize = 64 * 1024;
+    let mut network = Network::start(60);
+    let entry = WireEndpoint { addr: "10.0.0.1:8000".to_owned(), ..WireEndpoint::default() };
+    let change =
+        |ix| WireEndpointChange { name: format!("i-{ix:010}"), entry: Some(entry.clone()) };
+    let endpoint_changes = (0..ENDPOINTS).map(change).collect();
+    let updates = Updates { endpoint_changes, ..Updates::default() };
+    network.submit(5, ForwardScope::Fleet, updates);
+    for _ in 0..20 {
+        let largest = network.in_transit.iter().map(|(.., datagram)| datagram.frame.len()).max();
+        assert!(largest.unwrap_or(0) <= MAX_DATAGRAM_BYTES, "{largest:?}");
+        network.run(STEP);
+    }
+    let incomplete = network.hosts.iter().filter(|host| host.endpoints_received < ENDPOINTS);
+    assert_eq!(incomplete.count(), 1, "all but the sender");
+}
+
 #[test]
 fn a_datagram_with_an_unknown_scope_is_not_forwarded() {
     let mut network = Network::start(60);
