--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -236,10 +236,10 @@
     let missing: Vec<EndpointName> = {
         let state = cx.state.borrow();
         let listed = |name: &EndpointName| listing.items.iter().any(|entry| entry.name == *name);
-        let unlisted = state.fleet.iter().filter(|(_, endpoint)| {
-            !matches!(endpoint.state, EndpointState::Removed { .. })
-                && !listed(&endpoint.entry.name)
-        });
+        let unlisted = state
+            .fleet
+            .iter()
+            .filter(|(_, endpoint)| endpoint.is_listed() && !listed(&endpoint.entry.name));
         unlisted.map(|(_, endpoint)| endpoint.entry.name.clone()).collect()
     };
     for entry in listing.items {
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -339,17 +339,27 @@
         subset.update(fleet, &self.own, &region, revision, now);
     }
 
-    /// Sends updates about endpoints directly to the hosts that use them.
-    pub fn send_to_hosts(&mut self, recipients: &[Member], updates: Updates) -> Vec<Datagram> {
+    /// Calls `act` with the distribution and the link, and returns the datagrams that it adds.
+    fn with_distribution<Act>(&mut self, act: Act) -> Vec<Datagram>
+    where
+        Act: FnOnce(&mut Distribution, &mut Link, &mut Vec<Datagram>),
+    {
         let mut out = Vec::new();
         if let Some((link, _)) = &mut self.link {
-            let mut datagram = link.empty_datagram();
-            updates.fill(&mut datagram);
-            link.send_to_all(datagram, recipients, &mut out);
+            act(&mut self.distribution, link, &mut out);
         }
         out
     }
 
+    /// Sends updates about endpoints directly to the hosts that use them.
+    pub fn send_to_hosts(&mut self, recipients: &[Member], updates: Updates) -> Vec<Datagram> {
+        self.with_distribution(|_, link, out| {
+            let mut datagram = link.empty_datagram();
+            updates.fill(&mut datagram);
+            link.send_to_all(datagram, recipients, out);
+        })
+    }
+
     /// Distributes updates to the hosts in scope.
     pub fn distribute(
         &mut self,
@@ -357,12 +367,10 @@
         updates: Updates,
         now: Instant,
     ) -> Vec<Datagram> {
-        let mut out = Vec::new();
-        if let Some((link, _)) = &mut self.link {
-            self.distribution.submit(link, scope.into(), updates, now, &mut out);
-            self.distribution.flush(link, now, &mut out);
-        }
-        out
+        self.with_distribution(|distribution, link, out| {
+            distribution.submit(link, scope.into(), updates, now, out);
+            distribution.flush(link, now, out);
+        })
     }
 
     /// Distributes updates about an endpoint in `region` to all hosts, and to those of that region
@@ -373,12 +381,11 @@
         updates: Updates,
         now: Instant,
     ) -> Vec<Datagram> {
-        let mut out = Vec::new();
-        if let Some((link, _)) = &mut self.link {
-            self.distribution.submit_to_region(link, region, updates.clone(), &mut out);
-        }
-        out.extend(self.distribute(UpdateScope::All, updates, now));
-        out
+        self.with_distribution(|distribution, link, out| {
+            distribution.submit_to_region(link, region, updates.clone(), out);
+            distribution.submit(link, UpdateScope::All.into(), updates, now, out);
+            distribution.flush(link, now, out);
+        })
     }
 
     /// Announces this host's configuration version. `is_source` is true if it read the version from
@@ -389,12 +396,10 @@
         is_source: bool,
         now: Instant,
     ) -> Vec<Datagram> {
-        let mut out = Vec::new();
-        if let Some((link, _)) = &mut self.link {
+        self.with_distribution(|distribution, link, out| {
             link.set_config_version(version);
-            self.distribution.announce_version(link, is_source, now, &mut out);
-        }
-        out
+            distribution.announce_version(link, is_source, now, out);
+        })
     }
 
     /// Buffers the updates in a received datagram that this host forwards.
@@ -418,11 +423,7 @@
 
     /// Forwards the updates of other hosts that are due.
     pub fn forward(&mut self, now: Instant) -> Vec<Datagram> {
-        let mut out = Vec::new();
-        if let Some((link, _)) = &mut self.link {
-            self.distribution.flush(link, now, &mut out);
-        }
-        out
+        self.with_distribution(|distribution, link, out| distribution.flush(link, now, out))
     }
 
     /// Acknowledges forwarded updates. Returns the relays that are excluded from now on because
--- a/crates/peer/src/distribution.rs
+++ b/crates/peer/src/distribution.rs
@@ -55,7 +55,7 @@
         if updates.is_empty() {
             return;
         }
-        if link.membership().live().count() <= MAX_DIRECT_RECIPIENTS {
+        if is_small(link) {
             send_directly(link, scope, updates, out);
             return;
         }
@@ -84,7 +84,7 @@
         updates: Updates,
         out: &mut Vec<Datagram>,
     ) {
-        if link.membership().live().count() <= MAX_DIRECT_RECIPIENTS {
+        if is_small(link) {
             return;
         }
         let datagram = datagram(link, ForwardScope::None, updates);
@@ -102,7 +102,7 @@
     ) {
         let own = link.membership().own().clone();
         let datagram = link.empty_datagram();
-        if link.membership().live().count() <= MAX_DIRECT_RECIPIENTS {
+        if is_small(link) {
             if is_source {
                 link.broadcast(datagram, |_| true, out);
             }
@@ -264,6 +264,11 @@
     }
 }
 
+/// Returns true when the other hosts are few enough to be updated directly.
+fn is_small(link: &Link) -> bool {
+    link.membership().live().count() <= MAX_DIRECT_RECIPIENTS
+}
+
 fn datagram(link: &Link, scope: ForwardScope, updates: Updates) -> WireDatagram {
     let mut datagram = link.empty_datagram();
     updates.fill(&mut datagram);
