--- /dev/null
+++ b/crates/dispatch/src/directives.rs
@@ -0,0 +1,23 @@
+//! What an endpoint states about itself in the head of a response.
+
+use camphorloft_types::prelude::RequestRate;
+
+/// One statement of an endpoint about itself.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Directive<Value> {
+    /// The response does not contain it.
+    #[default]
+    Absent,
+    /// Its value.
+    Stated(Value),
+    /// The value is not valid and is ignored.
+    Malformed,
+}
+
+/// What an endpoint states about itself in the head of a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Directives {
+    /// Rate of requests that it accepts from all hosts together, for as long as its responses state
+    /// it.
+    pub request_limit: Directive<RequestRate>,
+}
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -6,6 +6,7 @@
 use crate::entry::EndpointEntry;
 use crate::health::Health;
 use crate::load::Load;
+use crate::request_limit::RequestLimit;
 use crate::run::Run;
 
 /// Weight of a new sample in the moving averages of durations.
@@ -64,6 +65,8 @@
     pub health: Health,
     /// Load.
     pub load: Load,
+    /// Rate of requests that it accepts from all hosts together.
+    pub request_limit: RequestLimit,
     /// Requests of this host in progress.
     pub runs: Vec<Run>,
     /// Requests that failed recently while the endpoint was not known to be draining: time and
@@ -98,6 +101,7 @@
             shutdown_at: None,
             health: Health::default(),
             load: Load::default(),
+            request_limit: RequestLimit::default(),
             runs: Vec::new(),
             suspects: Vec::new(),
             connect_secs: connect.as_secs_f64(),
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,8 @@
 //!
 //! - [`distance`]: network distance of an endpoint from this host.
 //! - [`entry`]: an endpoint as listed in the registry.
+//! - [`directives`]: what an endpoint states about itself in a response.
+//! - [`request_limit`]: rate of requests that an endpoint accepts.
 //! - [`health`]: failure rate of an endpoint, estimated from its responses.
 //! - [`load`]: load of an endpoint, estimated from reports and from the requests this host sent.
 //! - [`run`]: a request that this host sent to an endpoint.
@@ -23,6 +25,7 @@
 pub mod admission;
 pub mod assignment;
 pub mod choice;
+pub mod directives;
 pub mod distance;
 pub mod endpoint;
 pub mod entry;
@@ -35,6 +38,7 @@
 pub mod pool;
 pub mod prelude;
 pub mod reclaim;
+pub mod request_limit;
 pub mod retry_quota;
 pub mod run;
 pub mod subset;
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::admission::{Admission, RefuseReason};
 pub use crate::choice::Choice;
+pub use crate::directives::{Directive, Directives};
 pub use crate::distance::{Distance, Locality};
 pub use crate::endpoint::{Endpoint, EndpointState};
 pub use crate::entry::{EndpointEntry, ProcessStart};
@@ -12,5 +13,6 @@
 pub use crate::migration::{MigrationPlans, PlannedMigration};
 pub use crate::pool::Pool;
 pub use crate::reclaim::{NoDestination, ReclaimDecision};
+pub use crate::request_limit::RequestLimit;
 pub use crate::retry_quota::{QuotaSettings, RetryQuota};
 pub use crate::run::{CallId, Run, RunId, RunWork};
--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -167,6 +167,9 @@
     /// Classifies an endpoint's response by its head.
     fn response_kind(&self, head: &response::Parts, call: &CallId) -> ResponseKind;
 
+    /// Returns what an endpoint states about itself in the headers of its response.
+    fn directives(&self, head: &response::Parts) -> Directives;
+
     /// Returns the load that an endpoint reports in the headers of its response.
     fn load_hint(&self, head: &response::Parts) -> Option<LoadHint>;
 
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -86,6 +86,8 @@
     pub version_read_at: Cell<Option<Instant>>,
     /// Notified when updates of other hosts are to be forwarded.
     pub updates_buffered: Notify,
+    /// Time of the last log line about a statement of an endpoint that is not valid.
+    pub malformed_logged_at: Cell<Option<Instant>>,
     /// Time of the last fetch of a version from another host.
     last_fetch_at: Cell<Option<Instant>>,
     fleet_revision: watch::Sender<u64>,
@@ -123,6 +125,7 @@
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
+            malformed_logged_at: Cell::new(None),
             last_fetch_at: Cell::new(None),
             fleet_revision: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -245,8 +245,11 @@
 
     fn log_placement(&self, choice: &Choice) {
         let state = self.cx.state.borrow();
-        let name = state.fleet.get(choice.endpoint).map(|e| e.entry.name.to_string());
+        let endpoint = state.fleet.get(choice.endpoint);
+        let name = endpoint.map(|e| e.entry.name.to_string());
+        let limit = endpoint.and_then(|e| e.request_limit.rate());
         info!(self.cx.log, "generation placed"; "call" => %self.call.id,
+            "limit_per_s" => limit.map(RequestRate::per_second),
             "route" => %self.call.route().name, "endpoint" => name,
             "attempt" => self.tried.len() + 1, "version" => %self.call.serving.version,
             "cost_ms" => choice.cost_ms.round(), "fill" => (choice.fill * 100.0).round() / 100.0,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
 //! - [`serving_watch`]: keeps the configuration version in force up to date.
 //! - [`endpoint_watch`]: keeps the endpoint list up to date.
+//! - [`endpoint_directives`]: records what endpoints state about themselves.
 //! - [`start_reads`]: when a starting host reads the registry by itself.
 //! - [`registry_outage`]: detection of registry outages.
 //! - [`report_poll`]: polls engines for load reports.
@@ -42,6 +43,7 @@
 pub mod config_exchange;
 pub mod connection;
 pub mod context;
+pub mod endpoint_directives;
 pub mod endpoint_watch;
 pub mod event_splitter;
 pub mod generation_call;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -27,6 +27,8 @@
     pub registry_calls: IntCounterVec,
     /// Polls of engines' load reports by result.
     pub reports: IntCounterVec,
+    /// Statements of endpoints about themselves that were not valid.
+    pub malformed_directives: IntCounterVec,
     /// Peer datagrams by result.
     pub datagrams: IntCounterVec,
     /// Latency of the response to a call, or of the first event of a stream, by kind.
@@ -76,6 +78,11 @@
                 "Reports asked of engines",
                 &[result],
             ),
+            malformed_directives: set.counters(
+                "camphorloft_malformed_directives_total",
+                "Statements of endpoints about themselves that were not valid",
+                &["directive"],
+            ),
             datagrams: set.counters(
                 "camphorloft_peer_datagrams_total",
                 "Datagrams between hosts by result",
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -145,6 +145,7 @@
         Ok(exchange) => {
             let kind = cx.wire.response_kind(&exchange.head, &call.id);
             record_response(cx, ix, kind, &exchange);
+            cx.record_directives(ix, kind, &exchange.head);
             Ok(UpstreamResponse { guard, name, kind, exchange, sent_at })
         }
         Err(err) => {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`generation`]: identifiers of generations and of their attempts.
 //! - [`outcome`]: the possible outcomes of a request.
 //! - [`rendezvous`]: highest-random-weight hashing.
+//! - [`request_rate`]: a rate of requests.
 //! - [`prelude`]: the types that nearly every module imports.
 
 pub mod generation;
@@ -15,3 +16,4 @@
 pub mod outcome;
 pub mod prelude;
 pub mod rendezvous;
+pub mod request_rate;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -10,3 +10,4 @@
     ByteRate, ByteSize, ConfigVersion, FencingToken, Incarnation, NumberError, TokenCount, Weight,
 };
 pub use crate::outcome::Outcome;
+pub use crate::request_rate::{RequestRate, RequestRateError};
