--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -175,7 +175,7 @@
         let own_is_near = Some(&self.region) == region;
         let others = self.live().filter(|member| {
             let is_near = Some(&member.region) == region;
-            is_near > own_is_near
+            is_near && !own_is_near
                 || is_near == own_is_near
                     && assignment::rank(endpoint.as_str(), &self.own, [&member.host]) == 1
         });
