Log the software version of endpoints where streams begin and continue

Change: the adapter decodes the version of an endpoint's entry and the attempt that a client names when it takes up a stream; hosts tell each other the version with the entry; 'endpoint changed', 'generation placed', 'stream resumed' and 'generation resumed from copy' show it. An entry whose version changes is another process. No decision uses the version yet.

--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -38,6 +38,8 @@
     pub addr: SocketAddr,
     /// Service to which it belongs.
     pub service: ServiceName,
+    /// Version of its software, if it states one.
+    pub software: Option<SoftwareVersion>,
     /// Availability zone.
     pub zone: AvailabilityZone,
     /// Maximum concurrent requests.
@@ -54,6 +56,7 @@
         self.name == other.name
             && self.process_start == other.process_start
             && self.addr == other.addr
+            && self.software == other.software
     }
 
     /// Returns a digest of the name and the process, the same on every host.
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -39,6 +39,7 @@
         process_start: ProcessStart(process_start),
         addr: "127.0.0.1:9".parse().unwrap(),
         service: service(),
+        software: Some("v1".parse().unwrap()),
         zone: zone.parse().unwrap(),
         slots: 6,
         draining: false,
--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -27,6 +27,8 @@
     pub generation: Option<GenerationParams>,
     /// ID of the last event that the client received in an earlier attempt.
     pub last_event_id: Option<u64>,
+    /// Attempt of the client in which the stream that it takes up again began.
+    pub resumes: Option<CallId>,
 }
 
 /// Parameters of a generation, as the client states them.
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -58,6 +58,8 @@
     pub generation: GenerationParams,
     /// ID of the last event that the client received in an earlier attempt.
     pub last_event_id: Option<u64>,
+    /// Attempt of the client in which the stream that it takes up again began.
+    pub resumes: Option<CallId>,
     /// Digest of the request, see [`fingerprint`].
     pub fingerprint: u64,
     /// When its head was received.
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -312,6 +312,7 @@
             let Some(endpoint) = state.fleet.get_mut(change.endpoint()) else { continue };
             info!(self.log, "endpoint changed"; "endpoint" => %endpoint.entry.name,
                 "change" => %change, "service" => %endpoint.entry.service,
+                "software" => endpoint.entry.software.as_ref().map(ToString::to_string),
                 "zone" => %endpoint.entry.zone, "born" => %endpoint.entry.process_start,
                 "runs" => endpoint.runs.len(), "source" => source);
             if let FleetChange::Removed(ix) = change {
@@ -360,6 +361,11 @@
         self.notify_fleet_changed();
     }
 
+    /// Returns the software version of an endpoint, if known.
+    pub fn software_of(&self, ix: EndpointIx) -> Option<SoftwareVersion> {
+        self.state.borrow().fleet.get(ix)?.entry.software.clone()
+    }
+
     /// Purges removed endpoints that run nothing for this host.
     pub fn purge_removed_endpoints(&self) {
         const KEEP: Duration = Duration::from_secs(10);
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -252,9 +252,11 @@
         let endpoint = state.fleet.get(choice.endpoint);
         let name = endpoint.map(|e| e.entry.name.to_string());
         let limit = endpoint.and_then(|e| e.request_limit.rate(Instant::now()));
+        let software = endpoint.and_then(|e| e.entry.software.as_ref().map(ToString::to_string));
         info!(self.cx.log, "generation placed"; "call" => %self.call.id,
             "limit_per_s" => limit.map(RequestRate::per_second),
             "route" => %self.call.route().name, "endpoint" => name,
+            "software" => software, "resumes" => call_name(&self.call.resumes),
             "attempt" => self.tried.len() + 1, "version" => %self.call.serving.version,
             "cost_ms" => choice.cost_ms.round(), "fill" => (choice.fill * 100.0).round() / 100.0,
             "unread" => choice.prefill_tokens, "sequences" => choice.sequences,
@@ -319,3 +321,8 @@
         (upstream.kind == ResponseKind::Success).then_some(upstream)
     }
 }
+
+/// Returns the name of the attempt in which a stream began, for the log.
+fn call_name(call: &Option<CallId>) -> Option<String> {
+    call.as_ref().map(ToString::to_string)
+}
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -147,6 +147,7 @@
         organisation,
         generation: decoded.generation.unwrap_or_default(),
         last_event_id: decoded.last_event_id,
+        resumes: decoded.resumes,
         arrived_at,
         deadline,
     };
--- a/crates/host/src/peer_convert.rs
+++ b/crates/host/src/peer_convert.rs
@@ -24,6 +24,7 @@
             slots: entry.slots,
             leaving: entry.draining,
             cold_left_ms: millis(entry.warmup_remaining),
+            software: entry.software.as_ref().map(ToString::to_string).unwrap_or_default(),
         }),
     }
 }
@@ -44,6 +45,10 @@
         process_start: ProcessStart(entry.born),
         addr: entry.addr.parse().ok()?,
         service: entry.service.parse().ok()?,
+        software: match entry.software.as_str() {
+            "" => None,
+            text => Some(text.parse().ok()?),
+        },
         zone: entry.zone.parse().ok()?,
         slots: entry.slots,
         draining: entry.leaving,
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -11,7 +11,7 @@
 
 use crate::boundary::{EnginePriority, Registry, ResponseKind, Resume, Wire};
 use crate::sending::{SendPlan, send};
-use crate::stream_relay::{BodyRead, StreamEnd, StreamRelay, read_body};
+use crate::stream_relay::{BodyRead, StreamEnd, StreamRelay, read_body, software_name};
 use crate::task::OwnedTask;
 use crate::transfer::{Handover, TransferError, transfer};
 
@@ -178,6 +178,7 @@
                 self.cx.metrics.migrations.with_label_values(&[result]).inc();
                 info!(self.cx.log, "generation resumed from copy"; "call" => %self.call.id,
                     "from" => %self.source.name, "to" => %upstream.name, "after_event" => after,
+                    "software" => software_name(&self.cx, upstream.guard.endpoint),
                     "stopped_at_event" => handover.events,
                     "took_ms" => started_at.elapsed().as_millis() as u64);
                 self.replace_source(upstream);
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -306,7 +306,8 @@
         match placement.resume(after).await {
             Some(upstream) => {
                 info!(self.cx.log, "stream resumed"; "call" => %self.call.id,
-                    "endpoint" => %upstream.name, "after_event" => after);
+                    "endpoint" => %upstream.name, "after_event" => after,
+                    "software" => software_name(&self.cx, upstream.guard.endpoint));
                 self.replace_source(upstream);
                 None
             }
@@ -344,3 +345,8 @@
         }
     }
 }
+
+/// Returns the name of an endpoint's software version, for the log.
+pub(crate) fn software_name<W, R>(cx: &Host<W, R>, endpoint: EndpointIx) -> Option<String> {
+    cx.software_of(endpoint).map(|version| version.to_string())
+}
--- a/crates/host/tests/report_standins.rs
+++ b/crates/host/tests/report_standins.rs
@@ -34,6 +34,7 @@
             process_start: ProcessStart(1),
             addr: "127.0.0.1:9".parse().unwrap(),
             service: "fleet".parse().unwrap(),
+            software: None,
             zone: zone.clone(),
             slots: 24,
             draining: false,
--- a/crates/host/tests/subset.rs
+++ b/crates/host/tests/subset.rs
@@ -39,6 +39,7 @@
         process_start: ProcessStart(born),
         addr: "127.0.0.1:9".parse().unwrap(),
         service: "fleet".parse().unwrap(),
+        software: None,
         zone: zone(region),
         slots: 24,
         draining: false,
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -172,6 +172,9 @@
     /// Remaining duration of the warm-up, in milliseconds.
     #[prost(uint32, tag = "7")]
     pub cold_left_ms: u32,
+    /// Version of its software; empty when it states none.
+    #[prost(string, tag = "8")]
+    pub software: String,
 }
 
 /// A change of the endpoint list.
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`outcome`]: the possible outcomes of a request.
 //! - [`rendezvous`]: highest-random-weight hashing.
 //! - [`request_rate`]: a rate of requests.
+//! - [`software_version`]: version of an endpoint's software.
 //! - [`prelude`]: the types that nearly every module imports.
 
 pub mod generation;
@@ -17,3 +18,4 @@
 pub mod prelude;
 pub mod rendezvous;
 pub mod request_rate;
+pub mod software_version;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -11,3 +11,4 @@
 };
 pub use crate::outcome::Outcome;
 pub use crate::request_rate::{RequestRate, RequestRateError};
+pub use crate::software_version::{SoftwareVersion, SoftwareVersionError};
