Continue a stream only at the software version that began it

Callers saw: streams whose events came from two software versions of a service, after a migration, a resumption or their own return, and which do not fit together. Change: migrations, resumptions after a crash and streams that clients take up are restricted to engines of the version that began the stream. Why it works: the version is fixed with the first event and is an input of every selection; there is no other way to an engine.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -8,9 +8,9 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use camphorloft_types::prelude::*;
 use rand::Rng;
 
+use crate::candidates::Candidates;
 use crate::choice::Choice;
 use crate::generation::{self, TokenDemand};
 use crate::pool::Pool;
@@ -74,11 +74,11 @@
 }
 
 /// Decides whether to admit a generation that arrived at `arrived_at` and whose first event is due
-/// `objective` after that.
+/// `objective` after that. The maximum delay at an endpoint follows from these.
 pub fn admit<Draws>(
     pool: &Pool<'_>,
     demand: &TokenDemand,
-    tried: &[EndpointIx],
+    candidates: &Candidates<'_>,
     (arrived_at, objective): (Instant, Duration),
     now: Instant,
     rng: &mut Draws,
@@ -91,9 +91,10 @@
     let may_wait = !max_delay.is_zero();
     let retry_after = MIN_RETRY_AFTER + RETRY_AFTER_JITTER.mul_f64(rng.random());
     let due = objective.saturating_sub(waited);
-    let choice = generation::choose(pool, demand, tried, (due, max_delay), now, rng);
+    let candidates = Candidates { max_delay, ..*candidates };
+    let choice = generation::choose(pool, demand, &candidates, due, now, rng);
     let Some(choice) = choice else {
-        if let Some(until) = pool.fleet.limited_for(pool.service, tried, now) {
+        if let Some(until) = pool.fleet.limited_for(pool.service, &candidates, now) {
             let retry_after = until.mul_f64(1.0 + rng.random::<f64>());
             return Admission::Refuse { reason: RefuseReason::Limited, retry_after };
         }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -4,6 +4,7 @@
 
 use camphorloft_types::prelude::*;
 
+use crate::candidates::Candidates;
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
 
@@ -33,14 +34,13 @@
     pub unusable: u32,
 }
 
-/// Returns the endpoint of a service with the lowest cost, of those that are usable, not in `tried`
-/// and accept a request of this host within `max_delay`. Endpoints outside of this host's subset are
+/// Returns the endpoint of a service with the lowest cost, of those that are usable, admitted by
+/// `candidates`, and accept a request of this host within its maximum delay. Endpoints outside of this host's subset are
 /// considered only if none of the subset is left.
 pub(crate) fn cheapest<Evaluate>(
     fleet: &Fleet,
     service: &ServiceName,
-    tried: &[EndpointIx],
-    max_delay: Duration,
+    candidates: &Candidates<'_>,
     now: Instant,
     mut evaluate: Evaluate,
 ) -> Option<Choice>
@@ -50,12 +50,12 @@
     let mut best: Option<(bool, Choice)> = None;
     let (mut compared, mut unusable) = (0, 0);
     for (ix, endpoint) in fleet.of_service(service) {
-        if tried.contains(&ix) || !endpoint.is_usable(now) {
+        if !candidates.admits(ix, endpoint, now) {
             unusable += 1;
             continue;
         }
         let delay = endpoint.request_limit.send_at(now).map(|at| at - now);
-        let Some(delay) = delay.filter(|delay| *delay <= max_delay) else {
+        let Some(delay) = delay.filter(|delay| *delay <= candidates.max_delay) else {
             unusable += 1;
             continue;
         };
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -59,6 +59,11 @@
             && self.software == other.software
     }
 
+    /// Returns true if it runs a software version.
+    pub fn has_software(&self, software: &SoftwareVersion) -> bool {
+        self.software.as_ref() == Some(software)
+    }
+
     /// Returns a digest of the name and the process, the same on every host.
     pub fn digest(&self) -> u64 {
         rendezvous::score(self.name.as_str(), &self.process_start.to_string())
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -7,6 +7,7 @@
 use camphorloft_types::prelude::*;
 use cranelift_entity::PrimaryMap;
 
+use crate::candidates::Candidates;
 use crate::distance::Locality;
 use crate::endpoint::{Endpoint, EndpointState};
 use crate::entry::EndpointEntry;
@@ -128,16 +129,16 @@
         self.iter().filter(move |(_, endpoint)| endpoint.entry.service == *service)
     }
 
-    /// Returns the time for which all usable endpoints of a service limit the requests of this host,
-    /// excluding those in `tried`, or `None` if none of them does.
+    /// Returns the time for which all usable endpoints of a service that `candidates` admits limit the
+    /// requests of this host, or `None` if not all of them do.
     pub fn limited_for(
         &self,
         service: &ServiceName,
-        tried: &[EndpointIx],
+        candidates: &Candidates<'_>,
         now: Instant,
     ) -> Option<Duration> {
         let endpoints = self.of_service(service);
-        let usable = endpoints.filter(|(ix, e)| !tried.contains(ix) && e.is_usable(now));
+        let usable = endpoints.filter(|(ix, endpoint)| candidates.admits(*ix, endpoint, now));
         let delays = usable.map(|(_, endpoint)| match endpoint.request_limit.send_at(now) {
             Some(at) => at - now,
             None => OTHER_HOSTS_LIMIT_DELAY,
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -10,9 +10,9 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_serving::prelude::EngineSpec;
-use camphorloft_types::prelude::*;
 use rand::Rng;
 
+use crate::candidates::Candidates;
 use crate::choice::{Choice, cheapest};
 use crate::distance::Distance;
 use crate::endpoint::Endpoint;
@@ -71,20 +71,19 @@
     (f64::from(load.used + demand.kv_tokens) + growth) / f64::from(spec.kv_capacity.0.max(1))
 }
 
-/// Selects an engine for a generation whose first event is due after `due` and that may be delayed by
-/// up to `max_delay`, excluding the engines in `tried`.
+/// Selects an engine for a generation whose first event is due after `due`.
 pub fn choose<Draws>(
     pool: &Pool<'_>,
     demand: &TokenDemand,
-    tried: &[EndpointIx],
-    (due, max_delay): (Duration, Duration),
+    candidates: &Candidates<'_>,
+    due: Duration,
     now: Instant,
     rng: &mut Draws,
 ) -> Option<Choice>
 where
     Draws: Rng,
 {
-    cheapest(pool.fleet, pool.service, tried, max_delay, now, |ix, endpoint| {
+    cheapest(pool.fleet, pool.service, candidates, now, |ix, endpoint| {
         let load = endpoint.load.estimate_engine_load(&endpoint.runs, now);
         let fill = expected_fill(&load, demand, pool.spec);
         let jitter = match endpoint.distance {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`assignment`]: selects the host that performs a task for the others.
 //! - [`endpoint`]: state of one endpoint.
 //! - [`fleet`]: the table of endpoints.
+//! - [`candidates`]: restricts the endpoints that a request may be sent to.
+//! - [`stream_origins`]: software versions that began streams.
 //! - [`choice`]: a selected endpoint, with the inputs to the decision.
 //! - [`migration`]: schedules migrations of generations between engines.
 //! - [`plain`]: selects an endpoint for a call of a plain service.
@@ -24,6 +26,7 @@
 
 pub mod admission;
 pub mod assignment;
+pub mod candidates;
 pub mod choice;
 pub mod directives;
 pub mod distance;
@@ -41,4 +44,5 @@
 pub mod request_limit;
 pub mod retry_quota;
 pub mod run;
+pub mod stream_origins;
 pub mod subset;
--- a/crates/dispatch/src/plain.rs
+++ b/crates/dispatch/src/plain.rs
@@ -9,6 +9,7 @@
 use camphorloft_types::prelude::*;
 use rand::Rng;
 
+use crate::candidates::Candidates;
 use crate::choice::{Choice, cheapest};
 use crate::distance::Distance;
 use crate::endpoint::Endpoint;
@@ -29,20 +30,18 @@
 /// select the same endpoint.
 const JITTER: f64 = 0.15;
 
-/// Selects an endpoint for a call that may be delayed by up to `max_delay`, excluding those in
-/// `tried`.
+/// Selects an endpoint for a call.
 pub fn choose<Draws>(
     fleet: &Fleet,
     service: &ServiceName,
-    tried: &[EndpointIx],
-    max_delay: Duration,
+    candidates: &Candidates<'_>,
     now: Instant,
     rng: &mut Draws,
 ) -> Option<Choice>
 where
     Draws: Rng,
 {
-    cheapest(fleet, service, tried, max_delay, now, |ix, endpoint| Choice {
+    cheapest(fleet, service, candidates, now, |ix, endpoint| Choice {
         endpoint: ix,
         cost_ms: expected_cost_ms(endpoint, now) * (1.0 + JITTER * rng.random::<f64>()),
         failure_rate: endpoint.health.failure_rate(now),
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -1,6 +1,7 @@
 //! Common imports.
 
 pub use crate::admission::{Admission, RefuseReason};
+pub use crate::candidates::Candidates;
 pub use crate::choice::Choice;
 pub use crate::directives::{Directive, Directives};
 pub use crate::distance::{Distance, Locality};
@@ -16,3 +17,4 @@
 pub use crate::request_limit::RequestLimit;
 pub use crate::retry_quota::{QuotaSettings, RetryQuota};
 pub use crate::run::{CallId, Run, RunId, RunWork};
+pub use crate::stream_origins::{StreamDigest, StreamOrigins};
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -67,6 +67,8 @@
     pub too_late: u32,
     /// Engines that refused a copy recently.
     pub refusing: u32,
+    /// Engines of another software version, which cannot continue the generation.
+    pub other_version: u32,
     /// Engines that limit requests, and that this host may not send the generation to in time.
     pub limited: u32,
 }
@@ -131,6 +133,11 @@
         if excluded || !endpoint.is_usable(now) {
             continue;
         }
+        let began = source.entry.software.as_ref();
+        if !began.is_some_and(|software| endpoint.entry.has_software(software)) {
+            reasons.other_version += 1;
+            continue;
+        }
         let load = endpoint.load.estimate_engine_load(&endpoint.runs, now);
         let used = f64::from(load.used + kv_tokens) / f64::from(spec.kv_capacity.0.max(1));
         let full = used > MAX_DESTINATION_USAGE || load.sequences >= spec.slots;
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -30,7 +30,7 @@
         let (service, spec) = (service(), engine());
         let pool = Pool { fleet: &fleet, service: &service, spec: &spec };
         let choice =
-            generation::choose(&pool, &DEMAND, &[], (DUE, Duration::ZERO), now, &mut rng).unwrap();
+            generation::choose(&pool, &DEMAND, &Candidates::default(), DUE, now, &mut rng).unwrap();
         counts[choice.endpoint.as_u32() as usize] += 1;
         if ix % 3 == 0 {
             fleet.start_run(
@@ -104,7 +104,7 @@
         let arrival = (arrived_at, objective);
         let (service, spec) = (service(), engine());
         let pool = Pool { fleet, service: &service, spec: &spec };
-        admission::admit(&pool, &DEMAND, &[], arrival, now, &mut rng)
+        admission::admit(&pool, &DEMAND, &Candidates::default(), arrival, now, &mut rng)
     };
     assert_eq!(admit(&fleet, now, now), Admission::Wait);
     let late = now + objective;
@@ -132,7 +132,8 @@
     let mut to_failing = 0;
     for ix in 0..200_u32 {
         let at = now + Duration::from_millis(u64::from(ix) * 20);
-        let choice = plain::choose(&fleet, &service(), &[], Duration::ZERO, at, &mut rng).unwrap();
+        let choice =
+            plain::choose(&fleet, &service(), &Candidates::default(), at, &mut rng).unwrap();
         let is_failing = choice.endpoint == failing;
         to_failing += u32::from(is_failing);
         let success = !is_failing || ix % 9 >= 4;
@@ -151,12 +152,12 @@
         fleet.get_mut(ix).unwrap().health.record_unreachable(now);
     }
     let mut rng = rng();
-    let other = plain::choose(&fleet, &service(), &[], Duration::ZERO, now, &mut rng).unwrap();
+    let other = plain::choose(&fleet, &service(), &Candidates::default(), now, &mut rng).unwrap();
     assert_ne!(other.endpoint, ix);
     let later = now + Duration::from_secs(30);
     // Both cost about the same by now, so that the random part of the cost decides.
     let tried = (0..20).any(|_| {
-        plain::choose(&fleet, &service(), &[], Duration::ZERO, later, &mut rng).unwrap().endpoint
+        plain::choose(&fleet, &service(), &Candidates::default(), later, &mut rng).unwrap().endpoint
             == ix
     });
     assert!(tried);
--- a/crates/dispatch/tests/reclaim.rs
+++ b/crates/dispatch/tests/reclaim.rs
@@ -192,3 +192,21 @@
         }
     }
 }
+
+/// What engines of two versions generate does not fit together.
+#[test]
+fn generation_migrates_to_an_engine_of_another_software_version() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a"], now);
+    let other = EndpointEntry { software: Some("v2".parse().unwrap()), ..entry("e1", "n-a", 1) };
+    fleet.upsert(other, now, &mut Vec::new());
+    let runs = drain_first(&mut fleet, &[3_000], now);
+    let from = find(&fleet, "e0");
+    let decision = reclaim::decide(&fleet, &engine(), from, &runs[0], &[], now);
+    let reasons = NoDestination { other_version: 1, ..NoDestination::default() };
+    assert_eq!(decision, ReclaimDecision::NoDestination(reasons));
+    fleet.upsert(entry("e2", "n-a", 1), now, &mut Vec::new());
+    let same = find(&fleet, "e2");
+    let decision = reclaim::decide(&fleet, &engine(), from, &runs[0], &[], now);
+    assert!(matches!(decision, ReclaimDecision::Migrate { to, .. } if to == same));
+}
--- a/crates/dispatch/tests/worst_load.rs
+++ b/crates/dispatch/tests/worst_load.rs
@@ -172,7 +172,14 @@
         };
         let (service, spec) = (service(), engine());
         let pool = Pool { fleet, service: &service, spec: &spec };
-        match admission::admit(&pool, &demand, &[], (waiting.arrived, workload.due), now, rng) {
+        match admission::admit(
+            &pool,
+            &demand,
+            &Candidates::default(),
+            (waiting.arrived, workload.due),
+            now,
+            rng,
+        ) {
             Admission::Wait => return true,
             Admission::Refuse { .. } => self.refused += 1,
             Admission::Start(choice) => {
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -47,6 +47,8 @@
     pub peers: Peers,
     /// The endpoints that this host sends work to.
     pub subset: SubsetTable,
+    /// Software versions that began streams.
+    pub origins: StreamOrigins,
     /// Quota of retries.
     pub quota: RetryQuota,
     /// Crash counts of request fingerprints, to detect poison requests.
@@ -106,6 +108,7 @@
             packed_list: None,
             peers: Peers::new(settings.host.clone(), settings.locality.region.clone(), hosts),
             subset: SubsetTable::default(),
+            origins: StreamOrigins::default(),
             quota: RetryQuota::new(settings.quota, hosts),
             poison: PoisonTable::default(),
             rng: SmallRng::from_os_rng(),
@@ -307,6 +310,7 @@
         }
         let now = Instant::now();
         self.update_subset(now);
+        self.observe_versions(now);
         for change in changes {
             let mut state = self.state.borrow_mut();
             let Some(endpoint) = state.fleet.get_mut(change.endpoint()) else { continue };
@@ -369,6 +373,10 @@
     /// Purges removed endpoints that run nothing for this host.
     pub fn purge_removed_endpoints(&self) {
         const KEEP: Duration = Duration::from_secs(10);
-        self.state.borrow_mut().fleet.purge_removed(KEEP, Instant::now());
+        let now = Instant::now();
+        self.observe_versions(now);
+        let mut state = self.state.borrow_mut();
+        state.fleet.purge_removed(KEEP, now);
+        state.origins.purge(now);
     }
 }
--- a/crates/host/src/endpoint_directives.rs
+++ b/crates/host/src/endpoint_directives.rs
@@ -81,12 +81,13 @@
         let now = Instant::now();
         let mut guard = self.state.borrow_mut();
         let State { fleet, peers, .. } = &mut *guard;
-        let locality = fleet.locality().clone();
         let Some(endpoint) = fleet.get_mut(ix) else { return };
         let before = endpoint.request_limit.rate(now);
         if !endpoint.request_limit.record(rate, as_of, now) {
             return;
         }
+        let locality = fleet.locality().clone();
+        let Some(endpoint) = fleet.get_mut(ix) else { return };
         update_position(endpoint, &locality, peers, now);
         info!(self.log, "endpoint limit changed"; "endpoint" => %endpoint.entry.name,
             "limit_per_s" => rate.map(RequestRate::per_second),
@@ -101,6 +102,9 @@
         let State { fleet, peers, .. } = &mut *guard;
         let is_limited = |(_, e): &(EndpointIx, &Endpoint)| e.request_limit.rate(now).is_some();
         let limited: Vec<EndpointIx> = fleet.iter().filter(is_limited).map(|(ix, _)| ix).collect();
+        if limited.is_empty() {
+            return;
+        }
         let locality = fleet.locality().clone();
         for ix in limited {
             if let Some(endpoint) = fleet.get_mut(ix) {
@@ -111,15 +115,24 @@
 
     fn record_malformed_directive(&self, ix: EndpointIx, directive: &str, now: Instant) {
         self.metrics.malformed_directives.with_label_values(&[directive]).inc();
+        self.warn_of_malformed(now, || {
+            let state = self.state.borrow();
+            let name = state.fleet.get(ix).map(|endpoint| endpoint.entry.name.to_string());
+            warn!(self.log, "directive of an endpoint is not valid"; "endpoint" => name,
+                "directive" => directive);
+        });
+    }
+
+    /// Logs a warning about data that is not valid, unless another one was logged recently.
+    pub(crate) fn warn_of_malformed<Warn>(&self, now: Instant, warn: Warn)
+    where
+        Warn: FnOnce(),
+    {
         let is_recent = |at| now.saturating_duration_since(at) < MALFORMED_LOG_INTERVAL;
-        if self.malformed_logged_at.get().is_some_and(is_recent) {
-            return;
+        if !self.malformed_logged_at.get().is_some_and(is_recent) {
+            self.malformed_logged_at.set(Some(now));
+            warn();
         }
-        self.malformed_logged_at.set(Some(now));
-        let state = self.state.borrow();
-        let name = state.fleet.get(ix).map(|endpoint| endpoint.entry.name.to_string());
-        warn!(self.log, "directive of an endpoint is not valid"; "endpoint" => name,
-            "directive" => directive);
     }
 }
 
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -17,6 +17,7 @@
 use crate::local_response::local_response;
 use crate::response_body::ResponseBody;
 use crate::sending::{SendPlan, UpstreamResponse, send};
+use crate::stream_continuation::ContinuationError;
 use crate::stream_relay::{Source, StreamRelay};
 use crate::upstream::ExchangeError;
 
@@ -35,6 +36,8 @@
     cx: Rc<Host<W, R>>,
     call: Rc<Call>,
     tried: Vec<EndpointIx>,
+    /// Software version that must continue the stream; `None` if it starts anew.
+    software: Option<SoftwareVersion>,
     sends: u32,
     /// Whether an engine may have run it.
     may_have_run: bool,
@@ -60,10 +63,18 @@
         cx,
         call,
         tried: Vec::new(),
+        software: None,
         sends: 0,
         may_have_run: false,
         wait_logged: false,
     };
+    match placement.cx.required_software(&placement.call, Instant::now()) {
+        Ok(software) => placement.software = software,
+        Err(ContinuationError::UnknownVersion) => {
+            let failure = placement.failure("stream_version_unknown", RETRY_AFTER_REFUSAL);
+            return placement.respond_failure(failure);
+        }
+    }
     match placement.send(None).await {
         Ok(upstream) if upstream.kind == ResponseKind::Success => placement.start_stream(upstream),
         Ok(upstream) => placement.forward_failure(upstream).await,
@@ -77,14 +88,16 @@
     R: Registry,
 {
     /// Builds the placement of a generation that was interrupted and is to be resumed. It was sent
-    /// `sends` times, and `tried` lists the endpoints to avoid.
+    /// `sends` times, `tried` lists the endpoints to avoid, and `software` is the version that began the
+    /// stream, if it has begun.
     pub fn resuming(
         cx: Rc<Host<W, R>>,
         call: Rc<Call>,
         tried: Vec<EndpointIx>,
+        software: Option<SoftwareVersion>,
         sends: u32,
     ) -> Self {
-        Self { cx, call, tried, sends, may_have_run: true, wait_logged: false }
+        Self { cx, call, tried, software, sends, may_have_run: true, wait_logged: false }
     }
 
     /// Sends the generation to one engine after another until one responds or no retry is allowed.
@@ -201,11 +214,15 @@
         let service = call.service();
         let mut guard = self.cx.state.borrow_mut();
         let state = &mut *guard;
+        let candidates = Candidates {
+            tried: &self.tried,
+            software: self.software.as_ref(),
+            max_delay: Duration::ZERO,
+        };
         let Some(spec) = &service.engine else {
-            let (name, tried) = (&service.name, &self.tried);
-            let delay = Duration::ZERO;
-            let choice = plain::choose(&state.fleet, name, tried, delay, now, &mut state.rng);
-            let limited_for = state.fleet.limited_for(name, tried, now);
+            let name = &service.name;
+            let choice = plain::choose(&state.fleet, name, &candidates, now, &mut state.rng);
+            let limited_for = state.fleet.limited_for(name, &candidates, now);
             return match (choice, limited_for) {
                 (Some(choice), _) => Admission::Start(choice),
                 (None, Some(retry_after)) => {
@@ -220,7 +237,7 @@
         let demand = self.token_demand(resume, spec.tokens_per_event);
         let arrival = (call.arrived_at, call.route().latency_objective);
         let pool = Pool { fleet: &state.fleet, service: &service.name, spec };
-        admission::admit(&pool, &demand, &self.tried, arrival, now, &mut state.rng)
+        admission::admit(&pool, &demand, &candidates, arrival, now, &mut state.rng)
     }
 
     fn token_demand(&self, resume: Option<&Resume>, tokens_per_event: u32) -> TokenDemand {
@@ -272,7 +289,8 @@
         let mut response = Response::new(body);
         *response.status_mut() = upstream.exchange.head.status;
         *response.headers_mut() = self.cx.wire.client_headers(&upstream.exchange.head);
-        let relay = StreamRelay::new(self.cx, self.call, Source::from(upstream), tx);
+        let source = Source::from(upstream);
+        let relay = StreamRelay::new(self.cx, self.call, source, self.software, tx);
         tokio::task::spawn_local(relay.run());
         response
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`generation_call`]: places a generation on an engine and starts the relay of its event stream.
 //! - [`stream_relay`]: relays the events of a generation to its client.
 //! - [`stream_migration`]: migrates a relayed generation when its engine is draining.
+//! - [`stream_continuation`]: which software version may continue a stream.
 //! - [`transfer`]: copies the KV cache of a running generation to another engine.
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
 //! - [`serving_watch`]: keeps the configuration version in force up to date.
@@ -65,6 +66,7 @@
 pub mod serving_watch;
 pub mod settings;
 pub mod start_reads;
+pub mod stream_continuation;
 pub mod stream_migration;
 pub mod stream_relay;
 pub mod subset_table;
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -12,7 +12,9 @@
 use camphorloft_peer::link::{Datagram, Link, LinkConfig, Received};
 use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::updates::Updates;
-use camphorloft_peer::wire::{WireCrashCount, WirePlacement, WireRegistryState, WireRequestLimit};
+use camphorloft_peer::wire::{
+    WireCrashCount, WirePlacement, WireRegistryState, WireRequestLimit, WireStreamOrigin,
+};
 use camphorloft_types::prelude::*;
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -284,6 +286,9 @@
     }
     let changes = datagram.endpoint_changes.iter().filter_map(change_from_wire);
     endpoint_watch::apply_changes(cx, changes, now, "host");
+    for origin in &datagram.stream_origins {
+        cx.receive_stream_origin(origin, now);
+    }
     for limit in &datagram.request_limits {
         cx.receive_request_limit(limit, now);
     }
@@ -425,6 +430,13 @@
         self.send_about(&[endpoint], updates, false);
     }
 
+    /// Sends the software version that began a stream to all other hosts, to any of which the client
+    /// may return.
+    pub fn send_stream_origin(&self, origin: WireStreamOrigin) {
+        let updates = Updates { stream_origins: vec![origin], ..Updates::default() };
+        self.distribute(UpdateScope::All, updates, Instant::now());
+    }
+
     /// Sends the limit of requests that an endpoint stated to all other hosts, which share it.
     pub fn send_request_limit(&self, limit: WireRequestLimit) {
         let updates = Updates { request_limits: vec![limit], ..Updates::default() };
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -169,11 +169,10 @@
         let choice = {
             let mut guard = self.cx.state.borrow_mut();
             let state = &mut *guard;
-            let tried = &self.tried;
-            let choice =
-                plain::choose(&state.fleet, service, tried, max_delay, now, &mut state.rng);
+            let candidates = Candidates { tried: &self.tried, software: None, max_delay };
+            let choice = plain::choose(&state.fleet, service, &candidates, now, &mut state.rng);
             let Some(choice) = choice else {
-                self.limited_for = state.fleet.limited_for(service, tried, now);
+                self.limited_for = state.fleet.limited_for(service, &candidates, now);
                 return;
             };
             if self.sends > 0 && !state.quota.try_acquire(service, now) {
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -98,7 +98,7 @@
         info!(self.cx.log, "no migration destination"; "call" => %self.call.id,
             "from" => %self.source.name, "events" => self.events, "full" => reasons.full,
             "too_late" => reasons.too_late, "refusing" => reasons.refusing,
-            "limited" => reasons.limited);
+            "limited" => reasons.limited, "other_version" => reasons.other_version);
     }
 
     fn start_transfer(&mut self, from: EndpointIx, to: EndpointIx, transfer_duration: Duration) {
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -19,6 +19,7 @@
 use crate::generation_call::Placement;
 use crate::response_body::BodyError;
 use crate::sending::{RunGuard, UpstreamResponse, record_broken_request};
+use crate::stream_continuation::ORIGIN_ANNOUNCEMENT_INTERVAL;
 use crate::stream_migration::transfer_result;
 use crate::task::OwnedTask;
 use crate::transfer::{Handover, TransferError};
@@ -80,6 +81,10 @@
     pub(crate) call: Rc<Call>,
     pub(crate) source: Source<W, R>,
     pub(crate) tx: mpsc::Sender<Result<Bytes, BodyError>>,
+    /// Software version that began the stream; `None` before its first event, or if unknown.
+    pub(crate) software: Option<SoftwareVersion>,
+    /// When the version was last announced to the other hosts.
+    pub(crate) origin_announced_at: Option<Instant>,
     pub(crate) splitter: EventSplitter,
     pub(crate) fleet_changes: watch::Receiver<u64>,
     /// ID of the last event sent to the client.
@@ -110,11 +115,13 @@
     W: Wire,
     R: Registry,
 {
-    /// Builds the relay of a generation whose response head has been received.
+    /// Builds the relay of a generation whose response head has been received. `software` is the
+    /// version that began the stream, if the client takes it up again.
     pub fn new(
         cx: Rc<Host<W, R>>,
         call: Rc<Call>,
         source: Source<W, R>,
+        software: Option<SoftwareVersion>,
         tx: mpsc::Sender<Result<Bytes, BodyError>>,
     ) -> Self {
         let fleet_changes = cx.subscribe_fleet();
@@ -124,6 +131,8 @@
             call,
             source,
             tx,
+            software,
+            origin_announced_at: None,
             splitter: EventSplitter::default(),
             fleet_changes,
             last_event_id,
@@ -230,6 +239,7 @@
             return Ok(());
         }
         self.record_events();
+        self.record_origin();
         let sent = timeout_at(self.call.deadline.into(), self.tx.send(Ok(out.freeze()))).await;
         match sent {
             Ok(Ok(())) => Ok(()),
@@ -238,6 +248,22 @@
         }
     }
 
+    /// Records which software version began the stream. A client may take up only a stream that can be
+    /// resumed.
+    fn record_origin(&mut self) {
+        if self.software.is_none() {
+            self.software = self.cx.software_of(self.source.guard.endpoint);
+        }
+        let Some(software) = &self.software else { return };
+        let now = Instant::now();
+        let is_recent = |at| now.saturating_duration_since(at) < ORIGIN_ANNOUNCEMENT_INTERVAL;
+        let resumable = self.call.route().retry_mode.is_retryable();
+        if resumable && !self.origin_announced_at.is_some_and(is_recent) {
+            self.origin_announced_at = Some(now);
+            self.cx.announce_stream_origin(&self.call, software);
+        }
+    }
+
     fn record_events(&mut self) {
         let now = Instant::now();
         match self.last_event_at {
@@ -287,7 +313,8 @@
         info!(self.cx.log, "stream interrupted"; "call" => %self.call.id,
             "endpoint" => %self.source.name, "error" => detail, "events" => self.events,
             "resumable" => resumable);
-        if !resumable {
+        let has_begun = self.last_event_id.is_some() || self.events > 0;
+        if !resumable || has_begun && self.software.is_none() {
             return Some(StreamEnd::Interrupted);
         }
         let endpoint = self.source.guard.endpoint;
@@ -300,6 +327,7 @@
             self.cx.clone(),
             self.call.clone(),
             vec![endpoint],
+            self.software.clone(),
             self.counted_sends,
         );
         let after = self.last_event_id.unwrap_or(0);
--- a/crates/peer/src/update_buffer.rs
+++ b/crates/peer/src/update_buffer.rs
@@ -62,7 +62,8 @@
         }
         let is_prompt = !updates.placements.is_empty()
             || !updates.registry.is_empty()
-            || !updates.request_limits.is_empty();
+            || !updates.request_limits.is_empty()
+            || !updates.stream_origins.is_empty();
         if !is_prompt {
             return now + REPORT_DELAY;
         }
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -4,7 +4,7 @@
 
 use crate::wire::{
     WireCrashCount, WireDatagram, WireEndpointChange, WireMigration, WirePlacement,
-    WireRegistryState, WireReport, WireRequestLimit,
+    WireRegistryState, WireReport, WireRequestLimit, WireStreamOrigin,
 };
 
 /// Maximum number of changes of the endpoint list in a datagram, which holds 64 KB. A change takes
@@ -28,6 +28,8 @@
     pub crash_counts: Vec<WireCrashCount>,
     /// Limits of requests that endpoints stated.
     pub request_limits: Vec<WireRequestLimit>,
+    /// Software versions that began streams.
+    pub stream_origins: Vec<WireStreamOrigin>,
 }
 
 impl Updates {
@@ -41,6 +43,7 @@
             registry: datagram.registry.clone(),
             crash_counts: datagram.blames.clone(),
             request_limits: datagram.request_limits.clone(),
+            stream_origins: datagram.stream_origins.clone(),
         }
     }
 
@@ -53,6 +56,7 @@
         datagram.registry = self.registry;
         datagram.blames = self.crash_counts;
         datagram.request_limits = self.request_limits;
+        datagram.stream_origins = self.stream_origins;
     }
 
     /// Splits the updates into parts that fit into a datagram each. The first contains all but the
@@ -90,6 +94,7 @@
             + self.registry.len()
             + self.crash_counts.len()
             + self.request_limits.len()
+            + self.stream_origins.len()
     }
 
     /// Adds the time that the updates were held at this host to the ages that they state.
@@ -130,6 +135,7 @@
         replace_by(&mut self.endpoint_changes, newer.endpoint_changes, |c| c.name.clone());
         replace_by(&mut self.registry, newer.registry, |state| state.reader.clone());
         replace_by(&mut self.crash_counts, newer.crash_counts, |count| count.fingerprint);
+        replace_by(&mut self.stream_origins, newer.stream_origins, |origin| origin.stream);
         // Two hosts may send what the endpoint stated to each of them in the other order.
         let known = &self.request_limits;
         let is_outdated = |limit: &WireRequestLimit| {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -220,6 +220,17 @@
     pub age_ms: u32,
 }
 
+/// The software version that began a stream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireStreamOrigin {
+    /// Digest of the client's attempt in which it began.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Software version.
+    #[prost(string, tag = "2")]
+    pub software: String,
+}
+
 /// A datagram.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireDatagram {
@@ -268,6 +279,9 @@
     /// Limits of requests that endpoints stated.
     #[prost(message, repeated, tag = "20")]
     pub request_limits: Vec<WireRequestLimit>,
+    /// Software versions that began streams.
+    #[prost(message, repeated, tag = "21")]
+    pub stream_origins: Vec<WireStreamOrigin>,
     /// Request or reply of the membership protocol.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
