Let hosts that start at the same time find each other

Callers saw: nothing directly; two hosts that start at once served without knowing each other, so that limits, retry quotas, load and crash counts were kept by each alone. Cause: a host reads the list of hosts once at its start. If two hosts read it before either is in it, neither knows an address of the other, and both retry with an empty list for good. Evidence: two runs of all loopback tests failed once each in waiting for two hosts to join (one_host_reads_the_store_for_the_region, endpoint_receives_more_calls_...). Change: a host that is in the list and still knows no other host reads the list again, after 1 s and then at intervals that double up to 16 s.

--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -1,5 +1,6 @@
 //! Joins the membership of hosts, and exchanges datagrams with peers.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,6 +44,8 @@
 const JOIN_CONTACTS: usize = 4;
 /// Time between two attempts to join through the known addresses.
 const JOIN_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum time between two reads of the list of hosts while no other host is known.
+const MAX_REREAD_DELAY: Duration = Duration::from_secs(16);
 /// Timeout of a call to the registry.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Delay after the first failed call. It doubles up to [`MAX_RETRY_DELAY`].
@@ -73,20 +76,25 @@
     let record = HostRecord { host: cx.settings.host.clone(), addr: cx.settings.peers, started_ms };
     // Joining through the known hosts does not wait for the announcement: while a fleet starts,
     // announcements queue at the registry.
-    spawn_local(announce(cx.clone(), record));
+    let announced = Rc::new(Cell::new(false));
+    spawn_local(announce(cx.clone(), record, announced.clone()));
     let keys = FrameKeys::derive(&[secret]);
     if let Err(err) = open(&cx, keys, started_ms).await {
         warn!(cx.log, "peer sockets could not be opened"; "error" => %err);
         return;
     }
-    let mut addresses = cx.settings.seeds.clone();
-    addresses.extend(known.iter().map(|record| record.addr));
-    addresses.retain(|addr| *addr != cx.settings.peers);
-    addresses.sort_unstable();
-    addresses.dedup();
+    let mut addresses = peer_addresses(&cx, &known);
     info!(cx.log, "joining peers"; "addresses" => addresses.len());
+    let mut reread_delay = JOIN_RETRY_INTERVAL;
+    let mut reread_at = Instant::now() + reread_delay;
     loop {
         if cx.state.borrow().peers.live().next().is_none() {
+            // Hosts that start at the same time read the list before any of them is in it.
+            if announced.get() && Instant::now() >= reread_at {
+                addresses = reread_addresses(&cx).await.unwrap_or(addresses);
+                reread_delay = (reread_delay * 2).min(MAX_REREAD_DELAY);
+                reread_at = Instant::now() + reread_delay;
+            }
             let contacts: Vec<SocketAddr> = {
                 let rng = &mut cx.state.borrow_mut().rng;
                 addresses.choose_multiple(rng, JOIN_CONTACTS).copied().collect()
@@ -97,11 +105,43 @@
     }
 }
 
-async fn announce<W, R>(cx: Rc<Host<W, R>>, record: HostRecord)
+/// Returns the addresses through which this host can join the others.
+fn peer_addresses<W, R>(cx: &Rc<Host<W, R>>, known: &[HostRecord]) -> Vec<SocketAddr> {
+    let mut addresses = cx.settings.seeds.clone();
+    addresses.extend(known.iter().map(|record| record.addr));
+    addresses.retain(|addr| *addr != cx.settings.peers);
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
+
+/// Reads the addresses of the other hosts again. Returns `None` if the registry does not respond.
+async fn reread_addresses<W, R>(cx: &Rc<Host<W, R>>) -> Option<Vec<SocketAddr>>
+where
+    R: Registry,
+{
+    let result = timeout(CALL_TIMEOUT, cx.registry.announced_hosts()).await;
+    let label = if matches!(result, Ok(Ok(_))) { "ok" } else { "failed" };
+    cx.metrics.registry_calls.with_label_values(&["hosts", label]).inc();
+    let error = match result {
+        Ok(Ok(known)) => {
+            let addresses = peer_addresses(cx, &known);
+            info!(cx.log, "joining peers"; "addresses" => addresses.len());
+            return Some(addresses);
+        }
+        Ok(Err(err)) => err.to_string(),
+        Err(_) => "no response in time".to_owned(),
+    };
+    info!(cx.log, "registry call failed"; "registry_call" => "hosts", "error" => error);
+    None
+}
+
+async fn announce<W, R>(cx: Rc<Host<W, R>>, record: HostRecord, announced: Rc<Cell<bool>>)
 where
     R: Registry,
 {
     retry_until_ok(&cx, "announce", || cx.registry.announce(&record)).await;
+    announced.set(true);
 }
 
 /// Returns the start time of this process. It is greater than that of the host's previous process,
