Treat an endpoint as draining when a response says that it leaves

Cause: hosts dropped what an endpoint states about itself in its responses, so that requests went on to an endpoint that leaves until the store lists it as draining, and its generations were not migrated. Change: any response with the statement, also to load report and copy requests, makes the endpoint draining; the change is sent to all hosts. It is final for the process, whatever the store still lists.

--- a/crates/dispatch/src/directives.rs
+++ b/crates/dispatch/src/directives.rs
@@ -20,4 +20,6 @@
     /// Rate of requests that it accepts from all hosts together, for as long as its responses state
     /// it.
     pub request_limit: Directive<RequestRate>,
+    /// Whether it leaves: it accepts no new work and shuts down soon.
+    pub leaving: Directive<bool>,
 }
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -163,6 +163,17 @@
         changes.push(FleetChange::Joined(ix));
     }
 
+    /// Records that an endpoint states that it is draining. Appends to `changes` if that is new.
+    pub fn mark_draining(&mut self, ix: EndpointIx, now: Instant, changes: &mut Vec<FleetChange>) {
+        if let Some(endpoint) = self.get_mut(ix)
+            && endpoint.state == EndpointState::Ready
+        {
+            endpoint.state = EndpointState::Draining { since: now };
+            endpoint.entry.draining = true;
+            changes.push(FleetChange::Draining(ix));
+        }
+    }
+
     /// Returns a number that changes whenever an endpoint joins or is removed.
     pub fn list_revision(&self) -> u64 {
         self.list_revision
@@ -195,7 +206,9 @@
             changes.push(FleetChange::Draining(ix));
         }
         endpoint.warm_at = now + entry.warmup_remaining;
+        let draining = endpoint.entry.draining;
         endpoint.entry = entry;
+        endpoint.entry.draining |= draining;
     }
 
     /// Removes an endpoint that is no longer listed. Like a draining one, it accepts no new work.
--- a/crates/host/src/endpoint_directives.rs
+++ b/crates/host/src/endpoint_directives.rs
@@ -10,33 +10,77 @@
 
 use crate::boundary::{ResponseKind, Wire};
 use crate::context::{Host, State};
-use crate::peers::Peers;
+use crate::peers::{Peers, UpdateScope};
 
 /// Minimum time between two log lines about statements that are not valid.
 const MALFORMED_LOG_INTERVAL: Duration = Duration::from_secs(60);
 
+/// Whether a response contains all that an endpoint states about itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StatementScope {
+    Complete,
+    /// What is absent may still hold.
+    Partial,
+}
+
 impl<W, R> Host<W, R> {
     /// Records what an endpoint states about itself in the head of its response to a request.
     pub fn record_directives(&self, ix: EndpointIx, kind: ResponseKind, head: &response::Parts)
     where
         W: Wire,
     {
-        let is_own = match kind {
-            ResponseKind::Success | ResponseKind::Failed => true,
-            ResponseKind::NotRun { wrong_endpoint } => !wrong_endpoint,
-            ResponseKind::Mismatched => false,
+        let scope = match kind {
+            ResponseKind::Success | ResponseKind::Failed => StatementScope::Complete,
+            // An endpoint that refuses a request may do so before it determines its limit.
+            ResponseKind::NotRun { wrong_endpoint: false } => StatementScope::Partial,
+            ResponseKind::NotRun { wrong_endpoint: true } | ResponseKind::Mismatched => return,
         };
-        if !is_own {
-            return;
+        self.record_statements(ix, scope, head);
+    }
+
+    /// Records what an endpoint states about itself in the head of its response to a request of this
+    /// host itself, such as one for a load report, unless the endpoint has been replaced by another
+    /// process since.
+    pub fn record_own_call_directives(
+        &self,
+        ix: EndpointIx,
+        entry: &EndpointEntry,
+        head: &response::Parts,
+    ) where
+        W: Wire,
+    {
+        let same =
+            self.state.borrow().fleet.get(ix).is_some_and(|e| e.entry.is_same_process(entry));
+        if same {
+            self.record_statements(ix, StatementScope::Partial, head);
         }
+    }
+
+    fn record_statements(&self, ix: EndpointIx, scope: StatementScope, head: &response::Parts)
+    where
+        W: Wire,
+    {
         let now = Instant::now();
-        match self.wire.directives(head).request_limit {
+        let directives = self.wire.directives(head);
+        match directives.request_limit {
             Directive::Stated(rate) => self.record_own_limit(ix, Some(rate), now),
-            // An endpoint that refuses a request may do so before it determines its limit.
-            Directive::Absent if matches!(kind, ResponseKind::NotRun { .. }) => {}
+            Directive::Absent if scope == StatementScope::Partial => {}
             Directive::Absent => self.record_own_limit(ix, None, now),
             Directive::Malformed => self.record_malformed_directive(ix, "request_limit", now),
         }
+        match directives.leaving {
+            Directive::Stated(true) => self.record_leaving(ix, now),
+            Directive::Stated(false) | Directive::Absent => {}
+            Directive::Malformed => self.record_malformed_directive(ix, "leaving", now),
+        }
+    }
+
+    /// Records that an endpoint leaves, and tells all other hosts.
+    fn record_leaving(&self, ix: EndpointIx, now: Instant) {
+        let mut changes = Vec::new();
+        self.state.borrow_mut().fleet.mark_draining(ix, now, &mut changes);
+        self.handle_fleet_changes(&changes, "response");
+        self.distribute_endpoint_changes(UpdateScope::All, &changes, now);
     }
 
     /// Records the limit that an endpoint stated in a response to this host, and announces it.
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -526,6 +526,19 @@
         }
         let now = Instant::now();
         let scope = self.registry_read_scope(now).unwrap_or(UpdateScope::Region);
+        self.distribute_endpoint_changes(scope, changes, now);
+    }
+
+    /// Sends changes of endpoints to the hosts in scope, and repeats them in further datagrams.
+    pub fn distribute_endpoint_changes(
+        &self,
+        scope: UpdateScope,
+        changes: &[FleetChange],
+        now: Instant,
+    ) {
+        if changes.is_empty() {
+            return;
+        }
         let endpoint_changes = {
             let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -128,13 +128,16 @@
     let response = timeout(REPORT_TIMEOUT, call).await;
     let now = Instant::now();
     let result = match response {
-        Ok(Ok((head, body))) => match cx.wire.decode_report_response(head.status, &body) {
-            Some(report) => {
-                apply_and_send(&cx, ix, &entry, report, now);
-                "ok"
+        Ok(Ok((head, body))) => {
+            cx.record_own_call_directives(ix, &entry, &head);
+            match cx.wire.decode_report_response(head.status, &body) {
+                Some(report) => {
+                    apply_and_send(&cx, ix, &entry, report, now);
+                    "ok"
+                }
+                None => "not_understood",
             }
-            None => "not_understood",
-        },
+        }
         Ok(Err(err)) => {
             debug!(cx.log, "engine report failed"; "endpoint" => %entry.name, "error" => %err);
             "failed"
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -97,7 +97,7 @@
             entry(plan.to).ok_or(TransferError::Refused)?,
         )
     };
-    let kv_copy = KvCopy { cx: &cx, call: &call, from: &from, to: &to };
+    let kv_copy = KvCopy { cx: &cx, call: &call, from_ix: plan.from, from: &from, to: &to };
     wait_for_start(&cx, plan, kv_tokens).await?;
     let first_started_at = Instant::now();
     let handle = kv_copy.copy_first(plan.from).await?;
@@ -202,6 +202,7 @@
 struct KvCopy<'a, W, R> {
     cx: &'a Rc<Host<W, R>>,
     call: &'a Call,
+    from_ix: EndpointIx,
     from: &'a EndpointEntry,
     to: &'a EndpointEntry,
 }
@@ -223,6 +224,7 @@
         let response = timeout(request_timeout, connection.fetch(req, MAX_REPLY_BYTES)).await;
         let (head, body) =
             response.map_err(|_| TransferError::TooLate)?.map_err(|err| failed(err.to_string()))?;
+        self.cx.record_own_call_directives(self.from_ix, self.from, &head);
         Ok(self.cx.wire.decode_copy_response(head.status, &body))
     }
 
