Send nothing to an endpoint for the time that its refusal states

Cause: hosts dropped the time that an endpoint states in a refusal, so that they sent it further requests, which it refused too.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -54,7 +54,7 @@
             unusable += 1;
             continue;
         }
-        let delay = endpoint.request_limit.send_at(now).map(|at| at - now);
+        let delay = endpoint.send_at(now).map(|at| at - now);
         let Some(delay) = delay.filter(|delay| *delay <= candidates.max_delay) else {
             unusable += 1;
             continue;
--- a/crates/dispatch/src/directives.rs
+++ b/crates/dispatch/src/directives.rs
@@ -1,5 +1,7 @@
 //! What an endpoint states about itself in the head of a response.
 
+use std::time::Duration;
+
 use camphorloft_types::prelude::RequestRate;
 
 /// One statement of an endpoint about itself.
@@ -22,4 +24,6 @@
     pub request_limit: Directive<RequestRate>,
     /// Whether it leaves: it accepts no new work and shuts down soon.
     pub leaving: Directive<bool>,
+    /// Time for which it wants no further request from the host that it refused.
+    pub hold_off: Directive<Duration>,
 }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -61,6 +61,8 @@
     pub shutdown_at: Option<Instant>,
     /// When its warm-up ends.
     pub warm_at: Instant,
+    /// Until when it wants no request from this host.
+    pub hold_off_until: Option<Instant>,
     /// Failure rate.
     pub health: Health,
     /// Load.
@@ -99,6 +101,7 @@
             in_subset: true,
             joined_at: now,
             shutdown_at: None,
+            hold_off_until: None,
             health: Health::default(),
             load: Load::default(),
             request_limit: RequestLimit::default(),
@@ -114,6 +117,18 @@
         self.state == EndpointState::Ready && !self.health.is_backed_off(now)
     }
 
+    /// Returns when this host may send a request to the endpoint, `now` at the earliest, or `None` if
+    /// requests are left to other hosts.
+    pub fn send_at(&self, now: Instant) -> Option<Instant> {
+        let limited = self.request_limit.send_at(now)?;
+        Some(self.hold_off_until.map_or(limited, |until| until.max(limited)))
+    }
+
+    /// Returns true during the time for which the endpoint wants no request from this host.
+    pub fn is_held_off(&self, now: Instant) -> bool {
+        self.hold_off_until.is_some_and(|until| now < until)
+    }
+
     /// Returns true if the endpoint is listed and not draining, whether or not it is reachable.
     pub fn is_ready(&self) -> bool {
         self.state == EndpointState::Ready
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -129,8 +129,8 @@
         self.iter().filter(move |(_, endpoint)| endpoint.entry.service == *service)
     }
 
-    /// Returns the time for which all usable endpoints of a service that `candidates` admits limit the
-    /// requests of this host, or `None` if not all of them do.
+    /// Returns the time for which all usable endpoints of a service that `candidates` admits limit or
+    /// hold off the requests of this host, or `None` if not all of them do.
     pub fn limited_for(
         &self,
         service: &ServiceName,
@@ -139,7 +139,7 @@
     ) -> Option<Duration> {
         let endpoints = self.of_service(service);
         let usable = endpoints.filter(|(ix, endpoint)| candidates.admits(*ix, endpoint, now));
-        let delays = usable.map(|(_, endpoint)| match endpoint.request_limit.send_at(now) {
+        let delays = usable.map(|(_, endpoint)| match endpoint.send_at(now) {
             Some(at) => at - now,
             None => OTHER_HOSTS_LIMIT_DELAY,
         });
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -155,7 +155,7 @@
             reasons.too_late += 1;
             continue;
         }
-        if endpoint.request_limit.send_at(now).is_none_or(|at| at > done_at) {
+        if endpoint.send_at(now).is_none_or(|at| at > done_at) {
             reasons.limited += 1;
             continue;
         }
--- a/crates/host/src/endpoint_directives.rs
+++ b/crates/host/src/endpoint_directives.rs
@@ -73,6 +73,22 @@
             Directive::Stated(false) | Directive::Absent => {}
             Directive::Malformed => self.record_malformed_directive(ix, "leaving", now),
         }
+        match directives.hold_off {
+            Directive::Stated(duration) => self.record_hold_off(ix, duration, now),
+            Directive::Absent => {}
+            Directive::Malformed => self.record_malformed_directive(ix, "retry_after", now),
+        }
+    }
+
+    /// Records that an endpoint wants no request from this host for a while. Other hosts are not
+    /// concerned.
+    fn record_hold_off(&self, ix: EndpointIx, duration: Duration, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        let Some(endpoint) = state.fleet.get_mut(ix) else { return };
+        let until = now + duration;
+        endpoint.hold_off_until = endpoint.hold_off_until.max(Some(until));
+        info!(self.log, "endpoint holds off requests"; "endpoint" => %endpoint.entry.name,
+            "for_ms" => duration.as_millis() as u64);
     }
 
     /// Records that an endpoint leaves, and tells all other hosts.
