Give an interrupted stream time to find an engine, counted from its interruption

Callers saw: a stream that could have been continued a moment later ended, if it was interrupted later than half of its objective after the call had arrived. Rarely before, more often now that limits and versions leave fewer engines. Cause: the time for which a placement may wait was counted from the arrival of the call for resumed streams too. Change: it is counted from the interruption.

--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -35,6 +35,8 @@
 pub struct Placement<W, R> {
     cx: Rc<Host<W, R>>,
     call: Rc<Call>,
+    /// When the placement became necessary: the arrival of the call, or the interruption of its stream.
+    since: Instant,
     tried: Vec<EndpointIx>,
     /// Software version that must continue the stream; `None` if it starts anew.
     software: Option<SoftwareVersion>,
@@ -61,6 +63,7 @@
     cx.state.borrow_mut().quota.record_request(&call.service().name, Instant::now());
     let mut placement = Placement {
         cx,
+        since: call.arrived_at,
         call,
         tried: Vec::new(),
         software: None,
@@ -97,7 +100,8 @@
         software: Option<SoftwareVersion>,
         sends: u32,
     ) -> Self {
-        Self { cx, call, tried, software, sends, may_have_run: true, wait_logged: false }
+        let since = Instant::now();
+        Self { cx, call, since, tried, software, sends, may_have_run: true, wait_logged: false }
     }
 
     /// Sends the generation to one engine after another until one responds or no retry is allowed.
@@ -235,7 +239,7 @@
             };
         };
         let demand = self.token_demand(resume, spec.tokens_per_event);
-        let arrival = (call.arrived_at, call.route().latency_objective);
+        let arrival = (self.since, call.route().latency_objective);
         let pool = Pool { fleet: &state.fleet, service: &service.name, spec };
         admission::admit(&pool, &demand, &candidates, arrival, now, &mut state.rng)
     }
