Withdraw a limit only on a successful response without it

Callers saw: nothing yet; found in reading what counts as the end of a limit. Cause: any response of the endpoint itself without a limit ended it, also one of a failure, in which the endpoint may state nothing. A failing endpoint would have received unlimited requests between its successful responses. Change: only a successful response is taken to contain all that the endpoint states.

--- a/crates/host/src/endpoint_directives.rs
+++ b/crates/host/src/endpoint_directives.rs
@@ -30,9 +30,11 @@
         W: Wire,
     {
         let scope = match kind {
-            ResponseKind::Success | ResponseKind::Failed => StatementScope::Complete,
-            // An endpoint that refuses a request may do so before it determines its limit.
-            ResponseKind::NotRun { wrong_endpoint: false } => StatementScope::Partial,
+            ResponseKind::Success => StatementScope::Complete,
+            // An endpoint that fails or refuses may do so before it determines what it states.
+            ResponseKind::Failed | ResponseKind::NotRun { wrong_endpoint: false } => {
+                StatementScope::Partial
+            }
             ResponseKind::NotRun { wrong_endpoint: true } | ResponseKind::Mismatched => return,
         };
         self.record_statements(ix, scope, head);
