Read everything again when the store comes back from an older copy

Callers saw: nothing yet; the contract is new. Cause: a host follows the changes after the last revision that it read. A store that was restored assigns lower revisions again, so that changes of endpoints and configuration below it were missed, and what the host had written was gone. Change: the adapter decodes the era that all responses of the store state; a revision belongs to an era. A feed in another era ends, and the list and the configuration are read again. Endpoints that are missing then have the grace period of an outage, since they write their entries again. The hosts that call the store write their announcement and the secret of the hosts again, one call each. A history that was dropped is no longer treated as an outage of the configuration.

--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -220,6 +220,11 @@
         HistoryLost {
             display("the registry no longer has the requested changes")
         }
+        /// The registry was restored from an older copy; the full state must be read again, and what
+        /// others wrote since the copy is written again shortly.
+        Restored {
+            display("the registry was restored from an older copy")
+        }
         /// A condition of a write did not hold.
         Conflict {
             display("a row was changed concurrently")
@@ -231,16 +236,32 @@
     }
 }
 
-/// Position in the registry's change history.
+/// Number of times that the registry was restored from an older copy of its contents.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision(pub u64);
+pub struct RegistryEra(pub u64);
 
-impl fmt::Display for Revision {
+impl fmt::Display for RegistryEra {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)
     }
 }
 
+/// Position in the registry's change history. Numbers are assigned again after a restoration, so that
+/// they are comparable only within an era.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Revision {
+    /// Era of the history.
+    pub era: RegistryEra,
+    /// Number of the change in its era.
+    pub number: u64,
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
+
 /// Items as of one revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing<Item> {
@@ -324,6 +345,9 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Listing<EndpointChange>, RegistryError>>;
 
+    /// Returns the latest era that a response of the registry stated.
+    fn era(&self) -> RegistryEra;
+
     /// Returns the secret shared by all hosts, and stores `proposal` as the secret if there is none.
     ///
     /// # Errors
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -127,6 +127,12 @@
                 info!(cx.log, "reloading the endpoint list"; "reason" => "history lost");
                 list.revision = None;
             }
+            Err(RegistryError::Restored) => {
+                info!(cx.log, "reloading the endpoint list"; "reason" => "registry restored");
+                // Endpoints write their entries again, as after an outage.
+                list.outage.record_failure(Instant::now());
+                list.revision = None;
+            }
             Err(err) => {
                 if list.outage.record_failure(Instant::now()) {
                     warn!(cx.log, "registry unavailable"; "registry_call" => "endpoints", "error" => %err);
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -77,8 +77,9 @@
     // Joining through the known hosts does not wait for the announcement: while a fleet starts,
     // announcements queue at the registry.
     let announced = Rc::new(Cell::new(false));
-    spawn_local(announce(cx.clone(), record, announced.clone()));
-    let keys = FrameKeys::derive(&[secret]);
+    spawn_local(announce(cx.clone(), record.clone(), announced.clone()));
+    let mut era = cx.registry.era();
+    let keys = FrameKeys::derive(std::slice::from_ref(&secret));
     if let Err(err) = open(&cx, keys, started_ms).await {
         warn!(cx.log, "peer sockets could not be opened"; "error" => %err);
         return;
@@ -88,6 +89,10 @@
     let mut reread_delay = JOIN_RETRY_INTERVAL;
     let mut reread_at = Instant::now() + reread_delay;
     loop {
+        if cx.registry.era() > era {
+            era = cx.registry.era();
+            spawn_local(write_again(cx.clone(), secret.clone(), record.clone()));
+        }
         if cx.state.borrow().peers.live().next().is_none() {
             // Hosts that start at the same time read the list before any of them is in it.
             if announced.get() && Instant::now() >= reread_at {
@@ -105,6 +110,20 @@
     }
 }
 
+/// Writes again what this host had written to the registry, which came back from an older copy. Only
+/// the hosts that call the registry notice that; others can join through them.
+async fn write_again<W, R>(cx: Rc<Host<W, R>>, secret: Vec<u8>, record: HostRecord)
+where
+    R: Registry,
+{
+    info!(cx.log, "registry restored from an older copy"; "era" => %cx.registry.era());
+    let stored = retry_until_ok(&cx, "secret", || cx.registry.shared_secret(&secret)).await;
+    if stored != secret {
+        warn!(cx.log, "registry holds another secret than the hosts"; "era" => %cx.registry.era());
+    }
+    retry_until_ok(&cx, "announce", || cx.registry.announce(&record)).await;
+}
+
 /// Returns the addresses through which this host can join the others.
 fn peer_addresses<W, R>(cx: &Rc<Host<W, R>>, known: &[HostRecord]) -> Vec<SocketAddr> {
     let mut addresses = cx.settings.seeds.clone();
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -68,6 +68,10 @@
                     sleep(READER_STATE_WAIT).await;
                 }
             }
+            Err(err @ (RegistryError::HistoryLost | RegistryError::Restored)) => {
+                info!(cx.log, "reading the version again"; "reason" => %err);
+                revision = None;
+            }
             Err(err) => {
                 if outage.record_failure(Instant::now()) {
                     warn!(cx.log, "registry unavailable"; "registry_call" => "serving", "error" => %err);
