--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -35,8 +35,8 @@
 }
 
 /// Returns the endpoint of a service with the lowest cost, of those that are usable, admitted by
-/// `candidates`, and accept a request of this host within its maximum delay. Endpoints outside of this host's subset are
-/// considered only if none of the subset is left.
+/// `candidates`, and accept a request of this host within the maximum delay. Endpoints outside of this
+/// host's subset are considered only if none of the subset is left.
 pub(crate) fn cheapest<Evaluate>(
     fleet: &Fleet,
     service: &ServiceName,
