Log the shared parts of the prompts of placed and interrupted generations

Change: the adapter decodes the parts once into digests, which 'generation placed' and 'stream interrupted' contain. The digest of a whole request becomes one of the features of a request. Result: no decision uses them yet.

--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -25,6 +25,8 @@
     pub timeout: Option<Duration>,
     /// Parameters of the requested generation, if given.
     pub generation: Option<GenerationParams>,
+    /// Parts of the prompt that other requests may have too, in order.
+    pub shared_parts: Vec<RequestFeature>,
     /// ID of the last event that the client received in an earlier attempt.
     pub last_event_id: Option<u64>,
     /// Attempt of the client in which the stream that it takes up again began.
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -8,35 +8,9 @@
 use camphorloft_serving::prelude::*;
 use camphorloft_types::prelude::*;
 use http::request;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::boundary::{EnginePriority, GenerationParams};
 
-/// Returns a digest of the request that identifies it across the client's attempts, hosts and
-/// configuration versions.
-///
-/// ```
-/// use camphorloft_host::call::fingerprint;
-/// let coop = "coop".parse().unwrap();
-/// let first = fingerprint("POST", "/drafts/1", Some(&coop), b"prompt");
-/// assert_eq!(first, fingerprint("POST", "/drafts/1", Some(&coop), b"prompt"));
-/// assert_ne!(first, fingerprint("POST", "/drafts/1", None, b"prompt"));
-/// ```
-pub fn fingerprint(
-    method: &str,
-    path: &str,
-    organisation: Option<&OrganisationName>,
-    body: &[u8],
-) -> u64 {
-    let mut digest = Xxh3::new();
-    let organisation = organisation.map_or("", OrganisationName::as_str);
-    for part in [method.as_bytes(), path.as_bytes(), organisation.as_bytes(), body] {
-        digest.update(&(part.len() as u64).to_le_bytes());
-        digest.update(part);
-    }
-    digest.digest()
-}
-
 /// An accepted request: routed, with its complete body.
 #[derive(Debug)]
 pub struct Call {
@@ -60,8 +34,8 @@
     pub last_event_id: Option<u64>,
     /// Attempt of the client in which the stream that it takes up again began.
     pub resumes: Option<CallId>,
-    /// Digest of the request, see [`fingerprint`].
-    pub fingerprint: u64,
+    /// What it may have in common with other requests: its content, and the shared parts of its prompt.
+    pub features: Rc<[RequestFeature]>,
     /// When its head was received.
     pub arrived_at: Instant,
     /// Deadline for the end of the response.
@@ -84,6 +58,17 @@
         self.organisation.map(|ix| &self.serving.organisations[ix].name)
     }
 
+    /// Returns the feature of its whole content.
+    pub fn content(&self) -> RequestFeature {
+        self.features[0]
+    }
+
+    /// Returns the shared parts of its prompt, for the log.
+    pub fn parts_text(&self) -> String {
+        let parts: Vec<String> = self.features[1..].iter().map(ToString::to_string).collect();
+        parts.join(",")
+    }
+
     /// Returns the time until the deadline.
     pub fn time_left(&self, now: Instant) -> Duration {
         self.deadline.saturating_duration_since(now)
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -277,6 +277,7 @@
         info!(self.cx.log, "generation placed"; "call" => %self.call.id,
             "limit_per_s" => limit.map(RequestRate::per_second),
             "route" => %self.call.route().name, "endpoint" => name,
+            "parts" => self.call.parts_text(),
             "software" => software, "resumes" => call_name(&self.call.resumes),
             "attempt" => self.tried.len() + 1, "version" => %self.call.serving.version,
             "cost_ms" => choice.cost_ms.round(), "fill" => (choice.fill * 100.0).round() / 100.0,
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout_at;
 
 use crate::boundary::{DecodedHead, Registry, Wire};
-use crate::call::{Call, fingerprint};
+use crate::call::Call;
 use crate::context::{Host, Stage};
 use crate::local_response::local_response;
 use crate::response_body::ResponseBody;
@@ -136,9 +136,12 @@
     let draw = cx.state.borrow_mut().rng.random::<f64>();
     let name = organisation.map(|ix| &serving.organisations[ix].name);
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let organisation_name = name.map_or("", OrganisationName::as_str);
+    let content = [head.method.as_str(), path, organisation_name].map(str::as_bytes);
+    let content = RequestFeature::of_content(content.into_iter().chain([&body[..]]));
     let call = Call {
         id: decoded.call,
-        fingerprint: fingerprint(head.method.as_str(), path, name, &body),
+        features: std::iter::once(content).chain(decoded.shared_parts).collect(),
         service: serving.routes[route].choose_target(draw),
         head,
         body,
@@ -152,7 +155,7 @@
         deadline,
     };
     let now = Instant::now();
-    if cx.state.borrow().poison.is_refused(call.fingerprint, now) {
+    if cx.state.borrow().poison.is_refused(call.content().0, now) {
         return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "crashes_endpoints"));
     }
     Ok(call)
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -34,7 +34,7 @@
     pub fn start(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, call: &Call, work: RunWork) -> Self {
         let now = Instant::now();
         let run =
-            cx.state.borrow_mut().fleet.start_run(endpoint, &call.id, call.fingerprint, work, now);
+            cx.state.borrow_mut().fleet.start_run(endpoint, &call.id, call.content().0, work, now);
         if let RunWork::Generation { kv_tokens, prefill_tokens, .. } = work {
             cx.send_placement(endpoint, kv_tokens, prefill_tokens);
         }
@@ -215,7 +215,7 @@
 /// turns out to have crashed.
 pub fn record_broken_request<W, R>(cx: &Rc<Host<W, R>>, call: &Call, ix: EndpointIx) {
     if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
-        endpoint.record_broken_request(call.fingerprint, Instant::now());
+        endpoint.record_broken_request(call.content().0, Instant::now());
     }
 }
 
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -57,7 +57,7 @@
     /// Returns a fraction of a round that differs between generations.
     fn jitter(&self) -> Duration {
         const PARTS: u32 = 8;
-        ROUND_DURATION / PARTS * (self.call.fingerprint % u64::from(PARTS)) as u32
+        ROUND_DURATION / PARTS * (self.call.content().0 % u64::from(PARTS)) as u32
     }
 
     /// Checks whether the generation must be migrated, and starts the transfer if so.
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -312,7 +312,7 @@
         let resumable = self.call.route().retry_mode.is_retryable();
         info!(self.cx.log, "stream interrupted"; "call" => %self.call.id,
             "endpoint" => %self.source.name, "error" => detail, "events" => self.events,
-            "resumable" => resumable);
+            "parts" => self.call.parts_text(), "resumable" => resumable);
         let has_begun = self.last_event_id.is_some() || self.events > 0;
         if !resumable || has_begun && self.software.is_none() {
             return Some(StreamEnd::Interrupted);
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`generation`]: identifiers of generations and of their attempts.
 //! - [`outcome`]: the possible outcomes of a request.
 //! - [`rendezvous`]: highest-random-weight hashing.
+//! - [`request_feature`]: what requests may have in common.
 //! - [`request_rate`]: a rate of requests.
 //! - [`software_version`]: version of an endpoint's software.
 //! - [`prelude`]: the types that nearly every module imports.
@@ -17,5 +18,6 @@
 pub mod outcome;
 pub mod prelude;
 pub mod rendezvous;
+pub mod request_feature;
 pub mod request_rate;
 pub mod software_version;
--- a/crates/types/src/prelude.rs
+++ b/crates/types/src/prelude.rs
@@ -10,5 +10,6 @@
     ByteRate, ByteSize, ConfigVersion, FencingToken, Incarnation, NumberError, TokenCount, Weight,
 };
 pub use crate::outcome::Outcome;
+pub use crate::request_feature::RequestFeature;
 pub use crate::request_rate::{RequestRate, RequestRateError};
 pub use crate::software_version::{SoftwareVersion, SoftwareVersionError};
