Refuse requests by the parts of their prompts that crash engines

What callers saw: engines crashed one after the other, and sound requests on them were broken off. Change: crashes are collected by feature, which is the whole content or one shared part of the prompt, and by the engine that crashed, so that reports of several hosts add up and count once. After an interruption a host checks at once whether the engine still accepts connections. A feature is cleared when a request with it finishes, here or on another host; features with the same crashes are refused only together; a crash that a refused feature explains does not count against others. An interrupted request is not sent again once one of its features has two crashes. A host that reaches no endpoint attributes no crash. All tests of the workspace pass.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -1,7 +1,10 @@
 //! State of one endpoint.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use camphorloft_types::prelude::*;
+
 use crate::distance::Distance;
 use crate::entry::EndpointEntry;
 use crate::health::Health;
@@ -72,8 +75,12 @@
     /// Requests of this host in progress.
     pub runs: Vec<Run>,
     /// Requests that failed recently while the endpoint was not known to be draining: time and
-    /// fingerprint.
-    suspects: Vec<(Instant, u64)>,
+    /// features.
+    suspects: Vec<(Instant, Rc<[RequestFeature]>)>,
+    /// Whether this host is finding out if the endpoint crashed.
+    crash_check_runs: bool,
+    /// When this host last connected to it or received a response.
+    pub reached_at: Option<Instant>,
     /// Moving average of the time to connect, in seconds.
     connect_secs: f64,
     /// Moving average of the duration of a plain call, in seconds.
@@ -107,6 +114,8 @@
             request_limit: RequestLimit::default(),
             runs: Vec::new(),
             suspects: Vec::new(),
+            crash_check_runs: false,
+            reached_at: None,
             connect_secs: connect.as_secs_f64(),
             service_secs: INITIAL_SERVICE_TIME.as_secs_f64(),
         }
@@ -155,23 +164,45 @@
     }
 
     /// Records a request whose connection broke, possibly the first sign of a crash.
-    pub fn record_broken_request(&mut self, fingerprint: u64, now: Instant) {
+    pub fn record_broken_request(&mut self, features: &Rc<[RequestFeature]>, now: Instant) {
         const MAX_SUSPECTS: usize = 64;
         self.health.record_no_answer(now);
         if self.is_ready() && self.suspects.len() < MAX_SUSPECTS {
-            self.suspects.push((now, fingerprint));
+            self.suspects.push((now, features.clone()));
         }
     }
 
-    /// Called when a crash of the endpoint is confirmed. Removes the recorded suspects and returns
-    /// the fingerprints of those that failed just before.
-    pub fn take_crash_suspects(&mut self, now: Instant) -> Vec<u64> {
-        let recent = |(at, _): &(Instant, u64)| now.saturating_duration_since(*at) <= CRASH_WINDOW;
-        std::mem::take(&mut self.suspects)
-            .into_iter()
-            .filter(recent)
-            .map(|(_, fingerprint)| fingerprint)
-            .collect()
+    /// Returns true if a check whether the endpoint crashed may begin, and records that it has begun.
+    pub fn begin_crash_check(&mut self) -> bool {
+        let may_begin = !self.crash_check_runs && !self.suspects.is_empty();
+        self.crash_check_runs |= may_begin;
+        may_begin
+    }
+
+    /// Records that a check whether the endpoint crashed has ended.
+    pub fn end_crash_check(&mut self) {
+        self.crash_check_runs = false;
+    }
+
+    /// Returns when the latest recorded request broke.
+    pub fn last_broken_at(&self) -> Option<Instant> {
+        self.suspects.last().map(|(at, _)| *at)
+    }
+
+    /// Removes the recorded broken requests, because the endpoint did not crash.
+    pub fn clear_crash_suspects(&mut self) {
+        self.suspects.clear();
+    }
+
+    /// Called when a crash of the endpoint is confirmed. Removes the recorded requests and returns the
+    /// features of those that broke just before.
+    pub fn take_crash_suspects(&mut self, now: Instant) -> Vec<RequestFeature> {
+        let suspects = std::mem::take(&mut self.suspects).into_iter();
+        let recent = suspects.filter(|(at, _)| now.saturating_duration_since(*at) <= CRASH_WINDOW);
+        let mut features: Vec<_> = recent.flat_map(|(_, features)| features.to_vec()).collect();
+        features.sort_unstable();
+        features.dedup();
+        features
     }
 
     /// Returns the average time to connect.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -263,7 +263,6 @@
         &mut self,
         ix: EndpointIx,
         call: &CallId,
-        fingerprint: u64,
         work: RunWork,
         now: Instant,
     ) -> RunId {
@@ -273,7 +272,7 @@
             if let RunWork::Generation { prefill_tokens, .. } = work {
                 endpoint.load.record_placement(prefill_tokens, now);
             }
-            endpoint.runs.push(Run { id, call: call.clone(), fingerprint, work, sent_at: now });
+            endpoint.runs.push(Run { id, call: call.clone(), work, sent_at: now });
         }
         id
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`entry`]: an endpoint as listed in the registry.
 //! - [`directives`]: what an endpoint states about itself in a response.
 //! - [`request_limit`]: rate of requests that an endpoint accepts.
+//! - [`crash_suspects`]: recognises requests that crash the endpoints that run them.
 //! - [`health`]: failure rate of an endpoint, estimated from its responses.
 //! - [`load`]: load of an endpoint, estimated from reports and from the requests this host sent.
 //! - [`run`]: a request that this host sent to an endpoint.
@@ -28,6 +29,7 @@
 pub mod assignment;
 pub mod candidates;
 pub mod choice;
+pub mod crash_suspects;
 pub mod directives;
 pub mod distance;
 pub mod endpoint;
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -3,6 +3,7 @@
 pub use crate::admission::{Admission, RefuseReason};
 pub use crate::candidates::Candidates;
 pub use crate::choice::Choice;
+pub use crate::crash_suspects::{CrashRecord, CrashSuspects, FeatureCrash};
 pub use crate::directives::{Directive, Directives};
 pub use crate::distance::{Distance, Locality};
 pub use crate::endpoint::{Endpoint, EndpointState};
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -86,8 +86,6 @@
     pub id: RunId,
     /// Identifier given by the client.
     pub call: CallId,
-    /// Digest of the content of the request, the same in each of its attempts.
-    pub fingerprint: u64,
     /// Work done at the endpoint.
     pub work: RunWork,
     /// When the request was sent.
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_dispatch::{admission, generation, plain};
+use camphorloft_types::prelude::RequestFeature;
 use common::{call, engine, entry, find, fleet, service, work};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -36,7 +38,6 @@
             fleet.start_run(
                 choice.endpoint,
                 &call(ix),
-                0,
                 work(DEMAND.kv_tokens, DEMAND.expected),
                 now,
             );
@@ -96,7 +97,7 @@
     let mut fleet = fleet(&["n-a"], now);
     let only = find(&fleet, "e0");
     for ix in 0..12 {
-        fleet.start_run(only, &call(ix), 0, work(DEMAND.kv_tokens, DEMAND.expected), now);
+        fleet.start_run(only, &call(ix), work(DEMAND.kv_tokens, DEMAND.expected), now);
     }
     let objective = Duration::from_millis(1_800);
     let mut rng = rng();
@@ -169,7 +170,7 @@
     let now = Instant::now();
     let mut fleet = fleet(&["n-a"], now);
     let ix = find(&fleet, "e0");
-    let run = fleet.start_run(ix, &call(0), 0, RunWork::Plain, now);
+    let run = fleet.start_run(ix, &call(0), RunWork::Plain, now);
     let mut changes = Vec::new();
     // The same name with another start time is another process.
     fleet.upsert(entry("e0", "n-a", 2), now, &mut changes);
@@ -191,9 +192,9 @@
     let now = Instant::now();
     let mut fleet = fleet(&["n-a", "n-a"], now);
     let (crashed, draining) = (find(&fleet, "e0"), find(&fleet, "e1"));
-    fleet.get_mut(crashed).unwrap().record_broken_request(7, now);
-    assert_eq!(fleet.get_mut(crashed).unwrap().take_crash_suspects(now), [7]);
+    fleet.get_mut(crashed).unwrap().record_broken_request(&Rc::from([RequestFeature(7)]), now);
+    assert_eq!(fleet.get_mut(crashed).unwrap().take_crash_suspects(now), [RequestFeature(7)]);
     fleet.upsert(EndpointEntry { draining: true, ..entry("e1", "n-a", 1) }, now, &mut Vec::new());
-    fleet.get_mut(draining).unwrap().record_broken_request(8, now);
+    fleet.get_mut(draining).unwrap().record_broken_request(&Rc::from([RequestFeature(8)]), now);
     assert!(fleet.get_mut(draining).unwrap().take_crash_suspects(now).is_empty());
 }
--- a/crates/dispatch/tests/reclaim.rs
+++ b/crates/dispatch/tests/reclaim.rs
@@ -14,7 +14,7 @@
 fn drain_first(fleet: &mut Fleet, kv_tokens: &[u32], now: Instant) -> Vec<Run> {
     let from = find(fleet, "e0");
     for (ix, kv_tokens) in kv_tokens.iter().enumerate() {
-        fleet.start_run(from, &call(ix), ix as u64, work(*kv_tokens, 2_000), now);
+        fleet.start_run(from, &call(ix), work(*kv_tokens, 2_000), now);
     }
     let draining = EndpointEntry { draining: true, ..entry("e0", "n-a", 1) };
     fleet.upsert(draining, now, &mut Vec::new());
@@ -75,7 +75,7 @@
     let mut fleet = fleet(&["n-a", "n-a"], now);
     let to = find(&fleet, "e1");
     for ix in 0..8 {
-        fleet.start_run(to, &call(100 + ix), 0, work(3_200, 500), now);
+        fleet.start_run(to, &call(100 + ix), work(3_200, 500), now);
     }
     let runs = drain_first(&mut fleet, &[3_000], now);
     let decision = reclaim::decide(&fleet, &engine(), find(&fleet, "e0"), &runs[0], &[], now);
@@ -88,7 +88,7 @@
     let now = Instant::now();
     let mut fleet = fleet(&["n-a", "n-a"], now);
     let from = find(&fleet, "e0");
-    fleet.start_run(from, &call(0), 0, work(3_000, 60), now);
+    fleet.start_run(from, &call(0), work(3_000, 60), now);
     fleet.upsert(EndpointEntry { draining: true, ..entry("e0", "n-a", 1) }, now, &mut Vec::new());
     let run = fleet.get(from).unwrap().runs[0].clone();
     assert_eq!(reclaim::decide(&fleet, &engine(), from, &run, &[], now), ReclaimDecision::Finish);
@@ -101,7 +101,7 @@
     let now = Instant::now();
     let mut fleet = fleet(&["n-a", "n-a"], now);
     let from = find(&fleet, "e0");
-    fleet.start_run(from, &call(0), 0, work(3_000, 100), now);
+    fleet.start_run(from, &call(0), work(3_000, 100), now);
     fleet.upsert(EndpointEntry { draining: true, ..entry("e0", "n-a", 1) }, now, &mut Vec::new());
     let run = fleet.get(from).unwrap().runs[0].clone();
     let decision = reclaim::decide(&fleet, &engine(), from, &run, &[], now);
@@ -115,7 +115,7 @@
     let mut fleet = fleet(&["n-a", "n-a"], now);
     let to = find(&fleet, "e1");
     for ix in 0..7 {
-        fleet.start_run(to, &call(100 + ix), 0, work(3_300, 500), now);
+        fleet.start_run(to, &call(100 + ix), work(3_300, 500), now);
     }
     let runs = drain_first(&mut fleet, &[3_000], now);
     let decision = reclaim::decide(&fleet, &engine(), find(&fleet, "e0"), &runs[0], &[], now);
--- a/crates/dispatch/tests/worst_load.rs
+++ b/crates/dispatch/tests/worst_load.rs
@@ -186,7 +186,7 @@
                 let name = fleet.get(choice.endpoint).unwrap().entry.name.to_string();
                 let work = common::work(workload.prompt, workload.tokens);
                 self.calls += 1;
-                let run = fleet.start_run(choice.endpoint, &call(self.calls), 0, work, now);
+                let run = fleet.start_run(choice.endpoint, &call(self.calls), work, now);
                 self.engines.get_mut(&name).unwrap().sequences.push(Sequence {
                     run,
                     workload,
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -1,10 +1,10 @@
 //! Shared state of the host.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use camphorloft_decide::poison::{CrashCount, PoisonTable};
 use camphorloft_dispatch::prelude::*;
 use camphorloft_peer::packed::PackedSet;
 use camphorloft_serving::prelude::*;
@@ -51,8 +51,10 @@
     pub origins: StreamOrigins,
     /// Quota of retries.
     pub quota: RetryQuota,
-    /// Crash counts of request fingerprints, to detect poison requests.
-    pub poison: PoisonTable,
+    /// Features of requests that were interrupted by crashes.
+    pub crash_suspects: CrashSuspects,
+    /// When this host tells others that a feature is sound.
+    pub refutations: BTreeMap<RequestFeature, Instant>,
     /// Random number generator.
     pub rng: SmallRng,
 }
@@ -110,7 +112,8 @@
             subset: SubsetTable::default(),
             origins: StreamOrigins::default(),
             quota: RetryQuota::new(settings.quota, hosts),
-            poison: PoisonTable::default(),
+            crash_suspects: CrashSuspects::default(),
+            refutations: BTreeMap::new(),
             rng: SmallRng::from_os_rng(),
         };
         Rc::new(Self {
@@ -319,36 +322,18 @@
                 "software" => endpoint.entry.software.as_ref().map(ToString::to_string),
                 "zone" => %endpoint.entry.zone, "born" => %endpoint.entry.process_start,
                 "runs" => endpoint.runs.len(), "source" => source);
-            if let FleetChange::Removed(ix) = change {
-                drop(state);
-                let crash_counts = self.record_endpoint_crash(*ix, now);
-                self.gossip_crash_counts(&crash_counts);
+            match change {
+                FleetChange::Joined(_) => {}
+                FleetChange::Draining(_) => endpoint.clear_crash_suspects(),
+                FleetChange::Removed(ix) => {
+                    drop(state);
+                    self.attribute_crash(*ix, now);
+                }
             }
         }
         self.notify_fleet_changed();
     }
 
-    /// Records that the crash of an endpoint is confirmed, by its removal or a failed connect, and
-    /// attributes it to the requests interrupted on the endpoint just before. Returns their new crash
-    /// counts.
-    pub fn record_endpoint_crash(&self, ix: EndpointIx, now: Instant) -> Vec<CrashCount> {
-        let mut state = self.state.borrow_mut();
-        let Some(endpoint) = state.fleet.get_mut(ix) else { return Vec::new() };
-        let mut suspects = endpoint.take_crash_suspects(now);
-        if suspects.is_empty() {
-            return Vec::new();
-        }
-        suspects.sort_unstable();
-        suspects.dedup();
-        let name = endpoint.entry.name.clone();
-        let crash_counts = state.poison.attribute_crash(&suspects, now);
-        for count in &crash_counts {
-            warn!(self.log, "crash attributed to request"; "endpoint" => %name,
-                "fingerprint" => format!("{:016x}", count.fingerprint), "crashes" => count.crashes);
-        }
-        crash_counts
-    }
-
     /// Records an engine's load report as of `as_of`.
     pub fn apply_report(&self, ix: EndpointIx, report: LoadReport, as_of: Instant, source: &str) {
         let name = {
@@ -378,5 +363,6 @@
         let mut state = self.state.borrow_mut();
         state.fleet.purge_removed(KEEP, now);
         state.origins.purge(now);
+        state.crash_suspects.purge(now);
     }
 }
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -154,7 +154,10 @@
     fn check_retry(&mut self, reason: &'static str) -> Result<(), PlacementFailure> {
         let route = self.call.route();
         let now = Instant::now();
-        let retryable = route.retry_mode.is_retryable() || !self.may_have_run;
+        let retryable = match self.may_have_run {
+            true => route.retry_mode.is_retryable() && self.cx.may_resend(&self.call),
+            false => true,
+        };
         let in_time = !self.call.time_left(now).is_zero();
         let allowed = retryable && in_time && self.sends < route.max_sends;
         let service = &self.call.service().name;
@@ -185,6 +188,10 @@
     async fn place(&mut self, resume: Option<&Resume>) -> Result<Choice, PlacementFailure> {
         loop {
             let now = Instant::now();
+            if self.cx.crashes_endpoints(&self.call) {
+                let failure = self.failure("crashes_endpoints", Duration::ZERO);
+                return Err(PlacementFailure { retry_after: None, ..failure });
+            }
             if self.tried.len() >= MAX_ENDPOINTS_TRIED {
                 return Err(self.failure("no_endpoint", RETRY_AFTER_REFUSAL));
             }
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -154,8 +154,7 @@
         arrived_at,
         deadline,
     };
-    let now = Instant::now();
-    if cx.state.borrow().poison.is_refused(call.content().0, now) {
+    if cx.crashes_endpoints(&call) {
         return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "crashes_endpoints"));
     }
     Ok(call)
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`upstream`]: HTTP client connections to endpoints.
 //! - [`pace`]: pacing of large reads.
 //! - [`sending`]: sends a request to an endpoint and records the run and its result.
+//! - [`crash_check`]: finds out whether an endpoint crashed, and which requests may have caused it.
 //! - [`plain_call`]: serves a call to a plain service.
 //! - [`generation_call`]: places a generation on an engine and starts the relay of its event stream.
 //! - [`stream_relay`]: relays the events of a generation to its client.
@@ -45,6 +46,7 @@
 pub mod config_exchange;
 pub mod connection;
 pub mod context;
+pub mod crash_check;
 pub mod endpoint_directives;
 pub mod endpoint_watch;
 pub mod event_splitter;
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use camphorloft_decide::poison::CrashCount;
 use camphorloft_membership::settings::MembershipSettings;
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::link::{Link, LinkConfig, Received};
@@ -30,6 +29,8 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Ticks between two registry state updates of an assigned reader.
 const TICKS_PER_REGISTRY_STATE: u64 = 2;
+/// Ticks between two announcements of known crashes.
+const TICKS_PER_CRASH_ANNOUNCEMENT: u64 = 10;
 /// Number of known hosts contacted in one attempt to join. Each of them replies with its whole view.
 const JOIN_CONTACTS: usize = 4;
 /// Time between two attempts to join through the known addresses.
@@ -258,6 +259,10 @@
         cx.tick_relays(now);
         cx.update_subset(now);
         cx.update_limit_shares(now);
+        cx.send_refutations(now);
+        if ticks % TICKS_PER_CRASH_ANNOUNCEMENT == 0 {
+            cx.announce_crashes_again(now);
+        }
         {
             let mut guard = cx.state.borrow_mut();
             let state = &mut *guard;
@@ -305,10 +310,11 @@
 {
     let datagram = &received.datagram;
     cx.receive_for_others(received, now);
-    for wire in &datagram.blames {
-        let crashes = u8::try_from(wire.crashes).unwrap_or(u8::MAX);
-        let count = CrashCount { fingerprint: wire.fingerprint, crashes };
-        cx.state.borrow_mut().poison.record(count, now);
+    for crash in &datagram.crashes {
+        cx.receive_crash(crash, now);
+    }
+    for finished in &datagram.finished {
+        cx.receive_finished(finished, now);
     }
     for placement in &datagram.placements {
         let mut state = cx.state.borrow_mut();
--- a/crates/host/src/peer_updates.rs
+++ b/crates/host/src/peer_updates.rs
@@ -2,13 +2,12 @@
 
 use std::time::Instant;
 
-use camphorloft_decide::poison::CrashCount;
 use camphorloft_dispatch::prelude::*;
 use camphorloft_membership::Member;
 use camphorloft_peer::link::{Datagram, Link, Received};
 use camphorloft_peer::updates::Updates;
 use camphorloft_peer::wire::{
-    WireCrashCount, WirePlacement, WireRegistryState, WireRequestLimit, WireStreamOrigin,
+    WirePlacement, WireRegistryState, WireRequestLimit, WireStreamOrigin,
 };
 use camphorloft_types::prelude::*;
 use slog::{info, warn};
@@ -163,19 +162,9 @@
         self.state.borrow().fleet.get(endpoint).map(|endpoint| endpoint.digest)
     }
 
-    /// Sends crash counts of request fingerprints to other hosts, and repeats them in further
-    /// datagrams.
-    pub fn gossip_crash_counts(&self, crash_counts: &[CrashCount]) {
-        let to_wire = |count: &CrashCount| WireCrashCount {
-            fingerprint: count.fingerprint,
-            crashes: u32::from(count.crashes),
-        };
-        let crash_counts: Vec<WireCrashCount> = crash_counts.iter().map(to_wire).collect();
-        for count in &crash_counts {
-            self.with_link(|link, out| link.gossip_crash_count(*count, out));
-        }
-        let updates = Updates { crash_counts, ..Updates::default() };
-        self.distribute(UpdateScope::All, updates, Instant::now());
+    /// Sends updates to all other hosts.
+    pub fn distribute_to_all(&self, updates: Updates, now: Instant) {
+        self.distribute(UpdateScope::All, updates, now);
     }
 
     /// Sends changes of the endpoint list to the hosts for which this host reads the registry, or to
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -23,7 +23,7 @@
 use crate::context::Host;
 use crate::local_response::local_response;
 use crate::response_body::ResponseBody;
-use crate::sending::{SendPlan, connect_to, record_broken_request, send};
+use crate::sending::{SendPlan, connect_to, send};
 use crate::upstream::ExchangeError;
 
 /// Maximum size of a response of a plain service, in bytes. Current services send about a
@@ -150,7 +150,9 @@
         let route = self.call.route();
         let retryable =
             route.retry_mode.is_retryable() || !self.may_have_run && !self.is_unresolved();
-        retryable && self.sends < route.max_sends
+        retryable
+            && self.sends < route.max_sends
+            && (!self.may_have_run || self.cx.may_resend(&self.call))
     }
 
     /// Returns true if the result of an attempt that was sent is still unknown.
@@ -337,6 +339,9 @@
                 endpoint.record_service_time(duration);
             }
             cx.metrics.sends.with_label_values(&["answered"]).inc();
+            if upstream.kind == ResponseKind::Success && upstream.exchange.has_explicit_end() {
+                cx.record_finished(call);
+            }
             let head = upstream.exchange.head;
             AttemptResult::Responded(BufferedResponse {
                 endpoint: upstream.name,
@@ -346,7 +351,7 @@
             })
         }
         Err(err) => {
-            record_broken_request(cx, call, endpoint);
+            cx.record_broken_request(call, endpoint);
             cx.metrics.sends.with_label_values(&["broken"]).inc();
             info!(cx.log, "response interrupted"; "call" => %call.id, "endpoint" => %upstream.name,
                 "error" => %err);
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -33,8 +33,7 @@
     /// Records the start of a run and announces it to the other hosts.
     pub fn start(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, call: &Call, work: RunWork) -> Self {
         let now = Instant::now();
-        let run =
-            cx.state.borrow_mut().fleet.start_run(endpoint, &call.id, call.content().0, work, now);
+        let run = cx.state.borrow_mut().fleet.start_run(endpoint, &call.id, work, now);
         if let RunWork::Generation { kv_tokens, prefill_tokens, .. } = work {
             cx.send_placement(endpoint, kv_tokens, prefill_tokens);
         }
@@ -76,6 +75,16 @@
     pub resume: Option<Resume>,
 }
 
+/// Returns the time within which a reachable endpoint accepts a connection.
+pub fn connect_timeout(endpoint: &Endpoint) -> Duration {
+    endpoint.connect_time() * CONNECT_TIMEOUT_FACTOR + CONNECT_TIMEOUT_MARGIN
+}
+
+/// Returns true if an endpoint accepts a connection, and records the result.
+pub async fn probe_endpoint<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx) -> bool {
+    connect_to(cx, ix, Duration::MAX).await.is_ok()
+}
+
 /// Connects to an endpoint within `left` and records the result.
 ///
 /// # Errors
@@ -91,22 +100,22 @@
         let Some(endpoint) = state.fleet.get(ix) else {
             return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
         };
-        let connect_timeout =
-            endpoint.connect_time() * CONNECT_TIMEOUT_FACTOR + CONNECT_TIMEOUT_MARGIN;
-        (endpoint.entry.addr, connect_timeout.min(left))
+        (endpoint.entry.addr, connect_timeout(endpoint).min(left))
     };
     let started_at = Instant::now();
     let connection = connect(addr, connect_timeout).await;
     let now = Instant::now();
     if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
         match &connection {
-            Ok(_) => endpoint.record_connect_time(now - started_at),
+            Ok(_) => {
+                endpoint.record_connect_time(now - started_at);
+                endpoint.reached_at = Some(now);
+            }
             Err(_) => endpoint.health.record_unreachable(now),
         }
     }
     if connection.is_err() {
-        let crash_counts = cx.record_endpoint_crash(ix, now);
-        cx.gossip_crash_counts(&crash_counts);
+        cx.confirm_crash(ix, now);
     }
     connection
 }
@@ -150,7 +159,7 @@
         }
         Err(err) => {
             if let ExchangeError::Unanswered(_) = &err {
-                record_broken_request(cx, call, ix);
+                cx.record_broken_request(call, ix);
             }
             log_failure(cx, call, ix, &err);
             Err(err)
@@ -194,6 +203,7 @@
     let now = Instant::now();
     let mut state = cx.state.borrow_mut();
     if let Some(endpoint) = state.fleet.get_mut(ix) {
+        endpoint.reached_at = Some(now);
         if let Some(hint) = cx.wire.load_hint(&exchange.head) {
             let in_flight = endpoint.runs.len() as u32;
             endpoint.load.record_hint(hint, in_flight, now);
@@ -211,14 +221,6 @@
     }
 }
 
-/// Records that a call was interrupted at an endpoint, which makes it a suspect if the endpoint
-/// turns out to have crashed.
-pub fn record_broken_request<W, R>(cx: &Rc<Host<W, R>>, call: &Call, ix: EndpointIx) {
-    if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
-        endpoint.record_broken_request(call.content().0, Instant::now());
-    }
-}
-
 fn log_failure<W, R>(cx: &Rc<Host<W, R>>, call: &Call, ix: EndpointIx, err: &ExchangeError) {
     let result = match err {
         ExchangeError::NotSent(_) => "not_sent",
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -18,13 +18,16 @@
 use crate::event_splitter::EventSplitter;
 use crate::generation_call::Placement;
 use crate::response_body::BodyError;
-use crate::sending::{RunGuard, UpstreamResponse, record_broken_request};
+use crate::sending::{RunGuard, UpstreamResponse};
 use crate::stream_continuation::ORIGIN_ANNOUNCEMENT_INTERVAL;
 use crate::stream_migration::transfer_result;
 use crate::task::OwnedTask;
 use crate::transfer::{Handover, TransferError};
 use crate::upstream::Exchange;
 
+/// Time for which an engine has to write an answer to show that the request does not crash it.
+const PROVEN_AFTER: Duration = Duration::from_secs(2);
+
 /// Engine and response that the events are read from.
 #[derive(Debug)]
 pub struct Source<W, R> {
@@ -92,6 +95,10 @@
     pub(crate) events: u64,
     pub(crate) first_event_at: Option<Instant>,
     pub(crate) last_event_at: Option<Instant>,
+    /// When the engine began to write events.
+    pub(crate) source_event_at: Option<Instant>,
+    /// Whether the engine has shown that the request does not crash it.
+    pub(crate) is_proven: bool,
     pub(crate) longest_pause: Duration,
     /// Number of the event that followed the longest pause.
     pub(crate) longest_pause_before: u64,
@@ -138,6 +145,8 @@
             last_event_id,
             events: 0,
             last_event_at: None,
+            source_event_at: None,
+            is_proven: false,
             longest_pause: Duration::ZERO,
             longest_pause_before: 0,
             source_changes: 0,
@@ -207,6 +216,10 @@
                     return self.resume_from_copy(handover).await.err();
                 }
                 self.cx.metrics.sends.with_label_values(&["answered"]).inc();
+                // Without a length, the end of the connection may also be the first sign of a crash.
+                if self.source_event_at.is_some() && self.source.exchange.has_explicit_end() {
+                    self.record_proven();
+                }
                 Some(StreamEnd::Complete)
             }
             BodyRead::Failed(detail) => self.handle_interruption(detail).await,
@@ -278,17 +291,31 @@
             }
         }
         self.last_event_at = Some(now);
+        let began_at = *self.source_event_at.get_or_insert(now);
+        if now - began_at >= PROVEN_AFTER {
+            self.record_proven();
+        }
         let tokens = self.events as u32 * self.tokens_per_event();
         let (endpoint, run) = (self.source.guard.endpoint, self.source.guard.run);
         self.cx.state.borrow_mut().fleet.record_progress(endpoint, run, tokens);
     }
 
+    /// Records that the engine writes the answer without crashing.
+    fn record_proven(&mut self) {
+        if !self.is_proven {
+            self.is_proven = true;
+            self.cx.record_finished(&self.call);
+        }
+    }
+
     pub(crate) fn tokens_per_event(&self) -> u32 {
         self.call.service().engine.as_ref().map_or(1, |engine| engine.tokens_per_event)
     }
 
     pub(crate) fn replace_source(&mut self, upstream: UpstreamResponse<W, R>) {
         self.source = Source::from(upstream);
+        self.source_event_at = None;
+        self.is_proven = false;
         self.splitter = EventSplitter::default();
         self.source_changes += 1;
         self.tried.clear();
@@ -302,7 +329,7 @@
         if let Some(handover) = self.finish_transfer().await {
             return self.resume_from_copy(handover).await.err();
         }
-        record_broken_request(&self.cx, &self.call, self.source.guard.endpoint);
+        self.cx.record_broken_request(&self.call, self.source.guard.endpoint);
         self.cx.metrics.sends.with_label_values(&["broken"]).inc();
         self.resume(&detail).await
     }
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, response};
+use http::{Request, Response, header, response};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -247,6 +247,14 @@
 }
 
 impl Exchange {
+    /// Returns true if the response states where its body ends. The body of any other ends with the
+    /// connection.
+    pub fn has_explicit_end(&self) -> bool {
+        let headers = &self.head.headers;
+        headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING)
+    }
+
     /// Reads the rest of the body, of up to `max_bytes`.
     ///
     /// # Errors
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use crate::wire::{
-    WireCrashCount, WireDatagram, WireEndpointChange, WireMigration, WirePlacement,
-    WireRegistryState, WireReport, WireRequestLimit, WireStreamOrigin,
+    WireDatagram, WireEndpointChange, WireFeatureCrash, WireFinishedFeature, WireMigration,
+    WirePlacement, WireRegistryState, WireReport, WireRequestLimit, WireStreamOrigin,
 };
 
 /// Maximum number of changes of the endpoint list in a datagram, which holds 64 KB. A change takes
@@ -24,8 +24,10 @@
     pub endpoint_changes: Vec<WireEndpointChange>,
     /// States of the registry, by reader.
     pub registry: Vec<WireRegistryState>,
-    /// Crash counts of request fingerprints.
-    pub crash_counts: Vec<WireCrashCount>,
+    /// Crashes of endpoints, with the features of the requests that they interrupted.
+    pub crashes: Vec<WireFeatureCrash>,
+    /// Features of requests that finished.
+    pub finished: Vec<WireFinishedFeature>,
     /// Limits of requests that endpoints stated.
     pub request_limits: Vec<WireRequestLimit>,
     /// Software versions that began streams.
@@ -41,7 +43,8 @@
             migrations: datagram.moves.clone(),
             endpoint_changes: datagram.endpoint_changes.clone(),
             registry: datagram.registry.clone(),
-            crash_counts: datagram.blames.clone(),
+            crashes: datagram.crashes.clone(),
+            finished: datagram.finished.clone(),
             request_limits: datagram.request_limits.clone(),
             stream_origins: datagram.stream_origins.clone(),
         }
@@ -54,7 +57,8 @@
         datagram.moves = self.migrations;
         datagram.endpoint_changes = self.endpoint_changes;
         datagram.registry = self.registry;
-        datagram.blames = self.crash_counts;
+        datagram.crashes = self.crashes;
+        datagram.finished = self.finished;
         datagram.request_limits = self.request_limits;
         datagram.stream_origins = self.stream_origins;
     }
@@ -92,7 +96,8 @@
             + self.migrations.len()
             + self.endpoint_changes.len()
             + self.registry.len()
-            + self.crash_counts.len()
+            + self.crashes.len()
+            + self.finished.len()
             + self.request_limits.len()
             + self.stream_origins.len()
     }
@@ -117,6 +122,12 @@
         for limit in &mut self.request_limits {
             limit.age_ms = limit.age_ms.saturating_add(held_ms);
         }
+        for crash in &mut self.crashes {
+            crash.age_ms = crash.age_ms.saturating_add(held_ms);
+        }
+        for finished in &mut self.finished {
+            finished.age_ms = finished.age_ms.saturating_add(held_ms);
+        }
         for migration in &mut self.migrations {
             migration.begins_us = migration.begins_us.saturating_sub(held_us);
         }
@@ -126,7 +137,7 @@
         }
     }
 
-    /// Adds newer updates. Reports, migrations, endpoint changes, registry states, crash counts and
+    /// Adds newer updates. Reports, migrations, endpoint changes, registry states, crashes and
     /// limits replace older ones about the same subject.
     pub fn merge(&mut self, newer: Updates) {
         self.placements.extend(newer.placements);
@@ -134,7 +145,8 @@
         replace_by(&mut self.migrations, newer.migrations, |migration| migration.key);
         replace_by(&mut self.endpoint_changes, newer.endpoint_changes, |c| c.name.clone());
         replace_by(&mut self.registry, newer.registry, |state| state.reader.clone());
-        replace_by(&mut self.crash_counts, newer.crash_counts, |count| count.fingerprint);
+        replace_by(&mut self.crashes, newer.crashes, |crash| (crash.feature, crash.endpoint));
+        replace_by(&mut self.finished, newer.finished, |finished| finished.feature);
         replace_by(&mut self.stream_origins, newer.stream_origins, |origin| origin.stream);
         // Two hosts may send what the endpoint stated to each of them in the other order.
         let known = &self.request_limits;
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -71,6 +71,31 @@
     pub crashes: u32,
 }
 
+/// Crash of an endpoint that interrupted requests with a feature.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireFeatureCrash {
+    /// Digest of the feature.
+    #[prost(fixed64, tag = "1")]
+    pub feature: u64,
+    /// Digest of the endpoint.
+    #[prost(fixed64, tag = "2")]
+    pub endpoint: u64,
+    /// Time since the crash when this message was sent, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// Statement that a request with a feature finished, so that the feature does not crash endpoints.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireFinishedFeature {
+    /// Digest of the feature.
+    #[prost(fixed64, tag = "1")]
+    pub feature: u64,
+    /// Time since the request finished when this message was sent, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
 /// Announcement of a new version of the object set.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireAnnouncement {
@@ -282,6 +307,12 @@
     /// Software versions that began streams.
     #[prost(message, repeated, tag = "21")]
     pub stream_origins: Vec<WireStreamOrigin>,
+    /// Crashes of endpoints, with the features of the requests that they interrupted.
+    #[prost(message, repeated, tag = "22")]
+    pub crashes: Vec<WireFeatureCrash>,
+    /// Features of requests that finished.
+    #[prost(message, repeated, tag = "23")]
+    pub finished: Vec<WireFinishedFeature>,
     /// Request or reply of the membership protocol.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
