Log how many ready endpoints a host does not reach

Change: the line 'state' contains the number of ready endpoints that are backed off. Result: no decision changes. Test of the log schema passes.

--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -154,7 +154,10 @@
     let state = cx.state.borrow();
     let traffic = state.peers.link_counts();
     let ready = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
+    let ready_ones = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready());
+    let backed_off = ready_ones.filter(|(_, e)| e.health.is_backed_off(now)).count();
     info!(cx.log, "state"; "version" => version, "endpoints_ready" => ready,
+        "endpoints_backed_off" => backed_off,
         "hosts_live" => state.peers.live().count() + 1, "reads_registry" => reads,
         "list_age_ms" => list_age, "peer_kb_out" => traffic.bytes_out / BYTES_PER_KB,
         "peer_kb_out_remote" => traffic.remote_bytes_out / BYTES_PER_KB,
