--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -122,7 +122,7 @@
 {
     let req = cx.wire.report_request(&entry);
     let call = async {
-        let mut connected = connect(entry.addr, REPORT_TIMEOUT).await?;
+        let mut connected = connect(cx.settings.endpoint_addr(entry.addr), REPORT_TIMEOUT).await?;
         connected.fetch(req, MAX_REPORT_BYTES).await
     };
     let response = timeout(REPORT_TIMEOUT, call).await;
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -100,7 +100,7 @@
         let Some(endpoint) = state.fleet.get(ix) else {
             return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
         };
-        (endpoint.entry.addr, connect_timeout(endpoint).min(left))
+        (cx.settings.endpoint_addr(endpoint.entry.addr), connect_timeout(endpoint).min(left))
     };
     let started_at = Instant::now();
     let connection = connect(addr, connect_timeout).await;
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -1,6 +1,6 @@
 //! Validated settings of a host.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use camphorloft_dispatch::prelude::{Locality, QuotaSettings};
@@ -21,6 +21,9 @@
     pub metrics: SocketAddr,
     /// Address for peer messages.
     pub peers: SocketAddr,
+    /// Address of a gateway that forwards the ports of all endpoints, if this host does not reach them at
+    /// their listed addresses.
+    pub endpoint_gateway: Option<IpAddr>,
     /// Addresses of other hosts to join through, possibly outdated.
     pub seeds: Vec<SocketAddr>,
     /// True when all hosts start for the first time, with no traffic for some seconds.
@@ -40,6 +43,11 @@
 }
 
 impl HostSettings {
+    /// Returns the address at which this host reaches the endpoint with a listed address.
+    pub fn endpoint_addr(&self, listed: SocketAddr) -> SocketAddr {
+        self.endpoint_gateway.map_or(listed, |gateway| SocketAddr::new(gateway, listed.port()))
+    }
+
     /// Returns true when `other` differs only in settings that a running host can reload: the grace
     /// period and the quota. Whether it is the first start does not matter to a running host.
     pub fn is_reloadable(&self, other: &Self) -> bool {
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -190,7 +190,7 @@
     R: Registry,
 {
     let released = async {
-        let mut connection = connect(from.addr, CONNECT_TIMEOUT).await?;
+        let mut connection = connect(cx.settings.endpoint_addr(from.addr), CONNECT_TIMEOUT).await?;
         connection.fetch(cx.wire.release_request(&from, &handle), MAX_REPLY_BYTES).await
     };
     if let Ok(Err(err)) = timeout(CONNECT_TIMEOUT * 2, released).await {
@@ -218,7 +218,8 @@
         request_timeout: Duration,
     ) -> Result<CopyReply, TransferError> {
         let failed = |detail: String| TransferError::Failed(detail);
-        let connection = connect(self.from.addr, CONNECT_TIMEOUT).await;
+        let addr = self.cx.settings.endpoint_addr(self.from.addr);
+        let connection = connect(addr, CONNECT_TIMEOUT).await;
         let mut connection = connection.map_err(|err| failed(err.to_string()))?;
         let req = self.cx.wire.copy_request(self.from, &self.call.id, self.to.addr, is_final);
         let response = timeout(request_timeout, connection.fetch(req, MAX_REPLY_BYTES)).await;
--- a/crates/host/tests/settings.rs
+++ b/crates/host/tests/settings.rs
@@ -20,6 +20,7 @@
         readiness: addr,
         metrics: addr,
         peers: addr,
+        endpoint_gateway: None,
         seeds: Vec::new(),
         is_first_start: false,
         registry_reads_per_s: None,
