Connect to endpoints through other hosts while cut off from them

What callers saw: clients of a host that had lost its links to the endpoints were refused for as long as that lasted. Change: a host that two endpoints in a row do not accept counts as cut off. It asks another host to connect to the endpoint and to forward the connection, and uses it like its own. Decisions, deadlines, retries and limits stay with the host that serves the client, and each end closes as the other one did, so that a request reaches an endpoint as often as over a direct connection and a response that was reset does not look complete.

--- a/crates/daemon/src/config_exchange.rs
+++ b/crates/daemon/src/config_exchange.rs
@@ -75,7 +75,11 @@
     let mut stream = TcpStream::connect_timeout(&peer, TIMEOUT)?;
     stream.set_read_timeout(Some(TIMEOUT))?;
     stream.set_write_timeout(Some(TIMEOUT))?;
-    write_frame(&mut stream, keys, &WireConfigRequest { known: known.0, wants_endpoints: false })?;
+    write_frame(
+        &mut stream,
+        keys,
+        &WireConfigRequest { known: known.0, ..WireConfigRequest::default() },
+    )?;
     let reply: WireConfigReply = read_frame(&mut stream, keys)?;
     if reply.version <= known.0 {
         return Ok(None);
--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -61,6 +61,12 @@
         self.backoff_until = Some(now + (INITIAL_BACKOFF * (1 << doublings)).min(MAX_BACKOFF));
     }
 
+    /// Withdraws the recorded failures to connect, which the endpoint did not cause.
+    pub fn clear_unreachable(&mut self) {
+        self.connect_failures = 0;
+        self.backoff_until = None;
+    }
+
     /// Returns the estimated fraction of requests that fail.
     ///
     /// ```
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`admission`]: starts, delays or refuses a generation.
 //! - [`retry_quota`]: limits retries across all hosts.
 //! - [`pool`]: the engines of one service.
+//! - [`reachability`]: whether this host reaches the endpoints over its own links.
 //! - [`reclaim`]: migrates running generations off a draining engine.
 
 pub mod admission;
@@ -42,6 +43,7 @@
 pub mod plain;
 pub mod pool;
 pub mod prelude;
+pub mod reachability;
 pub mod reclaim;
 pub mod request_limit;
 pub mod retry_quota;
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -14,6 +14,7 @@
 pub use crate::load::{LoadHint, LoadReport};
 pub use crate::migration::{MigrationPlans, PlannedMigration};
 pub use crate::pool::Pool;
+pub use crate::reachability::Reachability;
 pub use crate::reclaim::{NoDestination, ReclaimDecision};
 pub use crate::request_limit::RequestLimit;
 pub use crate::retry_quota::{QuotaSettings, RetryQuota};
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -6,22 +6,21 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use camphorloft_peer::packed::PackedSet;
 use camphorloft_peer::seal::FrameKeys;
-use camphorloft_peer::stream::codec;
 use camphorloft_peer::wire::{WireConfigReply, WireConfigRequest, WireEndpointList};
 use prost::Message;
 use slog::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::boundary::{Registry, Wire};
 use crate::context::{Host, State};
 use crate::endpoint_watch;
+use crate::frame_stream::FrameStream;
 use crate::peer_convert::{change_from_wire, change_to_wire};
+use crate::tunnel;
 
 /// Timeout of an exchange; a version is at most 1 MB.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -31,37 +30,7 @@
 /// Delay after a failure to accept a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Connection between hosts that carries authenticated frames.
-struct FrameStream {
-    framed: Framed<TcpStream, LengthDelimitedCodec>,
-    keys: FrameKeys,
-}
-
-impl FrameStream {
-    fn new(stream: TcpStream, keys: FrameKeys) -> Self {
-        Self { framed: Framed::new(stream, codec()), keys }
-    }
-
-    async fn write<M>(&mut self, message: &M) -> io::Result<()>
-    where
-        M: Message,
-    {
-        let sealed = self.keys.seal(&message.encode_to_vec());
-        futures_util::SinkExt::send(&mut self.framed, Bytes::from(sealed)).await
-    }
-
-    async fn read<M>(&mut self) -> io::Result<M>
-    where
-        M: Message + Default,
-    {
-        let frame = futures_util::StreamExt::next(&mut self.framed).await;
-        let frame = frame.ok_or(io::ErrorKind::UnexpectedEof)??;
-        let payload = self.keys.open(&frame).map_err(io::Error::other)?;
-        M::decode(payload).map_err(io::Error::other)
-    }
-}
-
-/// Serves requests of other hosts for the version in force.
+/// Serves requests of other hosts, for the version in force or for a connection to an endpoint.
 pub async fn serve<W, R>(cx: Rc<Host<W, R>>, listener: TcpListener, keys: FrameKeys)
 where
     W: Wire,
@@ -72,10 +41,9 @@
             Ok((stream, from)) => {
                 let (cx, keys) = (cx.clone(), keys.clone());
                 spawn_local(async move {
-                    let served =
-                        timeout(LIST_EXCHANGE_TIMEOUT, serve_request(&cx, stream, keys)).await;
-                    if let Ok(Err(err)) = served {
-                        debug!(cx.log, "version could not be sent"; "to" => %from, "error" => %err);
+                    if let Err(err) = serve_request(&cx, FrameStream::new(stream, keys)).await {
+                        debug!(cx.log, "request of a host not served"; "from" => %from,
+                            "error" => %err);
                     }
                 });
             }
@@ -87,13 +55,23 @@
     }
 }
 
-async fn serve_request<W, R>(
+async fn serve_request<W, R>(cx: &Rc<Host<W, R>>, mut frames: FrameStream) -> io::Result<()>
+where
+    W: Wire,
+    R: Registry,
+{
+    let request = timeout(EXCHANGE_TIMEOUT, frames.read::<WireConfigRequest>()).await??;
+    match request.tunnel {
+        Some(tunnel) => tunnel::serve(cx.clone(), frames, tunnel).await,
+        None => timeout(LIST_EXCHANGE_TIMEOUT, send_version(cx, frames, request)).await?,
+    }
+}
+
+async fn send_version<W, R>(
     cx: &Rc<Host<W, R>>,
-    stream: TcpStream,
-    keys: FrameKeys,
+    mut frames: FrameStream,
+    request: WireConfigRequest,
 ) -> io::Result<()> {
-    let mut frames = FrameStream::new(stream, keys);
-    let request: WireConfigRequest = frames.read().await?;
     let version = cx.serving().map_or(0, |serving| serving.version.0);
     let packed = cx.state.borrow().serving_packed.clone();
     let packed_set = if version > request.known { packed.bytes().to_vec() } else { Vec::new() };
@@ -144,7 +122,7 @@
     let exchange = async {
         let stream = TcpStream::connect(from).await?;
         let mut frames = FrameStream::new(stream, keys);
-        frames.write(&WireConfigRequest { known, wants_endpoints }).await?;
+        frames.write(&WireConfigRequest { known, wants_endpoints, tunnel: None }).await?;
         frames.read::<WireConfigReply>().await
     };
     let limit = if wants_endpoints { LIST_EXCHANGE_TIMEOUT } else { EXCHANGE_TIMEOUT };
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -19,6 +19,7 @@
 use crate::peers::{Peers, UpdateScope};
 use crate::settings::HostSettings;
 use crate::subset_table::SubsetTable;
+use crate::tunnel::ExcludedHosts;
 
 /// Lifecycle stage of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +54,10 @@
     pub quota: RetryQuota,
     /// Features of requests that were interrupted by crashes.
     pub crash_suspects: CrashSuspects,
+    /// Whether this host reaches the endpoints over its own links.
+    pub reachability: Reachability,
+    /// Hosts that did not connect for this one.
+    pub excluded_hosts: ExcludedHosts,
     /// When this host tells others that a feature is sound.
     pub refutations: BTreeMap<RequestFeature, Instant>,
     /// Random number generator.
@@ -82,6 +87,8 @@
     pub state: RefCell<State>,
     /// Total bytes of buffered request bodies.
     pub buffered_bytes: Cell<u64>,
+    /// Number of connections that this host forwards for others.
+    pub open_tunnels: Cell<usize>,
     /// Grace period from the termination signal to the end of the process.
     pub grace: Cell<Duration>,
     /// Time at which this host's own read last confirmed that the endpoint list is complete.
@@ -113,6 +120,8 @@
             origins: StreamOrigins::default(),
             quota: RetryQuota::new(settings.quota, hosts),
             crash_suspects: CrashSuspects::default(),
+            reachability: Reachability::default(),
+            excluded_hosts: ExcludedHosts::default(),
             refutations: BTreeMap::new(),
             rng: SmallRng::from_os_rng(),
         };
@@ -128,6 +137,7 @@
             announced_hosts: Cell::new(0),
             state: RefCell::new(state),
             buffered_bytes: Cell::new(0),
+            open_tunnels: Cell::new(0),
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
--- a/crates/host/src/crash_check.rs
+++ b/crates/host/src/crash_check.rs
@@ -17,6 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::boundary::{Registry, Wire};
 use crate::call::Call;
 use crate::context::{Host, State};
 use crate::sending::{connect_timeout, probe_endpoint};
@@ -36,8 +37,8 @@
 
 impl<W, R> Host<W, R>
 where
-    W: 'static,
-    R: 'static,
+    W: Wire,
+    R: Registry,
 {
     /// Records that a call was interrupted at an endpoint, and checks whether the endpoint crashed.
     pub fn record_broken_request(self: &Rc<Self>, call: &Call, ix: EndpointIx) {
@@ -122,11 +123,12 @@
     }
 
     /// Attributes a crash to the requests that were interrupted at an endpoint that accepts no connection,
-    /// if this host reached another endpoint since.
+    /// if this host reached another endpoint since over its own links.
     pub fn confirm_crash(&self, ix: EndpointIx, now: Instant) {
         let broken_at = self.state.borrow().fleet.get(ix).and_then(Endpoint::last_broken_at);
         let Some(broken_at) = broken_at else { return };
-        if self.others_reached_since(ix, broken_at) {
+        let is_cut_off = self.state.borrow().reachability.is_cut_off();
+        if !is_cut_off && self.others_reached_since(ix, broken_at) {
             self.attribute_crash(ix, now);
         }
     }
@@ -215,27 +217,43 @@
     }
 }
 
-/// Checks whether an endpoint that interrupted requests still accepts connections.
-async fn check<W, R>(cx: Rc<Host<W, R>>, ix: EndpointIx) {
+/// Checks whether an endpoint that interrupted requests crashed, and attributes the crash.
+async fn check<W, R>(cx: Rc<Host<W, R>>, ix: EndpointIx)
+where
+    W: Wire,
+    R: Registry,
+{
     sleep(CHECK_DELAY).await;
-    let is_reachable = probe_endpoint(&cx, ix).await;
-    let now = Instant::now();
-    let broken_at = {
-        let mut state = cx.state.borrow_mut();
-        let Some(endpoint) = state.fleet.get_mut(ix) else { return };
+    let has_crashed = has_crashed(&cx, ix).await;
+    if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
         endpoint.end_crash_check();
-        endpoint.last_broken_at()
-    };
-    let Some(broken_at) = broken_at.filter(|_| !is_reachable) else { return };
-    if !cx.others_reached_since(ix, broken_at) {
-        let Some(other) = nearest_other(&cx, ix) else { return };
-        if !probe_endpoint(&cx, other).await {
-            info!(cx.log, "crash not confirmed"; "endpoint" => endpoint_name(&cx, ix),
-                "other" => endpoint_name(&cx, other));
-            return;
+    }
+    if has_crashed {
+        cx.attribute_crash(ix, Instant::now());
+    }
+}
+
+/// Returns true if an endpoint accepts no connection although this host, or the one through which it
+/// connects, reaches another endpoint.
+async fn has_crashed<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx) -> bool
+where
+    W: Wire,
+    R: Registry,
+{
+    let broken_at = cx.state.borrow().fleet.get(ix).and_then(Endpoint::last_broken_at);
+    let (Some(broken_at), false) = (broken_at, probe_endpoint(cx, ix).await) else { return false };
+    let is_cut_off = || cx.state.borrow().reachability.is_cut_off();
+    if !is_cut_off() && !cx.others_reached_since(ix, broken_at) {
+        let Some(other) = nearest_other(cx, ix) else { return false };
+        let is_reached = probe_endpoint(cx, other).await;
+        if !is_reached {
+            info!(cx.log, "crash not confirmed"; "endpoint" => endpoint_name(cx, ix),
+                "other" => endpoint_name(cx, other));
+            return false;
         }
     }
-    cx.confirm_crash(ix, now);
+    // What a cut-off host has found out over its own links says nothing about the endpoint.
+    !is_cut_off() || !probe_endpoint(cx, ix).await
 }
 
 /// Returns the ready endpoint that this host reaches fastest, other than `ix`.
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`local_response`]: responses that the host generates itself.
 //! - [`response_body`]: bodies of responses to clients.
 //! - [`upstream`]: HTTP client connections to endpoints.
+//! - [`tunnel`]: connections to endpoints through other hosts.
+//! - [`frame_stream`]: connections between hosts that carry authenticated frames.
 //! - [`pace`]: pacing of large reads.
 //! - [`sending`]: sends a request to an endpoint and records the run and its result.
 //! - [`crash_check`]: finds out whether an endpoint crashed, and which requests may have caused it.
@@ -50,6 +52,7 @@
 pub mod endpoint_directives;
 pub mod endpoint_watch;
 pub mod event_splitter;
+pub mod frame_stream;
 pub mod generation_call;
 pub mod intake;
 pub mod lifecycle;
@@ -76,4 +79,5 @@
 pub mod subset_table;
 pub mod task;
 pub mod transfer;
+pub mod tunnel;
 pub mod upstream;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -87,10 +87,11 @@
         "grace_ms" => cx.grace.get().as_millis() as u64);
     let deadline = signalled_at + cx.grace.get().saturating_sub(GRACE_MARGIN);
     sleep(DRAIN_ACCEPT_PERIOD.min(cx.grace.get() / 2)).await;
-    while Rc::strong_count(&clients) > 1 && Instant::now() < deadline {
+    let is_busy = || Rc::strong_count(&clients) > 1 || cx.open_tunnels.get() > 0;
+    while is_busy() && Instant::now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    let open = Rc::strong_count(&clients) - 1;
+    let open = Rc::strong_count(&clients) - 1 + cx.open_tunnels.get();
     if open > 0 {
         warn!(cx.log, "stopped with open connections"; "connections" => open);
     }
@@ -157,7 +158,8 @@
     let ready_ones = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready());
     let backed_off = ready_ones.filter(|(_, e)| e.health.is_backed_off(now)).count();
     info!(cx.log, "state"; "version" => version, "endpoints_ready" => ready,
-        "endpoints_backed_off" => backed_off,
+        "endpoints_backed_off" => backed_off, "cut_off" => state.reachability.is_cut_off(),
+        "tunnels" => cx.open_tunnels.get(),
         "hosts_live" => state.peers.live().count() + 1, "reads_registry" => reads,
         "list_age_ms" => list_age, "peer_kb_out" => traffic.bytes_out / BYTES_PER_KB,
         "peer_kb_out_remote" => traffic.remote_bytes_out / BYTES_PER_KB,
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use camphorloft_types::prelude::HostName;
 use http::{Request, Response, header, response};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
@@ -57,6 +58,8 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: SendRequest<FullBody>,
+    /// The host that forwards the connection, if it is not a direct one.
+    via: Option<HostName>,
     task: OwnedTask<()>,
 }
 
@@ -92,8 +95,28 @@
     addr: SocketAddr,
     connect_timeout: Duration,
 ) -> Result<HttpConnection, ExchangeError> {
-    let stream = open_stream(socket_for(addr), addr, connect_timeout).await?;
-    start_http(stream, &Builder::new()).await
+    start_http(connect_stream(addr, connect_timeout).await?).await
+}
+
+/// Opens a connection to an endpoint for any protocol.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError::NotSent`] if the connection was refused or timed out.
+pub async fn connect_stream(
+    addr: SocketAddr,
+    connect_timeout: Duration,
+) -> Result<TcpStream, ExchangeError> {
+    open_stream(socket_for(addr), addr, connect_timeout).await
+}
+
+/// Starts HTTP on a connection.
+///
+/// # Errors
+///
+/// Returns [`ExchangeError::NotSent`] if the connection was closed.
+pub async fn start_http(stream: TcpStream) -> Result<HttpConnection, ExchangeError> {
+    start_http_with(stream, &Builder::new()).await
 }
 
 /// Connects for paced reads. Small buffers limit how much of a response is in flight.
@@ -110,7 +133,8 @@
         Ok(socket)
     });
     let stream = open_stream(socket, addr, connect_timeout).await?;
-    start_http(stream, Builder::new().read_buf_exact_size(Some(PACED_BUFFER_BYTES as usize))).await
+    start_http_with(stream, Builder::new().read_buf_exact_size(Some(PACED_BUFFER_BYTES as usize)))
+        .await
 }
 
 fn not_sent<Cause>(cause: Cause) -> ExchangeError
@@ -138,16 +162,29 @@
     Ok(stream)
 }
 
-async fn start_http(stream: TcpStream, options: &Builder) -> Result<HttpConnection, ExchangeError> {
+async fn start_http_with(
+    stream: TcpStream,
+    options: &Builder,
+) -> Result<HttpConnection, ExchangeError> {
     let (sender, connection) = options.handshake(TokioIo::new(stream)).await.map_err(not_sent)?;
     let task = OwnedTask::spawn(async move {
         // The request or the body read reports the error.
         let _ = connection.await;
     });
-    Ok(HttpConnection { sender, task })
+    Ok(HttpConnection { sender, via: None, task })
 }
 
 impl HttpConnection {
+    /// Records that a host forwards the connection.
+    pub fn through(self, host: HostName) -> Self {
+        Self { via: Some(host), ..self }
+    }
+
+    /// Returns the host that forwards the connection, if it is not a direct one.
+    pub fn via(&self) -> Option<&HostName> {
+        self.via.as_ref()
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -327,6 +327,46 @@
     /// True if the endpoint list is requested too.
     #[prost(bool, tag = "2")]
     pub wants_endpoints: bool,
+    /// Set if a connection to an endpoint is requested instead.
+    #[prost(message, optional, tag = "3")]
+    pub tunnel: Option<WireTunnelRequest>,
+}
+
+/// A request to connect to an endpoint and forward the connection, in a [`WireConfigRequest`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireTunnelRequest {
+    /// Digest of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// Time within which the endpoint has to accept the connection, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub timeout_ms: u32,
+}
+
+/// Result of a request for a connection to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, prost::Enumeration)]
+#[repr(i32)]
+pub enum WireTunnelResult {
+    /// The reply of a host that does not know such requests.
+    Unsupported = 0,
+    /// All that follows is forwarded to and from the endpoint.
+    Connected = 1,
+    /// The endpoint does not accept a connection.
+    Unreachable = 2,
+    /// The replying host does not reach the endpoints either.
+    CutOff = 3,
+    /// The replying host does not know the endpoint.
+    UnknownEndpoint = 4,
+    /// The replying host is draining or busy, or the endpoint wants no requests from it.
+    Refused = 5,
+}
+
+/// Reply to a [`WireTunnelRequest`].
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireTunnelReply {
+    /// Result. The tag is none of [`WireConfigReply`], which older hosts send.
+    #[prost(enumeration = "WireTunnelResult", tag = "15")]
+    pub result: i32,
 }
 
 /// Reply to a [`WireConfigRequest`].
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -65,8 +65,12 @@
 fn a_frame_sealed_with_another_secret_is_rejected_over_tcp() {
     let mut bytes = Vec::new();
     let other = FrameKeys::derive(&[b"another secret".to_vec()]);
-    write_frame(&mut bytes, &other, &WireConfigRequest { known: 1, wants_endpoints: false })
-        .unwrap();
+    write_frame(
+        &mut bytes,
+        &other,
+        &WireConfigRequest { known: 1, ..WireConfigRequest::default() },
+    )
+    .unwrap();
     let result: io::Result<WireConfigRequest> = read_frame(&mut bytes.as_slice(), &keys());
     assert_eq!(result.unwrap_err().kind(), io::ErrorKind::InvalidData);
 }
