Accept numbers of any size from endpoints, clients and settings

Cause: numbers of the wire became times with a conversion that panics, and counts were added without a check for overflow. Other times come from integers of milliseconds, which a point in time holds.

--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -67,8 +67,9 @@
 pub fn expected_fill(load: &EngineLoad, demand: &TokenDemand, spec: &EngineSpec) -> f64 {
     // Sequences do not all peak at once: on average half of the growth coincides.
     const COINCIDENT_GROWTH: f64 = 0.5;
-    let growth = f64::from(load.growth + demand.expected) * COINCIDENT_GROWTH;
-    (f64::from(load.used + demand.kv_tokens) + growth) / f64::from(spec.kv_capacity.0.max(1))
+    let growth = (f64::from(load.growth) + f64::from(demand.expected)) * COINCIDENT_GROWTH;
+    (f64::from(load.used) + f64::from(demand.kv_tokens) + growth)
+        / f64::from(spec.kv_capacity.0.max(1))
 }
 
 /// Selects an engine for a generation whose first event is due after `due`.
@@ -114,8 +115,9 @@
     due: Duration,
     now: Instant,
 ) -> f64 {
-    let prefill =
-        f64::from(load.prefill_tokens + demand.prefill_tokens) / PREFILL_TOKENS_PER_SECOND * 1e3;
+    let prefill = (f64::from(load.prefill_tokens) + f64::from(demand.prefill_tokens))
+        / PREFILL_TOKENS_PER_SECOND
+        * 1e3;
     let contention = (fill - CONTENDED_FILL).max(0.0) / (1.0 - CONTENDED_FILL) * FULL_MS;
     let late =
         (prefill - due.as_secs_f64() * 1e3 * MAX_PREFILL_FRACTION).max(0.0) * LATENESS_FACTOR;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -87,6 +87,13 @@
     pub prefill_tokens: u32,
 }
 
+impl EngineLoad {
+    fn add_sequence(&mut self, kv_tokens: u32) {
+        self.sequences = self.sequences.saturating_add(1);
+        self.used = self.used.saturating_add(kv_tokens);
+    }
+}
+
 impl Load {
     /// Records a report that was valid at `as_of`. A report older than the current one is ignored.
     pub fn record_report(&mut self, report: LoadReport, as_of: Instant) {
@@ -157,7 +164,7 @@
         let Some(hint) = &self.hint else { return 0.0 };
         let age = now.saturating_duration_since(hint.as_of).as_secs_f64();
         let decay = 0.5_f64.powf(age / HINT_HALF_LIFE.as_secs_f64());
-        let all = hint.item.running + hint.item.waiting;
+        let all = hint.item.running.saturating_add(hint.item.waiting);
         f64::from(all.saturating_sub(self.own_at_hint)) * decay
     }
 
@@ -171,25 +178,25 @@
         let mut reported_at = None;
         if let Some((report, age)) = self.report(now) {
             let grown = f64::from(report.running) * age.as_secs_f64() * TOKENS_PER_SECOND;
-            load.sequences = report.running + report.waiting;
-            load.used = report.used_tokens + report.next_tokens * report.waiting + grown as u32;
-            load.prefill_tokens = load.prefill_tokens.max(report.next_tokens * report.waiting);
-            load.growth = PEER_REMAINING_TOKENS * (report.running + report.waiting);
+            let waiting_tokens = report.next_tokens.saturating_mul(report.waiting);
+            load.sequences = report.running.saturating_add(report.waiting);
+            load.used =
+                report.used_tokens.saturating_add(waiting_tokens).saturating_add(grown as u32);
+            load.prefill_tokens = load.prefill_tokens.max(waiting_tokens);
+            load.growth = PEER_REMAINING_TOKENS.saturating_mul(load.sequences);
             reported_at = Some(now - age);
         }
         for run in own {
             if reported_at.is_some_and(|at| run.sent_at <= at) {
                 load.growth = load.growth.saturating_sub(PEER_REMAINING_TOKENS);
             } else {
-                load.sequences += 1;
-                load.used += run.kv_tokens();
+                load.add_sequence(run.kv_tokens());
             }
-            load.growth += run.expected_remaining();
+            load.growth = load.growth.saturating_add(run.expected_remaining());
         }
         for (_, kv_tokens) in &self.peer_placements {
-            load.sequences += 1;
-            load.used += kv_tokens;
-            load.growth += PEER_REMAINING_TOKENS;
+            load.add_sequence(*kv_tokens);
+            load.growth = load.growth.saturating_add(PEER_REMAINING_TOKENS);
         }
         load
     }
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -139,7 +139,8 @@
             continue;
         }
         let load = endpoint.load.estimate_engine_load(&endpoint.runs, now);
-        let used = f64::from(load.used + kv_tokens) / f64::from(spec.kv_capacity.0.max(1));
+        let used =
+            (f64::from(load.used) + f64::from(kv_tokens)) / f64::from(spec.kv_capacity.0.max(1));
         let full = used > MAX_DESTINATION_USAGE || load.sequences >= spec.slots;
         if endpoint.load.refused_copy_recently(now) {
             reasons.refusing += 1;
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -97,7 +97,7 @@
     pub fn kv_tokens(&self) -> u32 {
         match self.work {
             RunWork::Plain => 0,
-            RunWork::Generation { kv_tokens, generated, .. } => kv_tokens + generated,
+            RunWork::Generation { kv_tokens, generated, .. } => kv_tokens.saturating_add(generated),
         }
     }
 
--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -198,3 +198,28 @@
     fleet.get_mut(draining).unwrap().record_broken_request(&Rc::from([RequestFeature(8)]), now);
     assert!(fleet.get_mut(draining).unwrap().take_crash_suspects(now).is_empty());
 }
+
+/// Counts that an endpoint reports are not checked when they arrive.
+#[test]
+fn load_report_with_large_counts_overflows() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a"], now);
+    let ix = find(&fleet, "e0");
+    let report = LoadReport {
+        used_tokens: u32::MAX,
+        running: u32::MAX,
+        waiting: u32::MAX,
+        next_tokens: u32::MAX,
+        ..LoadReport::default()
+    };
+    fleet.record_report(ix, report, now);
+    fleet.start_run(ix, &call(0), work(u32::MAX, u32::MAX), now);
+    let (service, spec) = (service(), engine());
+    let pool = Pool { fleet: &fleet, service: &service, spec: &spec };
+    let demand = TokenDemand { kv_tokens: u32::MAX, prefill_tokens: u32::MAX, expected: u32::MAX };
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let candidates = Candidates::default();
+    let _ = generation::choose(&pool, &demand, &candidates, DUE, now, &mut rng);
+    let _ = admission::admit(&pool, &demand, &candidates, (now, DUE), now, &mut rng);
+    let _ = plain::choose(&fleet, &service, &candidates, now, &mut rng);
+}
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -252,8 +252,9 @@
     }
 
     fn token_demand(&self, resume: Option<&Resume>, tokens_per_event: u32) -> TokenDemand {
-        let generated = resume.map_or(0, |resume| resume.after as u32 * tokens_per_event);
-        let context_tokens = self.call.generation.prompt.0 + generated;
+        let events = resume.map_or(0, |resume| u32::try_from(resume.after).unwrap_or(u32::MAX));
+        let generated = events.saturating_mul(tokens_per_event);
+        let context_tokens = self.call.generation.prompt.0.saturating_add(generated);
         let expected = self.call.expected_tokens().saturating_sub(generated).max(tokens_per_event);
         TokenDemand { kv_tokens: context_tokens, prefill_tokens: context_tokens, expected }
     }
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -194,10 +194,10 @@
 
     /// Returns the work of the generation on the engine that resumes it.
     fn work(&self) -> RunWork {
-        let generated = self.events as u32 * self.tokens_per_event();
+        let generated = self.generated_tokens();
         let expected = self.call.expected_tokens().saturating_sub(generated);
         RunWork::Generation {
-            kv_tokens: self.call.generation.prompt.0 + generated,
+            kv_tokens: self.call.generation.prompt.0.saturating_add(generated),
             prefill_tokens: 0,
             expected: expected.max(generated / 3),
             generated: 0,
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -238,7 +238,7 @@
                 if id <= last {
                     continue;
                 }
-                if id > last + 1 {
+                if id > last.saturating_add(1) {
                     warn!(self.cx.log, "events missing"; "call" => %self.call.id,
                         "last" => last, "next" => id, "endpoint" => %self.source.name);
                     return Err(StreamEnd::Interrupted);
@@ -295,7 +295,7 @@
         if now - began_at >= PROVEN_AFTER {
             self.record_proven();
         }
-        let tokens = self.events as u32 * self.tokens_per_event();
+        let tokens = self.generated_tokens();
         let (endpoint, run) = (self.source.guard.endpoint, self.source.guard.run);
         self.cx.state.borrow_mut().fleet.record_progress(endpoint, run, tokens);
     }
@@ -308,6 +308,12 @@
         }
     }
 
+    /// Returns the number of tokens that were generated for this call.
+    pub(crate) fn generated_tokens(&self) -> u32 {
+        let events = u32::try_from(self.events).unwrap_or(u32::MAX);
+        events.saturating_mul(self.tokens_per_event())
+    }
+
     pub(crate) fn tokens_per_event(&self) -> u32 {
         self.call.service().engine.as_ref().map_or(1, |engine| engine.tokens_per_event)
     }
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -41,8 +41,11 @@
     pub fn transfer_duration(&self, tokens: TokenCount) -> Duration {
         const BITS_PER_BYTE: f64 = 8.0;
         const BITS_PER_MEGABIT: f64 = 1e6;
+        /// Longer than any plan. Links without bandwidth would take infinitely long.
+        const MAX_TRANSFER: Duration = Duration::from_secs(3600);
         let bits = f64::from(tokens.0) * self.kv_bytes_per_token.0 as f64 * BITS_PER_BYTE;
-        Duration::from_secs_f64(bits / (self.link_mbps * BITS_PER_MEGABIT))
+        let seconds = bits / (self.link_mbps * BITS_PER_MEGABIT);
+        Duration::try_from_secs_f64(seconds).unwrap_or(MAX_TRANSFER).min(MAX_TRANSFER)
     }
 }
 
