Keep from being refused by endpoints that crash from refusals

Endpoints that state Server-Brittle would have crashed one after the other. Cause: the statement was dropped, and hosts go on sending to an endpoint that refuses. Change: a service is brittle for 4 s after one of its endpoints stated it; hosts announce that to each other once a second. Meanwhile a host sends an endpoint no request that would have to wait as far as it knows, requests that are placed and not sent yet included, and admits generations only into nine tenths of an engine's memory. After a refusal all hosts leave the endpoint alone for a time that depends on the stated limit, and then have fewer requests there at a time. Tests of dispatch, peer, host and adapter pass.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -18,6 +18,8 @@
 /// Expected memory use, as a fraction, up to which a generation is admitted while it can still
 /// wait.
 const MAX_FILL: f64 = 1.0;
+/// The same for an engine that crashes when it has to refuse many requests.
+const MAX_FILL_IF_BRITTLE: f64 = 0.9;
 /// Expected memory use, as a fraction, up to which a generation is admitted once it cannot wait any
 /// longer.
 const MAX_FILL_AFTER_WAIT: f64 = 1.15;
@@ -103,13 +105,14 @@
         }
         return Admission::Refuse { reason: RefuseReason::NoEndpoint, retry_after };
     };
-    if choice.fill <= MAX_FILL {
+    let is_brittle = pool.fleet.brittleness(pool.service, now).is_some();
+    if choice.fill <= if is_brittle { MAX_FILL_IF_BRITTLE } else { MAX_FILL } {
         return Admission::Start(choice);
     }
     if may_wait {
         return Admission::Wait;
     }
-    if choice.fill <= MAX_FILL_AFTER_WAIT {
+    if choice.fill <= MAX_FILL_AFTER_WAIT && !is_brittle {
         return Admission::Start(choice);
     }
     Admission::Refuse { reason: RefuseReason::NoCapacity, retry_after }
--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -49,8 +49,10 @@
 {
     let mut best: Option<(bool, Choice)> = None;
     let (mut compared, mut unusable) = (0, 0);
+    let is_brittle = fleet.brittleness(service, now).is_some();
     for (ix, endpoint) in fleet.of_service(service) {
-        if !candidates.admits(ix, endpoint, now) {
+        let has_room = !is_brittle || endpoint.has_free_slot(now);
+        if !has_room || !candidates.admits(ix, endpoint, now) {
             unusable += 1;
             continue;
         }
--- a/crates/dispatch/src/directives.rs
+++ b/crates/dispatch/src/directives.rs
@@ -24,6 +24,8 @@
     pub request_limit: Directive<RequestRate>,
     /// Whether it leaves: it accepts no new work and shuts down soon.
     pub leaving: Directive<bool>,
+    /// Refusals a second, to all hosts together, beyond which it crashes.
+    pub brittle: Directive<u32>,
     /// Time for which it wants no further request from the host that it refused.
     pub hold_off: Directive<Duration>,
 }
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -10,6 +10,7 @@
 use crate::health::Health;
 use crate::load::Load;
 use crate::request_limit::RequestLimit;
+use crate::request_window::RequestWindow;
 use crate::run::Run;
 
 /// Weight of a new sample in the moving averages of durations.
@@ -66,12 +67,18 @@
     pub warm_at: Instant,
     /// Until when it wants no request from this host.
     pub hold_off_until: Option<Instant>,
+    /// Until when this host sends it nothing because it had no room and is brittle.
+    no_room_until: Option<Instant>,
     /// Failure rate.
     pub health: Health,
     /// Load.
     pub load: Load,
     /// Rate of requests that it accepts from all hosts together.
     pub request_limit: RequestLimit,
+    /// Number of requests that this host may have in progress after a refusal.
+    window: Option<RequestWindow>,
+    /// Number of requests of this host that are placed there and not sent yet.
+    pub unsent: u32,
     /// Requests of this host in progress.
     pub runs: Vec<Run>,
     /// Requests that failed recently while the endpoint was not known to be draining: time and
@@ -109,9 +116,12 @@
             joined_at: now,
             shutdown_at: None,
             hold_off_until: None,
+            no_room_until: None,
             health: Health::default(),
             load: Load::default(),
             request_limit: RequestLimit::default(),
+            window: None,
+            unsent: 0,
             runs: Vec::new(),
             suspects: Vec::new(),
             crash_check_runs: false,
@@ -130,7 +140,28 @@
     /// requests are left to other hosts.
     pub fn send_at(&self, now: Instant) -> Option<Instant> {
         let limited = self.request_limit.send_at(now)?;
-        Some(self.hold_off_until.map_or(limited, |until| until.max(limited)))
+        let paused_until = self.hold_off_until.max(self.no_room_until);
+        Some(paused_until.map_or(limited, |until| until.max(limited)))
+    }
+
+    /// Returns true if, as far as this host knows, a further request would not have to wait.
+    pub fn has_free_slot(&self, now: Instant) -> bool {
+        let own = self.own_requests();
+        let requests = own + self.load.peer_requests(now);
+        requests < f64::from(self.entry.slots)
+            && self.window.is_none_or(|window| window.admits(own, now))
+    }
+
+    /// Records that the endpoint, which is brittle, refused a request of this or another host. This host
+    /// sends it nothing for `pause`.
+    pub fn record_no_room(&mut self, pause: Duration, now: Instant) {
+        self.no_room_until = self.no_room_until.max(Some(now + pause));
+        self.window = Some(RequestWindow::after_refusal(self.own_requests(), now));
+    }
+
+    /// Returns the number of requests of this host that are in progress or about to be sent.
+    fn own_requests(&self) -> f64 {
+        f64::from(self.unsent) + self.runs.len() as f64
     }
 
     /// Returns true during the time for which the endpoint wants no request from this host.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -7,6 +7,7 @@
 use camphorloft_types::prelude::*;
 use cranelift_entity::PrimaryMap;
 
+use crate::brittleness::Brittleness;
 use crate::candidates::Candidates;
 use crate::distance::Locality;
 use crate::endpoint::{Endpoint, EndpointState};
@@ -63,6 +64,8 @@
     /// All endpoints in the table: one that is no longer listed may still run generations.
     by_digest: HashMap<u64, EndpointIx>,
     list_revision: u64,
+    /// Services whose endpoints crash when they have to refuse many requests.
+    brittle: HashMap<ServiceName, Brittleness>,
     /// Planned migrations between endpoints.
     pub migrations: MigrationPlans,
     next_run: u64,
@@ -78,6 +81,7 @@
             by_name: HashMap::new(),
             by_digest: HashMap::new(),
             list_revision: 0,
+            brittle: HashMap::new(),
             migrations: MigrationPlans::default(),
             next_run: 0,
         }
@@ -146,6 +150,26 @@
         delays.min().filter(|delay| !delay.is_zero())
     }
 
+    /// Records that the endpoints of a service are brittle. Returns the record, and whether that is new.
+    pub fn record_brittle(
+        &mut self,
+        service: &ServiceName,
+        max_refusals: u32,
+        stated_at: Instant,
+        now: Instant,
+    ) -> (&mut Brittleness, bool) {
+        let is_new = self.brittleness(service, now).is_none();
+        let new = Brittleness::new(max_refusals, stated_at);
+        let known = self.brittle.entry(service.clone()).or_insert(new);
+        known.record(max_refusals, stated_at);
+        (known, is_new)
+    }
+
+    /// Returns how brittle the endpoints of a service are, if they are.
+    pub fn brittleness(&self, service: &ServiceName, now: Instant) -> Option<Brittleness> {
+        self.brittle.get(service).copied().filter(|brittleness| brittleness.holds(now))
+    }
+
     /// Adds or updates an endpoint from its list entry. Appends to `changes` what changed.
     pub fn upsert(&mut self, entry: EndpointEntry, now: Instant, changes: &mut Vec<FleetChange>) {
         if let Some(ix) = self.find(&entry.name) {
@@ -258,6 +282,20 @@
         }
     }
 
+    /// Records that a request is placed on an endpoint, until it is sent or abandoned.
+    pub fn begin_reservation(&mut self, ix: EndpointIx) {
+        if let Some(endpoint) = self.get_mut(ix) {
+            endpoint.unsent += 1;
+        }
+    }
+
+    /// Records that a placed request is sent or abandoned.
+    pub fn end_reservation(&mut self, ix: EndpointIx) {
+        if let Some(endpoint) = self.get_mut(ix) {
+            endpoint.unsent = endpoint.unsent.saturating_sub(1);
+        }
+    }
+
     /// Records that a request is sent to an endpoint.
     pub fn start_run(
         &mut self,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`distance`]: network distance of an endpoint from this host.
 //! - [`entry`]: an endpoint as listed in the registry.
 //! - [`directives`]: what an endpoint states about itself in a response.
+//! - [`request_window`]: number of requests that a host has in progress at a brittle endpoint.
 //! - [`request_limit`]: rate of requests that an endpoint accepts.
 //! - [`crash_suspects`]: recognises requests that crash the endpoints that run them.
 //! - [`health`]: failure rate of an endpoint, estimated from its responses.
@@ -14,6 +15,7 @@
 //! - [`assignment`]: selects the host that performs a task for the others.
 //! - [`endpoint`]: state of one endpoint.
 //! - [`fleet`]: the table of endpoints.
+//! - [`brittleness`]: services whose endpoints crash when they have to refuse many requests.
 //! - [`candidates`]: restricts the endpoints that a request may be sent to.
 //! - [`stream_origins`]: software versions that began streams.
 //! - [`choice`]: a selected endpoint, with the inputs to the decision.
@@ -28,6 +30,7 @@
 
 pub mod admission;
 pub mod assignment;
+pub mod brittleness;
 pub mod candidates;
 pub mod choice;
 pub mod crash_suspects;
@@ -46,6 +49,7 @@
 pub mod reachability;
 pub mod reclaim;
 pub mod request_limit;
+pub mod request_window;
 pub mod retry_quota;
 pub mod run;
 pub mod stream_origins;
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -1,6 +1,7 @@
 //! Common imports.
 
 pub use crate::admission::{Admission, RefuseReason};
+pub use crate::brittleness::Brittleness;
 pub use crate::candidates::Candidates;
 pub use crate::choice::Choice;
 pub use crate::crash_suspects::{CrashRecord, CrashSuspects, FeatureCrash};
--- a/crates/host/src/endpoint_directives.rs
+++ b/crates/host/src/endpoint_directives.rs
@@ -3,9 +3,11 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
-use camphorloft_peer::wire::WireRequestLimit;
+use camphorloft_peer::updates::Updates;
+use camphorloft_peer::wire::{WireBrittleness, WireFullEndpoint, WireRequestLimit};
 use camphorloft_types::prelude::*;
 use http::response;
+use rand::Rng;
 use slog::{info, warn};
 
 use crate::boundary::{ResponseKind, Wire};
@@ -70,6 +72,11 @@
             Directive::Absent => self.record_own_limit(ix, None, now),
             Directive::Malformed => self.record_malformed_directive(ix, "request_limit", now),
         }
+        match directives.brittle {
+            Directive::Stated(max_refusals) => self.record_brittle(ix, max_refusals, now),
+            Directive::Absent => {}
+            Directive::Malformed => self.record_malformed_directive(ix, "brittle", now),
+        }
         match directives.leaving {
             Directive::Stated(true) => self.record_leaving(ix, now),
             Directive::Stated(false) | Directive::Absent => {}
@@ -93,6 +100,82 @@
             "for_ms" => duration.as_millis() as u64);
     }
 
+    /// Records that the endpoints of a service crash when they have to refuse many requests, and tells all
+    /// other hosts.
+    fn record_brittle(&self, ix: EndpointIx, max_refusals: u32, now: Instant) {
+        let announcement = {
+            let mut state = self.state.borrow_mut();
+            let Some(endpoint) = state.fleet.get(ix) else { return };
+            let service = endpoint.entry.service.clone();
+            let (brittleness, is_new) =
+                state.fleet.record_brittle(&service, max_refusals, now, now);
+            if is_new {
+                info!(self.log, "service is brittle"; "service" => %service,
+                    "max_refusals" => max_refusals, "source" => "response");
+            }
+            let is_due = brittleness.begin_announcement(now);
+            is_due.then(|| WireBrittleness {
+                service: service.to_string(),
+                max_refusals,
+                age_ms: 0,
+            })
+        };
+        if let Some(brittleness) = announcement {
+            let updates = Updates { brittleness: vec![brittleness], ..Updates::default() };
+            self.distribute_to_all(updates, now);
+        }
+    }
+
+    /// Records that the endpoints of a service are brittle, as another host announced.
+    pub fn receive_brittleness(&self, wire: &WireBrittleness, now: Instant) {
+        let age = Duration::from_millis(u64::from(wire.age_ms));
+        let (Ok(service), Some(at)) = (wire.service.parse::<ServiceName>(), now.checked_sub(age))
+        else {
+            return self.warn_of_malformed(now, || {
+                warn!(self.log, "statement about a service is not valid";
+                    "service" => &wire.service);
+            });
+        };
+        let mut state = self.state.borrow_mut();
+        let (brittleness, is_new) =
+            state.fleet.record_brittle(&service, wire.max_refusals, at, now);
+        brittleness.record_announcement(now);
+        if is_new {
+            info!(self.log, "service is brittle"; "service" => %service,
+                "max_refusals" => wire.max_refusals, "source" => "host");
+        }
+    }
+
+    /// Records that an endpoint refused a request for lack of room, and tells all other hosts if it is
+    /// brittle.
+    pub fn record_refusal(&self, ix: EndpointIx, now: Instant) {
+        let Some(digest) = self.pause_sending(ix, "response", now) else { return };
+        let full = vec![WireFullEndpoint { endpoint: digest }];
+        self.distribute_to_all(Updates { full, ..Updates::default() }, now);
+    }
+
+    /// Records that an endpoint refused a request of another host for lack of room.
+    pub fn receive_full_endpoint(&self, wire: &WireFullEndpoint, now: Instant) {
+        let ix = self.state.borrow().fleet.find_digest(wire.endpoint);
+        if let Some(ix) = ix {
+            self.pause_sending(ix, "host", now);
+        }
+    }
+
+    /// Sends nothing to a brittle endpoint for a while. Returns its digest, or `None` if it is not
+    /// brittle.
+    fn pause_sending(&self, ix: EndpointIx, source: &str, now: Instant) -> Option<u64> {
+        let mut guard = self.state.borrow_mut();
+        let State { fleet, rng, .. } = &mut *guard;
+        let brittleness = fleet.brittleness(&fleet.get(ix)?.entry.service, now)?;
+        let endpoint = fleet.get_mut(ix)?;
+        let pause = brittleness.pause(rng.random());
+        endpoint.record_no_room(pause, now);
+        info!(self.log, "brittle endpoint has no room"; "endpoint" => %endpoint.entry.name,
+            "for_ms" => pause.as_millis() as u64, "source" => source);
+        Some(endpoint.digest)
+    }
+
     /// Records that an endpoint leaves, and tells all other hosts.
     fn record_leaving(&self, ix: EndpointIx, now: Instant) {
         let mut changes = Vec::new();
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -16,7 +16,7 @@
 use crate::context::Host;
 use crate::local_response::local_response;
 use crate::response_body::ResponseBody;
-use crate::sending::{SendPlan, UpstreamResponse, send};
+use crate::sending::{SendPlan, SendReservation, UpstreamResponse, send};
 use crate::stream_continuation::ContinuationError;
 use crate::stream_relay::{Source, StreamRelay};
 use crate::upstream::ExchangeError;
@@ -111,9 +111,9 @@
     ) -> Result<UpstreamResponse<W, R>, PlacementFailure> {
         let deadline = self.call.deadline.into();
         loop {
-            let choice = self.place(resume.as_ref()).await?;
+            let (choice, reservation) = self.place(resume.as_ref()).await?;
             self.tried.push(choice.endpoint);
-            let send_plan = self.send_plan(&choice, resume.clone());
+            let send_plan = self.send_plan(&choice, reservation, resume.clone());
             let upstream = timeout_at(deadline, send(&self.cx, &self.call, send_plan, None)).await;
             match upstream {
                 Err(_) => {
@@ -185,7 +185,10 @@
     }
 
     /// Waits for an engine with capacity.
-    async fn place(&mut self, resume: Option<&Resume>) -> Result<Choice, PlacementFailure> {
+    async fn place(
+        &mut self,
+        resume: Option<&Resume>,
+    ) -> Result<(Choice, SendReservation<W, R>), PlacementFailure> {
         loop {
             let now = Instant::now();
             if self.cx.crashes_endpoints(&self.call) {
@@ -197,10 +200,10 @@
             }
             match self.admit(resume, now) {
                 Admission::Start(choice) => {
-                    self.cx.state.borrow_mut().fleet.reserve_send(choice.endpoint, now);
+                    let reservation = SendReservation::new(&self.cx, choice.endpoint);
                     self.log_placement(&choice);
                     sleep_until((now + choice.delay).into()).await;
-                    return Ok(choice);
+                    return Ok((choice, reservation));
                 }
                 Admission::Refuse { reason, retry_after } => {
                     return Err(self.failure(reason.as_str(), retry_after));
@@ -259,7 +262,12 @@
         TokenDemand { kv_tokens: context_tokens, prefill_tokens: context_tokens, expected }
     }
 
-    fn send_plan(&self, choice: &Choice, resume: Option<Resume>) -> SendPlan {
+    fn send_plan(
+        &self,
+        choice: &Choice,
+        reservation: SendReservation<W, R>,
+        resume: Option<Resume>,
+    ) -> SendPlan<W, R> {
         let engine = self.call.service().engine.as_ref();
         let tokens_per_event = engine.map_or(1, |engine| engine.tokens_per_event);
         let demand = self.token_demand(resume.as_ref(), tokens_per_event);
@@ -273,7 +281,13 @@
             None => RunWork::Plain,
         };
         let priority = engine.map(|_| self.call.engine_priority());
-        SendPlan { endpoint: choice.endpoint, work, priority, resume }
+        SendPlan {
+            endpoint: choice.endpoint,
+            reservation: Some(reservation),
+            work,
+            priority,
+            resume,
+        }
     }
 
     fn log_placement(&self, choice: &Choice) {
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -313,6 +313,12 @@
     for crash in &datagram.crashes {
         cx.receive_crash(crash, now);
     }
+    for brittleness in &datagram.brittleness {
+        cx.receive_brittleness(brittleness, now);
+    }
+    for full in &datagram.full {
+        cx.receive_full_endpoint(full, now);
+    }
     for finished in &datagram.finished {
         cx.receive_finished(finished, now);
     }
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -23,7 +23,7 @@
 use crate::context::Host;
 use crate::local_response::local_response;
 use crate::response_body::ResponseBody;
-use crate::sending::{SendPlan, connect_to, send};
+use crate::sending::{SendPlan, SendReservation, connect_to, send};
 use crate::upstream::ExchangeError;
 
 /// Maximum size of a response of a plain service, in bytes. Current services send about a
@@ -182,9 +182,9 @@
                     "service" => %service);
                 return;
             }
-            state.fleet.reserve_send(choice.endpoint, now);
             choice
         };
+        let reservation = SendReservation::new(&self.cx, choice.endpoint);
         self.log_placement(&choice);
         self.tried.push(choice.endpoint);
         self.sends += 1;
@@ -193,7 +193,7 @@
         let (cx, call, attempt) = (self.cx.clone(), self.call.clone(), self.tried.len() - 1);
         self.running.spawn_local(async move {
             sleep_until((now + choice.delay).into()).await;
-            (attempt, run_attempt(&cx, &call, choice.endpoint, &unresolved).await)
+            (attempt, run_attempt(&cx, &call, reservation, choice.endpoint, &unresolved).await)
         });
     }
 
@@ -315,6 +315,7 @@
 async fn run_attempt<W, R>(
     cx: &Rc<Host<W, R>>,
     call: &Call,
+    reservation: SendReservation<W, R>,
     endpoint: EndpointIx,
     unresolved: &Cell<bool>,
 ) -> AttemptResult
@@ -326,7 +327,13 @@
         return AttemptResult::NotSent;
     };
     unresolved.set(true);
-    let plan = SendPlan { endpoint, work: RunWork::Plain, priority: None, resume: None };
+    let plan = SendPlan {
+        endpoint,
+        reservation: Some(reservation),
+        work: RunWork::Plain,
+        priority: None,
+        resume: None,
+    };
     let mut upstream = match send(cx, call, plan, Some(connection)).await {
         Ok(upstream) => upstream,
         Err(ExchangeError::NotSent(_)) => return AttemptResult::NotSent,
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -25,6 +25,29 @@
 /// Time within which an endpoint or a link that is probed has to respond.
 const MAX_PROBE_TIME: Duration = Duration::from_secs(1);
 
+/// Counts a request as placed on an endpoint and not sent yet, until dropped.
+pub struct SendReservation<W, R> {
+    cx: Rc<Host<W, R>>,
+    endpoint: EndpointIx,
+}
+
+impl<W, R> SendReservation<W, R> {
+    /// Records that a request is placed on an endpoint.
+    pub fn new(cx: &Rc<Host<W, R>>, endpoint: EndpointIx) -> Self {
+        let mut state = cx.state.borrow_mut();
+        state.fleet.reserve_send(endpoint, Instant::now());
+        state.fleet.begin_reservation(endpoint);
+        drop(state);
+        Self { cx: cx.clone(), endpoint }
+    }
+}
+
+impl<W, R> Drop for SendReservation<W, R> {
+    fn drop(&mut self) {
+        self.cx.state.borrow_mut().fleet.end_reservation(self.endpoint);
+    }
+}
+
 /// Keeps a run recorded until dropped.
 #[derive(Debug)]
 pub struct RunGuard<W, R> {
@@ -69,10 +92,11 @@
 }
 
 /// Parameters of a request to an endpoint.
-#[derive(Debug)]
-pub struct SendPlan {
+pub struct SendPlan<W, R> {
     /// Endpoint.
     pub endpoint: EndpointIx,
+    /// Reservation at the endpoint, if the request was placed there.
+    pub reservation: Option<SendReservation<W, R>>,
     /// Work that it causes on the endpoint.
     pub work: RunWork,
     /// Preemption priority of a generation on the engine.
@@ -242,7 +266,7 @@
 pub async fn send<W, R>(
     cx: &Rc<Host<W, R>>,
     call: &Call,
-    plan: SendPlan,
+    mut plan: SendPlan<W, R>,
     connection: Option<HttpConnection>,
 ) -> Result<UpstreamResponse<W, R>, ExchangeError>
 where
@@ -264,6 +288,7 @@
         info!(cx.log, "request sent through host"; "call" => %call.id, "endpoint" => %name,
             "via" => %via);
     }
+    drop(plan.reservation.take());
     let guard = RunGuard::start(cx, ix, call, plan.work);
     let sent_at = Instant::now();
     let req = build_request(cx, call, &plan, &name, sent_at);
@@ -272,6 +297,9 @@
             let kind = cx.wire.response_kind(&exchange.head, &call.id);
             record_response(cx, ix, kind, &exchange);
             cx.record_directives(ix, kind, &exchange.head);
+            if kind == (ResponseKind::NotRun { wrong_endpoint: false }) {
+                cx.record_refusal(ix, Instant::now());
+            }
             Ok(UpstreamResponse { guard, name, kind, exchange, sent_at })
         }
         Err(err) => {
@@ -287,7 +315,7 @@
 fn build_request<W, R>(
     cx: &Rc<Host<W, R>>,
     call: &Call,
-    plan: &SendPlan,
+    plan: &SendPlan<W, R>,
     name: &EndpointName,
     now: Instant,
 ) -> Request<Full<bytes::Bytes>>
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -164,6 +164,7 @@
                 self.cx.state.borrow_mut().fleet.reserve_send(endpoint, Instant::now());
             }
             let plan = SendPlan {
+                reservation: None,
                 endpoint,
                 work: self.work(),
                 priority: Some(EnginePriority::Resumed),
--- a/crates/peer/src/update_buffer.rs
+++ b/crates/peer/src/update_buffer.rs
@@ -56,7 +56,8 @@
     fn due_at_for(&self, updates: &Updates, now: Instant) -> Instant {
         let is_urgent = !updates.migrations.is_empty()
             || !updates.endpoint_changes.is_empty()
-            || !updates.crashes.is_empty();
+            || !updates.crashes.is_empty()
+            || !updates.full.is_empty();
         if is_urgent {
             return now;
         }
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use crate::wire::{
-    WireDatagram, WireEndpointChange, WireFeatureCrash, WireFinishedFeature, WireMigration,
-    WirePlacement, WireRegistryState, WireReport, WireRequestLimit, WireStreamOrigin,
+    WireBrittleness, WireDatagram, WireEndpointChange, WireFeatureCrash, WireFinishedFeature,
+    WireFullEndpoint, WireMigration, WirePlacement, WireRegistryState, WireReport,
+    WireRequestLimit, WireStreamOrigin,
 };
 
 /// Maximum number of changes of the endpoint list in a datagram, which holds 64 KB. A change takes
@@ -28,6 +29,10 @@
     pub crashes: Vec<WireFeatureCrash>,
     /// Features of requests that finished.
     pub finished: Vec<WireFinishedFeature>,
+    /// Services whose endpoints are brittle.
+    pub brittleness: Vec<WireBrittleness>,
+    /// Brittle endpoints that refused a request.
+    pub full: Vec<WireFullEndpoint>,
     /// Limits of requests that endpoints stated.
     pub request_limits: Vec<WireRequestLimit>,
     /// Software versions that began streams.
@@ -45,6 +50,8 @@
             registry: datagram.registry.clone(),
             crashes: datagram.crashes.clone(),
             finished: datagram.finished.clone(),
+            brittleness: datagram.brittleness.clone(),
+            full: datagram.full.clone(),
             request_limits: datagram.request_limits.clone(),
             stream_origins: datagram.stream_origins.clone(),
         }
@@ -59,6 +66,8 @@
         datagram.registry = self.registry;
         datagram.crashes = self.crashes;
         datagram.finished = self.finished;
+        datagram.brittleness = self.brittleness;
+        datagram.full = self.full;
         datagram.request_limits = self.request_limits;
         datagram.stream_origins = self.stream_origins;
     }
@@ -98,6 +107,8 @@
             + self.registry.len()
             + self.crashes.len()
             + self.finished.len()
+            + self.brittleness.len()
+            + self.full.len()
             + self.request_limits.len()
             + self.stream_origins.len()
     }
@@ -125,6 +136,9 @@
         for crash in &mut self.crashes {
             crash.age_ms = crash.age_ms.saturating_add(held_ms);
         }
+        for brittleness in &mut self.brittleness {
+            brittleness.age_ms = brittleness.age_ms.saturating_add(held_ms);
+        }
         for finished in &mut self.finished {
             finished.age_ms = finished.age_ms.saturating_add(held_ms);
         }
@@ -146,6 +160,8 @@
         replace_by(&mut self.endpoint_changes, newer.endpoint_changes, |c| c.name.clone());
         replace_by(&mut self.registry, newer.registry, |state| state.reader.clone());
         replace_by(&mut self.crashes, newer.crashes, |crash| (crash.feature, crash.endpoint));
+        replace_by(&mut self.brittleness, newer.brittleness, |b| b.service.clone());
+        replace_by(&mut self.full, newer.full, |full| full.endpoint);
         replace_by(&mut self.finished, newer.finished, |finished| finished.feature);
         replace_by(&mut self.stream_origins, newer.stream_origins, |origin| origin.stream);
         // Two hosts may send what the endpoint stated to each of them in the other order.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -96,6 +96,28 @@
     pub age_ms: u32,
 }
 
+/// Statement that the endpoints of a service crash when they have to refuse many requests.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireBrittleness {
+    /// Service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Refusals a second, to all hosts together, that an endpoint survives.
+    #[prost(uint32, tag = "2")]
+    pub max_refusals: u32,
+    /// Age of the statement when this message was sent, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// Statement that a brittle endpoint refused a request for lack of room.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireFullEndpoint {
+    /// Digest of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+}
+
 /// Announcement of a new version of the object set.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireAnnouncement {
@@ -313,6 +335,12 @@
     /// Features of requests that finished.
     #[prost(message, repeated, tag = "23")]
     pub finished: Vec<WireFinishedFeature>,
+    /// Services whose endpoints are brittle.
+    #[prost(message, repeated, tag = "24")]
+    pub brittleness: Vec<WireBrittleness>,
+    /// Brittle endpoints that refused a request.
+    #[prost(message, repeated, tag = "25")]
+    pub full: Vec<WireFullEndpoint>,
     /// Request or reply of the membership protocol.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
