Confirm a crash by any of several other endpoints

What callers saw: on a host with few requests, requests with a part that crashes engines crashed one engine after the other although crashes are counted by part. Cause: to confirm a crash the host connected to the nearest other endpoint, which was one that had crashed before and was still listed, so that it took itself for cut off. A removal from the list later than 5 s after the crash did not count either. Change: up to three other endpoints are tried, without those that lately accepted no connection, and a removal up to 8 s later counts.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -25,8 +25,9 @@
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(60);
 
 /// Time within which a failed request and the loss of its endpoint count as one crash: a crashed
-/// endpoint refuses connections at once and is removed from the list after three missed heartbeats.
-const CRASH_WINDOW: Duration = Duration::from_secs(5);
+/// endpoint refuses connections at once and is removed from the list after three missed heartbeats, which
+/// hosts learn a second later.
+const CRASH_WINDOW: Duration = Duration::from_secs(8);
 
 /// State of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/host/src/crash_check.rs
+++ b/crates/host/src/crash_check.rs
@@ -25,6 +25,8 @@
 /// Time from the interruption of a request to the check of its endpoint, in which the other requests
 /// that a crash interrupts break off too.
 const CHECK_DELAY: Duration = Duration::from_millis(20);
+/// Maximum number of other endpoints that are probed to find out whether this host is cut off.
+const MAX_OTHERS_PROBED: usize = 3;
 /// Maximum random delay before this host tells others that a feature is sound. Many hosts may know that,
 /// and one is enough.
 const MAX_REFUTATION_DELAY: Duration = Duration::from_millis(300);
@@ -243,24 +245,33 @@
     let broken_at = cx.state.borrow().fleet.get(ix).and_then(Endpoint::last_broken_at);
     let (Some(broken_at), false) = (broken_at, probe_endpoint(cx, ix).await) else { return false };
     let is_cut_off = || cx.state.borrow().reachability.is_cut_off();
-    if !is_cut_off() && !cx.others_reached_since(ix, broken_at) {
-        let Some(other) = nearest_other(cx, ix) else { return false };
-        let is_reached = probe_endpoint(cx, other).await;
-        if !is_reached {
-            info!(cx.log, "crash not confirmed"; "endpoint" => endpoint_name(cx, ix),
-                "other" => endpoint_name(cx, other));
-            return false;
-        }
+    if !is_cut_off() && !cx.others_reached_since(ix, broken_at) && !reaches_another(cx, ix).await {
+        info!(cx.log, "crash not confirmed"; "endpoint" => endpoint_name(cx, ix));
+        return false;
     }
     // What a cut-off host has found out over its own links says nothing about the endpoint.
     !is_cut_off() || !probe_endpoint(cx, ix).await
 }
 
-/// Returns the ready endpoint that this host reaches fastest, other than `ix`.
-fn nearest_other<W, R>(cx: &Host<W, R>, ix: EndpointIx) -> Option<EndpointIx> {
-    let state = cx.state.borrow();
-    let others = state.fleet.iter().filter(|(other, e)| *other != ix && e.is_ready());
-    others.min_by_key(|(_, endpoint)| connect_timeout(endpoint)).map(|(other, _)| other)
+/// Returns true if one of the nearest endpoints other than `ix` accepts a connection. Those that lately
+/// accepted none may have crashed too.
+async fn reaches_another<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx) -> bool
+where
+    W: Wire,
+    R: Registry,
+{
+    let mut others: Vec<(Duration, EndpointIx)> = {
+        let (state, now) = (cx.state.borrow(), Instant::now());
+        let others = state.fleet.iter().filter(|(other, e)| *other != ix && e.is_usable(now));
+        others.map(|(other, endpoint)| (connect_timeout(endpoint), other)).collect()
+    };
+    others.sort_unstable();
+    for (_, other) in others.into_iter().take(MAX_OTHERS_PROBED) {
+        if probe_endpoint(cx, other).await {
+            return true;
+        }
+    }
+    false
 }
 
 fn endpoint_name<W, R>(cx: &Host<W, R>, ix: EndpointIx) -> Option<String> {
