Limit the memory of responses that are read completely

What callers saw: nothing yet; endpoints that send bodies or heads without end to many calls at once would have filled the memory of a host, which is then killed. Cause: each response could use 4 MB, an event 1 MB and a head 400 KB, without a limit for all of them together. Change: buffered responses share a fifth of the memory limit, as request bodies share three tenths, through one type; a head has up to 64 KB and an event up to 256 KB. Evidence: response_without_end_fills_the_memory_of_the_host failed before (40 calls read 222 MB with a memory limit of 64 MB) and passes. A new stand-in writes prepared bytes: responses that end with their connection, are reset, break off inside an event, are late or have no end. response_that_ends_with_its_connection_is_complete_unless_it_was_reset and silence_of_an_endpoint_ends_no_request hold over a direct connection and through another host; they passed at once.

--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -15,12 +15,18 @@
 use tokio::sync::{Notify, watch};
 
 use crate::boundary::Registry;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, UpdateScope};
 use crate::settings::HostSettings;
 use crate::subset_table::SubsetTable;
 use crate::tunnel::ExcludedHosts;
 
+/// Fraction of the memory limit of the process that buffered request bodies may use.
+const REQUEST_BODY_FRACTION: f64 = 0.3;
+/// Fraction of the memory limit of the process that buffered responses may use.
+const RESPONSE_BODY_FRACTION: f64 = 0.2;
+
 /// Lifecycle stage of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -85,8 +91,10 @@
     pub announced_hosts: Cell<usize>,
     /// Mutable state. Must not be borrowed across an `await`.
     pub state: RefCell<State>,
-    /// Total bytes of buffered request bodies.
-    pub buffered_bytes: Cell<u64>,
+    /// Memory of buffered request bodies.
+    pub request_bodies: MemoryBudget,
+    /// Memory of responses that are read completely before they are forwarded.
+    pub response_bodies: MemoryBudget,
     /// Number of connections that this host forwards for others.
     pub open_tunnels: Cell<usize>,
     /// Grace period from the termination signal to the end of the process.
@@ -125,6 +133,8 @@
             refutations: BTreeMap::new(),
             rng: SmallRng::from_os_rng(),
         };
+        let memory = settings.memory.0 as f64;
+        let budget = |fraction: f64| MemoryBudget::new((memory * fraction) as u64);
         Rc::new(Self {
             grace: Cell::new(settings.grace),
             settings,
@@ -136,7 +146,8 @@
             has_full_list: Cell::new(false),
             announced_hosts: Cell::new(0),
             state: RefCell::new(state),
-            buffered_bytes: Cell::new(0),
+            request_bodies: budget(REQUEST_BODY_FRACTION),
+            response_bodies: budget(RESPONSE_BODY_FRACTION),
             open_tunnels: Cell::new(0),
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
--- a/crates/host/src/event_splitter.rs
+++ b/crates/host/src/event_splitter.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an event, in bytes. An incomplete event is buffered until the rest arrives.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 1 << 18;
 
 /// An event as received, including the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -325,7 +325,9 @@
     /// Forwards the failure response of an engine.
     async fn forward_failure(self, mut upstream: UpstreamResponse<W, R>) -> Response<ResponseBody> {
         let status = upstream.exchange.head.status;
-        let body = upstream.exchange.read_to_end(MAX_FAILURE_BYTES).await;
+        let mut memory = self.cx.response_bodies.share();
+        let body = upstream.exchange.read_within(MAX_FAILURE_BYTES, &mut memory).await;
+        drop(memory);
         let (false, Ok(body)) = (self.cx.wire.guarantees_not_run(status), body) else {
             return self.respond_failure(PlacementFailure {
                 status: StatusCode::BAD_GATEWAY,
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -1,6 +1,5 @@
 //! Validates a client request and turns it into a call, or refuses it.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +17,7 @@
 use crate::call::Call;
 use crate::context::{Host, Stage};
 use crate::local_response::local_response;
+use crate::memory_budget::BudgetShare;
 use crate::response_body::ResponseBody;
 use crate::{generation_call, plain_call};
 
@@ -31,8 +31,6 @@
 /// Time after the termination signal for which a draining host accepts requests on open
 /// connections.
 const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2500);
-/// Fraction of the memory limit of the process that buffered request bodies may use.
-const BODY_MEMORY_FRACTION: f64 = 0.3;
 
 /// Reason that a request was refused, and the response to send.
 struct Refusal {
@@ -51,18 +49,6 @@
     }
 }
 
-/// Counts the bytes of a request body in the total of the host until dropped.
-struct BufferedBytes<'a> {
-    host_total: &'a Cell<u64>,
-    bytes: u64,
-}
-
-impl Drop for BufferedBytes<'_> {
-    fn drop(&mut self) {
-        self.host_total.set(self.host_total.get() - self.bytes);
-    }
-}
-
 /// Serves one client request.
 pub async fn serve<W, R>(cx: Rc<Host<W, R>>, req: Request<Incoming>) -> Response<ResponseBody>
 where
@@ -80,8 +66,8 @@
         }
     };
     let id = decoded.call.clone();
-    let mut buffered = BufferedBytes { host_total: &cx.buffered_bytes, bytes: 0 };
-    let call = match admit(&cx, arrived_at, head, body, decoded, &mut buffered).await {
+    let mut memory = cx.request_bodies.share();
+    let call = match admit(&cx, arrived_at, head, body, decoded, &mut memory).await {
         Ok(call) => Rc::new(call),
         Err(refusal) => {
             cx.metrics.refusals.with_label_values(&[refusal.reason]).inc();
@@ -107,7 +93,7 @@
     head: request::Parts,
     body: Incoming,
     decoded: DecodedHead,
-    buffered: &mut BufferedBytes<'_>,
+    memory: &mut BudgetShare<'_>,
 ) -> Result<Call, Refusal>
 where
     W: Wire,
@@ -132,7 +118,7 @@
     let time_limit = decoded.timeout.unwrap_or(timeout).min(timeout);
     let deadline = arrived_at + time_limit;
     check_draining(cx, &serving.routes[route])?;
-    let body = read_body(cx, &serving.limits, body, deadline, buffered).await?;
+    let body = read_body(&serving.limits, body, deadline, memory).await?;
     let draw = cx.state.borrow_mut().rng.random::<f64>();
     let name = organisation.map(|ix| &serving.organisations[ix].name);
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
@@ -171,18 +157,16 @@
     Ok(())
 }
 
-async fn read_body<W, R>(
-    cx: &Rc<Host<W, R>>,
+async fn read_body(
     limits: &ClientLimits,
     mut body: Incoming,
     deadline: Instant,
-    buffered: &mut BufferedBytes<'_>,
+    memory: &mut BudgetShare<'_>,
 ) -> Result<Bytes, Refusal> {
     let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
     if body.size_hint().lower() > limits.max_body.0 {
         return Err(too_large());
     }
-    let max_buffered = (cx.settings.memory.0 as f64 * BODY_MEMORY_FRACTION) as u64;
     let mut buf = BytesMut::new();
     loop {
         let frame = timeout_at(deadline.into(), body.frame()).await;
@@ -196,9 +180,7 @@
         if (buf.len() + data.len()) as u64 > limits.max_body.0 {
             return Err(too_large());
         }
-        buffered.bytes += data.len() as u64;
-        buffered.host_total.set(buffered.host_total.get() + data.len() as u64);
-        if buffered.host_total.get() > max_buffered {
+        if !memory.grow(data.len()) {
             return Err(Refusal::unavailable("bodies_fill_memory", MEMORY_RETRY_AFTER));
         }
         buf.extend_from_slice(&data);
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`upstream`]: HTTP client connections to endpoints.
 //! - [`tunnel`]: connections to endpoints through other hosts.
 //! - [`frame_stream`]: connections between hosts that carry authenticated frames.
+//! - [`memory_budget`]: memory that bodies of one kind use together.
 //! - [`pace`]: pacing of large reads.
 //! - [`sending`]: sends a request to an endpoint and records the run and its result.
 //! - [`crash_check`]: finds out whether an endpoint crashed, and which requests may have caused it.
@@ -58,6 +59,7 @@
 pub mod lifecycle;
 pub mod listener;
 pub mod local_response;
+pub mod memory_budget;
 pub mod metrics;
 pub mod pace;
 pub mod peer_convert;
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -339,7 +339,8 @@
         Err(ExchangeError::NotSent(_)) => return AttemptResult::NotSent,
         Err(ExchangeError::Unanswered(_)) => return AttemptResult::Lost,
     };
-    match upstream.exchange.read_to_end(MAX_RESPONSE_BYTES).await {
+    let mut memory = cx.response_bodies.share();
+    match upstream.exchange.read_within(MAX_RESPONSE_BYTES, &mut memory).await {
         Ok(body) => {
             let duration = upstream.sent_at.elapsed();
             if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(endpoint) {
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::boundary::FullBody;
+use crate::memory_budget::BudgetShare;
 use crate::pace::Pace;
 use crate::task::OwnedTask;
 
@@ -33,6 +34,8 @@
 /// Time after which unacknowledged sent data closes a connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum size of a response head, in bytes, and of what is read ahead of a body.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Size of the socket receive buffer and of the read buffer for paced responses, in bytes each:
 /// about 25 ms on the slowest link currently in use, 10 Mbit/s.
 const PACED_BUFFER_BYTES: u32 = 32 << 10;
@@ -116,7 +119,7 @@
 ///
 /// Returns [`ExchangeError::NotSent`] if the connection was closed.
 pub async fn start_http(stream: TcpStream) -> Result<HttpConnection, ExchangeError> {
-    start_http_with(stream, &Builder::new()).await
+    start_http_with(stream, Builder::new().max_buf_size(MAX_HEAD_BYTES)).await
 }
 
 /// Connects for paced reads. Small buffers limit how much of a response is in flight.
@@ -300,4 +303,25 @@
     pub async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes, ExchangeError> {
         read_to_end(&mut self.body, max_bytes).await
     }
+
+    /// Reads the rest of the body, of up to `max_bytes`, into the memory of a share.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ExchangeError::Unanswered`] if the body is incomplete or too large.
+    pub async fn read_within(
+        &mut self,
+        max_bytes: usize,
+        memory: &mut BudgetShare<'_>,
+    ) -> Result<Bytes, ExchangeError> {
+        let mut buf = BytesMut::new();
+        while let Some(frame) = self.body.frame().await {
+            let length = frame.as_ref().ok().and_then(Frame::data_ref).map_or(0, Bytes::len);
+            if !memory.grow(length) {
+                return Err(ExchangeError::Unanswered("responses fill the memory".to_owned()));
+            }
+            append(&mut buf, frame, max_bytes)?;
+        }
+        Ok(buf.freeze())
+    }
 }
