Pass a time to come back on to the host that forwarded the refused request

What callers saw: nothing yet; an endpoint that wants no requests from a host for a while would have got more from it than allowed. Cause: the endpoint sees the host that forwards a connection, which does not read the response. Change: the host that gets the refusal tells the forwarding host, which records the time as if it had been refused itself. Evidence: endpoint_that_holds_off_a_host_receives_requests_that_it_forwards failed before (4 arrivals, 2 allowed) and passes. cut_off_host_attributes_crashes_to_its_requests, which passes at once, guards that lost links blame no request.

--- a/crates/host/src/endpoint_directives.rs
+++ b/crates/host/src/endpoint_directives.rs
@@ -4,7 +4,7 @@
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_peer::updates::Updates;
-use camphorloft_peer::wire::{WireBrittleness, WireFullEndpoint, WireRequestLimit};
+use camphorloft_peer::wire::{WireBrittleness, WireFullEndpoint, WireHoldOff, WireRequestLimit};
 use camphorloft_types::prelude::*;
 use http::response;
 use rand::Rng;
@@ -89,6 +89,32 @@
         }
     }
 
+    /// Tells the host that forwarded a refused request for how long the endpoint wants none from that host.
+    pub fn forward_hold_off(&self, via: &HostName, ix: EndpointIx, head: &response::Parts)
+    where
+        W: Wire,
+    {
+        let Directive::Stated(duration) = self.wire.directives(head).hold_off else { return };
+        let mut state = self.state.borrow_mut();
+        let via = state.peers.live().find(|member| member.host == *via).cloned();
+        let endpoint = state.fleet.get(ix).map(|endpoint| endpoint.digest);
+        let (Some(via), Some(endpoint)) = (via, endpoint) else { return };
+        let for_ms = u32::try_from(duration.as_millis()).unwrap_or(u32::MAX);
+        let hold_offs = vec![WireHoldOff { endpoint, for_ms }];
+        let updates = Updates { hold_offs, ..Updates::default() };
+        let datagrams = state.peers.send_to_hosts(&[via], updates);
+        drop(state);
+        self.send_datagrams(&datagrams);
+    }
+
+    /// Records what an endpoint stated to this host in a response that this host forwarded.
+    pub fn receive_hold_off(&self, wire: &WireHoldOff, now: Instant) {
+        let ix = self.state.borrow().fleet.find_digest(wire.endpoint);
+        if let Some(ix) = ix {
+            self.record_hold_off(ix, Duration::from_millis(u64::from(wire.for_ms)), now);
+        }
+    }
+
     /// Records that an endpoint wants no request from this host for a while. Other hosts are not
     /// concerned.
     fn record_hold_off(&self, ix: EndpointIx, duration: Duration, now: Instant) {
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -316,6 +316,9 @@
     for brittleness in &datagram.brittleness {
         cx.receive_brittleness(brittleness, now);
     }
+    for hold_off in &datagram.hold_offs {
+        cx.receive_hold_off(hold_off, now);
+    }
     for full in &datagram.full {
         cx.receive_full_endpoint(full, now);
     }
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -284,7 +284,8 @@
     let Some(name) = cx.state.borrow().fleet.get(ix).map(|e| e.entry.name.clone()) else {
         return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
     };
-    if let Some(via) = connection.via() {
+    let via = connection.via().cloned();
+    if let Some(via) = &via {
         info!(cx.log, "request sent through host"; "call" => %call.id, "endpoint" => %name,
             "via" => %via);
     }
@@ -299,6 +300,9 @@
             cx.record_directives(ix, kind, &exchange.head);
             if kind == (ResponseKind::NotRun { wrong_endpoint: false }) {
                 cx.record_refusal(ix, Instant::now());
+                if let Some(via) = &via {
+                    cx.forward_hold_off(via, ix, &exchange.head);
+                }
             }
             Ok(UpstreamResponse { guard, name, kind, exchange, sent_at })
         }
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -4,7 +4,7 @@
 
 use crate::wire::{
     WireBrittleness, WireDatagram, WireEndpointChange, WireFeatureCrash, WireFinishedFeature,
-    WireFullEndpoint, WireMigration, WirePlacement, WireRegistryState, WireReport,
+    WireFullEndpoint, WireHoldOff, WireMigration, WirePlacement, WireRegistryState, WireReport,
     WireRequestLimit, WireStreamOrigin,
 };
 
@@ -33,6 +33,8 @@
     pub brittleness: Vec<WireBrittleness>,
     /// Brittle endpoints that refused a request.
     pub full: Vec<WireFullEndpoint>,
+    /// Endpoints that want no requests from the receiver. They are not forwarded.
+    pub hold_offs: Vec<WireHoldOff>,
     /// Limits of requests that endpoints stated.
     pub request_limits: Vec<WireRequestLimit>,
     /// Software versions that began streams.
@@ -52,6 +54,7 @@
             finished: datagram.finished.clone(),
             brittleness: datagram.brittleness.clone(),
             full: datagram.full.clone(),
+            hold_offs: Vec::new(),
             request_limits: datagram.request_limits.clone(),
             stream_origins: datagram.stream_origins.clone(),
         }
@@ -68,6 +71,7 @@
         datagram.finished = self.finished;
         datagram.brittleness = self.brittleness;
         datagram.full = self.full;
+        datagram.hold_offs = self.hold_offs;
         datagram.request_limits = self.request_limits;
         datagram.stream_origins = self.stream_origins;
     }
@@ -109,6 +113,7 @@
             + self.finished.len()
             + self.brittleness.len()
             + self.full.len()
+            + self.hold_offs.len()
             + self.request_limits.len()
             + self.stream_origins.len()
     }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -118,6 +118,17 @@
     pub endpoint: u64,
 }
 
+/// Statement that an endpoint wants no request for some time from the host that receives this.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireHoldOff {
+    /// Digest of the endpoint.
+    #[prost(fixed64, tag = "1")]
+    pub endpoint: u64,
+    /// The time, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub for_ms: u32,
+}
+
 /// Announcement of a new version of the object set.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireAnnouncement {
@@ -341,6 +352,9 @@
     /// Brittle endpoints that refused a request.
     #[prost(message, repeated, tag = "25")]
     pub full: Vec<WireFullEndpoint>,
+    /// Endpoints that want no requests from the receiver, which forwarded one.
+    #[prost(message, repeated, tag = "26")]
+    pub hold_offs: Vec<WireHoldOff>,
     /// Request or reply of the membership protocol.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
