Let one request through to find out whether refused features crash engines

Cause: all first requests with the part had been interrupted by crashes that other requests or faults caused, so that it had more crashes than the part that caused some of them. Since none of its requests was sent any more, none could finish and clear it. Change: 3 s after the last crash, and four times as long after each further one, one host lets one request through. If it finishes, the part is sound; if it crashes an engine, the next one follows later. The time depends on the crashes, which all hosts know, so that a change of the host does not bring it forward.

--- a/crates/dispatch/src/crash_suspects.rs
+++ b/crates/dispatch/src/crash_suspects.rs
@@ -18,6 +18,15 @@
 pub const REFUSE_AT: usize = 3;
 /// Number of crashes from which an interrupted request with a feature is not sent again.
 const RESEND_LIMIT: usize = 2;
+/// Time from the last crash until one request with a refused feature is let through, at [`REFUSE_AT`]
+/// crashes. Sound requests may all have been interrupted, and none that is refused can finish.
+const FIRST_PROBE_DELAY: Duration = Duration::from_secs(3);
+/// Factor by which each further crash prolongs that time.
+const PROBE_DELAY_FACTOR: u32 = 4;
+/// Maximum number of times that it is prolonged.
+const MAX_PROLONGATIONS: u32 = 4;
+/// Time for which the outcome of such a request is awaited.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a crash is kept.
 const RETENTION: Duration = Duration::from_secs(600);
 /// Time for which a finished request shows that its features do not crash endpoints.
@@ -59,6 +68,8 @@
     sound: HashMap<RequestFeature, Instant>,
     /// Groups of features. Requests that have all features of a group are refused.
     refused: Vec<Vec<RequestFeature>>,
+    /// When this host last let a request with a group of refused features through, by its first one.
+    probed: HashMap<RequestFeature, Instant>,
 }
 
 impl CrashSuspects {
@@ -130,6 +141,46 @@
         self.refused.iter().find(has_all).map(Vec::as_slice)
     }
 
+    /// Returns true if a request with all of a group of refused features may be let through, to find out
+    /// whether they crash endpoints, and records that. One host at a time does so. The time of the next
+    /// such request follows from the known crashes, so that it is the same on all hosts.
+    ///
+    /// ```
+    /// use camphorloft_dispatch::crash_suspects::{CrashSuspects, FeatureCrash};
+    /// use camphorloft_types::prelude::*;
+    /// use std::time::{Duration, Instant};
+    /// let (now, feature) = (Instant::now(), RequestFeature::of_prompt_part("5c1e07a2"));
+    /// let mut suspects = CrashSuspects::default();
+    /// for endpoint in 1..=3 {
+    ///     suspects.record_crash(FeatureCrash { feature, endpoint, at: now });
+    /// }
+    /// let later = now + Duration::from_secs(4);
+    /// assert!(!suspects.begin_probe(&[feature], now));
+    /// assert!(suspects.begin_probe(&[feature], later));
+    /// assert!(!suspects.begin_probe(&[feature], later), "the outcome is awaited");
+    /// ```
+    pub fn begin_probe(&mut self, group: &[RequestFeature], now: Instant) -> bool {
+        let Some((feature, crashes)) =
+            group.first().and_then(|feature| Some((*feature, self.suspects.get(feature)?)))
+        else {
+            return false;
+        };
+        let prolongations = u32::try_from(crashes.len().saturating_sub(REFUSE_AT));
+        let prolongations = prolongations.map_or(MAX_PROLONGATIONS, |n| n.min(MAX_PROLONGATIONS));
+        let delay = FIRST_PROBE_DELAY * PROBE_DELAY_FACTOR.pow(prolongations);
+        let last = crashes.iter().map(|(_, at)| *at).max();
+        let is_due = last.is_none_or(|at| now.saturating_duration_since(at) >= delay);
+        let is_awaited = self
+            .probed
+            .get(&feature)
+            .is_some_and(|at| now.saturating_duration_since(*at) < PROBE_TIMEOUT);
+        if !is_due || is_awaited {
+            return false;
+        }
+        self.probed.insert(feature, now);
+        true
+    }
+
     /// Returns true if an interrupted request with these features may be sent again.
     pub fn may_resend(&self, features: &[RequestFeature]) -> bool {
         features.iter().all(|feature| self.crashes(*feature) < RESEND_LIMIT)
@@ -156,6 +207,7 @@
     pub fn purge(&mut self, now: Instant) {
         let is_kept = |at: Instant, period| now.saturating_duration_since(at) <= period;
         self.sound.retain(|_, at| is_kept(*at, SOUND_PERIOD));
+        self.probed.retain(|_, at| is_kept(*at, PROBE_TIMEOUT));
         let before = self.suspects.len();
         self.suspects.retain(|_, crashes| crashes.iter().any(|(_, at)| is_kept(*at, RETENTION)));
         if self.suspects.len() < before {
--- a/crates/dispatch/tests/crash_suspects.rs
+++ b/crates/dispatch/tests/crash_suspects.rs
@@ -115,3 +115,31 @@
     suspects.purge(now + Duration::from_secs(3600));
     assert_eq!(suspects.crashes(part("one")), 0);
 }
+
+/// All requests with a sound part are interrupted by crashes at first, and from then on refused.
+#[test]
+fn sound_part_whose_requests_were_all_interrupted_is_refused_for_good() {
+    let mut suspects = CrashSuspects::default();
+    let start = Instant::now();
+    let (sound, poison) = (part("sound"), part("poison"));
+    for endpoint in 0..4 {
+        crash(&mut suspects, endpoint, &[sound, poison], start);
+    }
+    crash(&mut suspects, 4, &[sound], start);
+    assert_eq!(suspects.find_refused(&[sound]), Some(&[sound][..]));
+    let (mut let_through, mut served) = (0, 0);
+    for second in 1..=60 {
+        let now = start + Duration::from_secs(second);
+        if suspects.find_refused(&[sound]).is_none() || suspects.begin_probe(&[sound], now) {
+            finish(&mut suspects, &[sound], now);
+            served += 1;
+        }
+        let group = suspects.find_refused(&[poison]).map(<[RequestFeature]>::to_vec);
+        if group.is_none_or(|group| suspects.begin_probe(&group, now)) {
+            crash(&mut suspects, 100 + second, &[poison], now);
+            let_through += 1;
+        }
+    }
+    assert!(served >= 10, "{served} of 60 served");
+    assert!(let_through <= 3, "{let_through} of 60 let through");
+}
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -1,5 +1,6 @@
 //! An accepted request.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -36,6 +37,8 @@
     pub resumes: Option<CallId>,
     /// What it may have in common with other requests: its content, and the shared parts of its prompt.
     pub features: Rc<[RequestFeature]>,
+    /// Whether it is sent although it has features that crash endpoints, to find out whether they do.
+    pub is_probe: Cell<bool>,
     /// When its head was received.
     pub arrived_at: Instant,
     /// Deadline for the end of the response.
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -1,5 +1,6 @@
 //! Validates a client request and turns it into a call, or refuses it.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -137,6 +138,7 @@
         generation: decoded.generation.unwrap_or_default(),
         last_event_id: decoded.last_event_id,
         resumes: decoded.resumes,
+        is_probe: Cell::new(false),
         arrived_at,
         deadline,
     };
