Do not decide again whether a request that was let through is sent

Cause: each check of a request that was let through logged a line again, every 40 ms while it waited for capacity. Change: such a request is not checked again.

--- a/crates/host/src/crash_check.rs
+++ b/crates/host/src/crash_check.rs
@@ -199,6 +199,9 @@
 
     /// Returns true if a call has features that crash endpoints, so that it must not be sent.
     pub fn crashes_endpoints(&self, call: &Call) -> bool {
+        if call.is_probe.get() {
+            return false;
+        }
         let mut guard = self.state.borrow_mut();
         let State { crash_suspects, peers, .. } = &mut *guard;
         let Some(group) = crash_suspects.find_refused(&call.features) else { return false };
@@ -206,8 +209,7 @@
         let features: Vec<String> = group.iter().map(ToString::to_string).collect();
         let hosts = peers.live().map(|member| &member.host);
         let is_prober = assignment::is_assigned(&features[0], &self.settings.host, hosts);
-        let is_probe =
-            call.is_probe.get() || is_prober && crash_suspects.begin_probe(&group, Instant::now());
+        let is_probe = is_prober && crash_suspects.begin_probe(&group, Instant::now());
         info!(self.log, "request has features that crash endpoints"; "call" => %call.id,
             "features" => features.join(","), "crashes" => crashes, "sent" => is_probe);
         call.is_probe.set(is_probe);
