Keep connections through a silence of two seconds

What callers saw: nothing yet; an endpoint that falls silent for a second or so would have lost its connections. Cause: with a user timeout of 2 s a connection is closed 2 s after its last acknowledgement, and the last one may be up to 1 s older than the silence, the interval of the keepalive probes. Change: the user timeout is 3 s, so that a silence of less than 2 s closes no connection. One that is lost is found a second later. No test shows the closed connections: the stand-ins run on loopback, where the system acknowledges for a stopped process.

--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -29,10 +29,11 @@
 /// Idle time before the first TCP keepalive probe, and interval between probes. The operating
 /// system supports only whole seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-/// Number of unacknowledged keepalive probes after which a connection is closed.
+/// Number of unacknowledged keepalive probes after which a connection is closed, if [`USER_TIMEOUT`] has
+/// passed since the last data or acknowledgement.
 const KEEPALIVE_RETRIES: u32 = 2;
 /// Time after which unacknowledged sent data closes a connection.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Maximum size of a response head, in bytes, and of what is read ahead of a body.
 const MAX_HEAD_BYTES: usize = 64 << 10;
