Separate connecting from sending, and warn only of refused features

Cause: sending.rs had grown to hold how a host connects, over its own links or through another host. A warning for each feature of each crash on each host is too many, since warnings are never dropped. Change: connecting.rs holds the functions that connect, moved without a change. Crashes of features are logged at the level info, and a feature that is refused from then on once as a warning.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -149,7 +149,8 @@
     pub fn has_free_slot(&self, now: Instant) -> bool {
         let own = self.own_requests();
         let requests = own + self.load.peer_requests(now);
-        requests < f64::from(self.entry.slots)
+        // An endpoint that states no slots has one at least.
+        requests < f64::from(self.entry.slots.max(1))
             && self.window.is_none_or(|window| window.admits(own, now))
     }
 
--- a/crates/host/src/crash_check.rs
+++ b/crates/host/src/crash_check.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::assignment;
+use camphorloft_dispatch::crash_suspects::REFUSE_AT;
 use camphorloft_dispatch::prelude::*;
 use camphorloft_peer::updates::Updates;
 use camphorloft_peer::wire::{WireFeatureCrash, WireFinishedFeature};
@@ -19,8 +20,8 @@
 
 use crate::boundary::{Registry, Wire};
 use crate::call::Call;
+use crate::connecting::{connect_timeout, probe_endpoint};
 use crate::context::{Host, State};
-use crate::sending::{connect_timeout, probe_endpoint};
 
 /// Time from the interruption of a request to the check of its endpoint, in which the other requests
 /// that a crash interrupts break off too.
@@ -101,8 +102,12 @@
         };
         match record {
             CrashRecord::New => {
-                warn!(self.log, "crash attributed to request"; "endpoint" => endpoint,
+                info!(self.log, "crash attributed to request"; "endpoint" => endpoint,
                     "feature" => %crash.feature, "crashes" => crashes, "source" => source);
+                if crashes == REFUSE_AT {
+                    warn!(self.log, "requests with a feature are refused";
+                        "feature" => %crash.feature, "crashes" => crashes);
+                }
             }
             CrashRecord::Refuted => self.schedule_refutation(crash.feature, now),
             CrashRecord::Ignored => {}
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -18,6 +18,7 @@
 //! - [`frame_stream`]: connections between hosts that carry authenticated frames.
 //! - [`memory_budget`]: memory that bodies of one kind use together.
 //! - [`pace`]: pacing of large reads.
+//! - [`connecting`]: connects to endpoints, over own links or through another host.
 //! - [`sending`]: sends a request to an endpoint and records the run and its result.
 //! - [`crash_check`]: finds out whether an endpoint crashed, and which requests may have caused it.
 //! - [`plain_call`]: serves a call to a plain service.
@@ -47,6 +48,7 @@
 pub mod boundary;
 pub mod call;
 pub mod config_exchange;
+pub mod connecting;
 pub mod connection;
 pub mod context;
 pub mod crash_check;
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -20,10 +20,11 @@
 
 use crate::boundary::{Registry, ResponseKind, Wire};
 use crate::call::Call;
+use crate::connecting::connect_to;
 use crate::context::Host;
 use crate::local_response::local_response;
 use crate::response_body::ResponseBody;
-use crate::sending::{SendPlan, SendReservation, connect_to, send};
+use crate::sending::{SendPlan, SendReservation, send};
 use crate::upstream::ExchangeError;
 
 /// Maximum size of a response of a plain service, in bytes. Current services send about a
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -1,29 +1,19 @@
 //! Sends a request to an endpoint and records the run and its result.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_types::prelude::*;
 use http::Request;
 use http_body_util::Full;
-use slog::{info, warn};
-use tokio::net::TcpStream;
-use tokio::task::spawn_local;
+use slog::info;
 
 use crate::boundary::{EnginePriority, OutboundContext, Registry, ResponseKind, Resume, Wire};
 use crate::call::Call;
-use crate::context::{Host, State};
-use crate::tunnel::{self, TunnelError};
-use crate::upstream::{Exchange, ExchangeError, HttpConnection, connect_stream, start_http};
-
-/// Margin added to the connect timeout for a listener under load.
-const CONNECT_TIMEOUT_MARGIN: Duration = Duration::from_millis(150);
-/// Connect timeout as a multiple of the endpoint's average connect time.
-const CONNECT_TIMEOUT_FACTOR: u32 = 4;
-
-/// Time within which an endpoint or a link that is probed has to respond.
-const MAX_PROBE_TIME: Duration = Duration::from_secs(1);
+use crate::connecting::connect_to;
+use crate::context::Host;
+use crate::upstream::{Exchange, ExchangeError, HttpConnection};
 
 /// Counts a request as placed on an endpoint and not sent yet, until dropped.
 pub struct SendReservation<W, R> {
@@ -105,158 +95,6 @@
     pub resume: Option<Resume>,
 }
 
-/// Returns the time within which a reachable endpoint accepts a connection.
-pub fn connect_timeout(endpoint: &Endpoint) -> Duration {
-    endpoint.connect_time() * CONNECT_TIMEOUT_FACTOR + CONNECT_TIMEOUT_MARGIN
-}
-
-/// Returns true if an endpoint accepts a connection, and records the result.
-pub async fn probe_endpoint<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx) -> bool
-where
-    W: Wire,
-    R: Registry,
-{
-    connect_to(cx, ix, MAX_PROBE_TIME).await.is_ok()
-}
-
-/// Connects to an endpoint within `left` and records the result. A host that is cut off from the
-/// endpoints connects through another one.
-///
-/// # Errors
-///
-/// Returns [`ExchangeError::NotSent`] if the connection failed.
-pub async fn connect_to<W, R>(
-    cx: &Rc<Host<W, R>>,
-    ix: EndpointIx,
-    left: Duration,
-) -> Result<HttpConnection, ExchangeError>
-where
-    W: Wire,
-    R: Registry,
-{
-    let deadline = Instant::now() + left;
-    if cx.state.borrow().reachability.is_cut_off() {
-        try_own_links(cx, ix);
-    } else {
-        match open_directly(cx, ix, left).await {
-            Ok(stream) => return start_http(stream).await,
-            Err(err) if cx.state.borrow().reachability.is_cut_off() => drop(err),
-            Err(err) => {
-                record_unreachable(cx, ix);
-                return Err(err);
-            }
-        }
-    }
-    let left = deadline.saturating_duration_since(Instant::now());
-    match tunnel::open(cx, ix, left).await {
-        Ok(connection) => {
-            if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
-                endpoint.reached_at = Some(Instant::now());
-            }
-            Ok(connection)
-        }
-        Err(TunnelError::Unreachable) => {
-            let now = Instant::now();
-            if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
-                endpoint.health.record_unreachable(now);
-            }
-            cx.attribute_crash(ix, now);
-            Err(ExchangeError::NotSent(TunnelError::Unreachable.to_string()))
-        }
-        Err(TunnelError::NoHost) => {
-            let left = deadline.saturating_duration_since(Instant::now());
-            let stream = open_directly(cx, ix, left).await;
-            start_http(stream.inspect_err(|_| record_unreachable(cx, ix))?).await
-        }
-    }
-}
-
-fn record_unreachable<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx) {
-    let now = Instant::now();
-    if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
-        endpoint.health.record_unreachable(now);
-    }
-    cx.confirm_crash(ix, now);
-}
-
-/// Connects to an endpoint over this host's own links and records whether they work.
-///
-/// # Errors
-///
-/// Returns [`ExchangeError::NotSent`] if the connection failed.
-pub async fn open_directly<W, R>(
-    cx: &Rc<Host<W, R>>,
-    ix: EndpointIx,
-    left: Duration,
-) -> Result<TcpStream, ExchangeError> {
-    let (addr, connect_timeout) = {
-        let state = cx.state.borrow();
-        let Some(endpoint) = state.fleet.get(ix) else {
-            return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
-        };
-        (cx.settings.endpoint_addr(endpoint.entry.addr), connect_timeout(endpoint).min(left))
-    };
-    let begun_at = Instant::now();
-    let stream = connect_stream(addr, connect_timeout).await;
-    let now = Instant::now();
-    match &stream {
-        Ok(_) => {
-            if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
-                endpoint.record_connect_time(now - begun_at);
-                endpoint.reached_at = Some(now);
-            }
-            record_own_links_work(cx, now);
-        }
-        Err(_) => record_own_links_failed(cx, ix, begun_at, now),
-    }
-    stream
-}
-
-/// Tries the links of a cut-off host again, if that is due.
-pub fn try_own_links<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx)
-where
-    W: Wire,
-    R: Registry,
-{
-    if cx.state.borrow_mut().reachability.begin_probe(Instant::now()) {
-        let cx = cx.clone();
-        spawn_local(async move {
-            // The result is recorded.
-            let _ = open_directly(&cx, ix, MAX_PROBE_TIME).await;
-        });
-    }
-}
-
-fn record_own_links_work<W, R>(cx: &Rc<Host<W, R>>, now: Instant) {
-    let cut_off_for = cx.state.borrow_mut().reachability.record_reached(now);
-    if let Some(duration) = cut_off_for {
-        info!(cx.log, "endpoints reached again"; "after_ms" => duration.as_millis() as u64);
-    }
-}
-
-fn record_own_links_failed<W, R>(
-    cx: &Rc<Host<W, R>>,
-    ix: EndpointIx,
-    begun_at: Instant,
-    now: Instant,
-) {
-    let mut guard = cx.state.borrow_mut();
-    let State { fleet, reachability, .. } = &mut *guard;
-    let Some(digest) = fleet.get(ix).map(|endpoint| endpoint.digest) else { return };
-    let ready = fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
-    if !reachability.record_failed(digest, ready, begun_at, now) {
-        return;
-    }
-    let failed: Vec<EndpointIx> =
-        reachability.failed().iter().filter_map(|digest| fleet.find_digest(*digest)).collect();
-    for ix in &failed {
-        if let Some(endpoint) = fleet.get_mut(*ix) {
-            endpoint.health.clear_unreachable();
-        }
-    }
-    warn!(cx.log, "cut off from endpoints"; "failed" => failed.len(), "endpoints_ready" => ready);
-}
-
 /// Sends a call to an endpoint and waits for the response head. Connects first if `connection` is
 /// `None`.
 ///
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -15,8 +15,8 @@
 
 use crate::boundary::{CopyHandle, CopyReply, CopySource, Registry, Wire};
 use crate::call::Call;
+use crate::connecting::connect_to;
 use crate::context::Host;
-use crate::sending::connect_to;
 use crate::upstream::{HttpConnection, connect};
 
 /// Interval between attempts at a copy that the engine is not ready for.
--- a/crates/host/src/tunnel.rs
+++ b/crates/host/src/tunnel.rs
@@ -27,9 +27,9 @@
 use tokio::time::timeout;
 
 use crate::boundary::{Registry, Wire};
+use crate::connecting::{connect_timeout, open_directly, try_own_links};
 use crate::context::{Host, Stage, State};
 use crate::frame_stream::FrameStream;
-use crate::sending::{connect_timeout, open_directly, try_own_links};
 use crate::upstream::{HttpConnection, set_liveness_options, start_http};
 
 /// Maximum number of hosts that are asked for one connection.
