--- a/crates/host/src/connecting.rs
+++ b/crates/host/src/connecting.rs
@@ -5,7 +5,7 @@
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_types::prelude::*;
-use slog::{info, warn};
+use slog::info;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 
@@ -170,5 +170,5 @@
             endpoint.health.clear_unreachable();
         }
     }
-    warn!(cx.log, "cut off from endpoints"; "failed" => failed.len(), "endpoints_ready" => ready);
+    info!(cx.log, "cut off from endpoints"; "failed" => failed.len(), "endpoints_ready" => ready);
 }
