--- a/crates/host/src/tunnel.rs
+++ b/crates/host/src/tunnel.rs
@@ -34,7 +34,8 @@
 
 /// Maximum number of hosts that are asked for one connection.
 const MAX_HOSTS_ASKED: usize = 3;
-/// Number of hosts that have to find an endpoint unreachable.
+/// Number of hosts that find an endpoint unreachable after which no further one is asked. If no further one
+/// can help, one host is enough.
 const MIN_WITNESSES: usize = 2;
 /// Time for which a host that did not help is not asked again.
 const EXCLUSION_PERIOD: Duration = Duration::from_secs(1);
