Do not add an endpoint again that left, when an old announcement arrives late

Cause: announcements of changes of the endpoint list are repeated for 1.5 s and pass through relays, so that an old "joined" may arrive after "gone". Besides, freeing the slot of a removed endpoint also forgot the digest of the same process when it had been listed again. Change: announcements of other hosts do not add a process that was removed less than 3 s ago; what the registry itself lists still does. The digest is forgotten only with its own slot. Result: endpoint_that_left_is_listed_again_by_a_late_announcement and endpoint_listed_again_is_not_found_after_its_first_slot_was_freed fail without the change (changes not empty; None instead of the endpoint) and pass with it.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -57,6 +57,8 @@
     pub distance: Distance,
     /// State.
     pub state: EndpointState,
+    /// When it was removed from the list, if it was.
+    pub removed_at: Option<Instant>,
     /// Whether this host normally sends work to the endpoint. False for most endpoints of a service
     /// with many.
     pub in_subset: bool,
@@ -113,6 +115,7 @@
             entry,
             distance,
             state,
+            removed_at: None,
             in_subset: true,
             joined_at: now,
             shutdown_at: None,
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -20,6 +20,10 @@
 /// service.
 const OTHER_HOSTS_LIMIT_DELAY: Duration = Duration::from_secs(1);
 
+/// Time after its removal in which an endpoint is not added again because another host lists it. Hosts
+/// repeat the announcement of a new endpoint for 1.5 s, directly and through two relays.
+const LATE_ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(3);
+
 /// Change of an endpoint's state as known to this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FleetChange {
@@ -187,6 +191,23 @@
         changes.push(FleetChange::Joined(ix));
     }
 
+    /// Adds or updates an endpoint as another host listed it. A process that was removed just before is
+    /// not added again, because announcements may arrive late and in another order. Appends to
+    /// `changes` what changed.
+    pub fn upsert_announced(
+        &mut self,
+        entry: EndpointEntry,
+        now: Instant,
+        changes: &mut Vec<FleetChange>,
+    ) {
+        let known = self.find_digest(entry.digest()).and_then(|ix| self.get(ix));
+        let removed_at = known.and_then(|endpoint| endpoint.removed_at);
+        let left_recently = |at| now.saturating_duration_since(at) < LATE_ANNOUNCEMENT_PERIOD;
+        if !removed_at.is_some_and(left_recently) {
+            self.upsert(entry, now, changes);
+        }
+    }
+
     /// Records that an endpoint states that it is draining. Appends to `changes` if that is new.
     pub fn mark_draining(&mut self, ix: EndpointIx, now: Instant, changes: &mut Vec<FleetChange>) {
         if let Some(endpoint) = self.get_mut(ix)
@@ -242,6 +263,7 @@
         if let Some(endpoint) = self.get_mut(ix) {
             let since = endpoint.draining_since().unwrap_or(now);
             endpoint.state = EndpointState::Removed { since };
+            endpoint.removed_at = Some(now);
         }
         changes.push(FleetChange::Removed(ix));
     }
@@ -253,7 +275,10 @@
             let Some(endpoint) = &self.slots[ix] else { continue };
             let EndpointState::Removed { since } = endpoint.state else { continue };
             if endpoint.runs.is_empty() && now.saturating_duration_since(since) > keep {
-                self.by_digest.remove(&endpoint.digest);
+                // The process may have been listed again, in another slot.
+                if self.by_digest.get(&endpoint.digest) == Some(&ix) {
+                    self.by_digest.remove(&endpoint.digest);
+                }
                 self.slots[ix] = None;
                 self.free.push(ix);
             }
--- a/crates/dispatch/tests/reclaim.rs
+++ b/crates/dispatch/tests/reclaim.rs
@@ -138,6 +138,41 @@
     assert!(changes.is_empty());
 }
 
+/// Guards against an endpoint that is used again because the announcement that it joined arrives after
+/// the one that it left.
+#[test]
+fn endpoint_that_left_is_listed_again_by_a_late_announcement() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a"], now);
+    let mut changes = Vec::new();
+    fleet.remove(&"e0".parse().unwrap(), now, &mut changes);
+    changes.clear();
+    let later = now + Duration::from_secs(1);
+    fleet.upsert_announced(entry("e0", "n-a", 1), later, &mut changes);
+    assert!(changes.is_empty());
+    assert!(fleet.find(&"e0".parse().unwrap()).is_none());
+    // The registry itself lists an endpoint again that had missed heartbeats, and a new process is
+    // another endpoint.
+    fleet.upsert(entry("e0", "n-a", 1), later, &mut changes);
+    assert_eq!(changes.len(), 1);
+    fleet.remove(&"e0".parse().unwrap(), later, &mut changes);
+    fleet.upsert_announced(entry("e0", "n-a", 2), later, &mut changes);
+    assert!(fleet.find(&"e0".parse().unwrap()).is_some());
+}
+
+/// Guards against updates about an endpoint that are ignored because it was removed and listed again.
+#[test]
+fn endpoint_listed_again_is_not_found_after_its_first_slot_was_freed() {
+    let now = Instant::now();
+    let mut fleet = fleet(&["n-a"], now);
+    let mut changes = Vec::new();
+    fleet.remove(&"e0".parse().unwrap(), now, &mut changes);
+    fleet.upsert(entry("e0", "n-a", 1), now, &mut changes);
+    fleet.purge_removed(Duration::from_secs(10), now + Duration::from_secs(11));
+    let digest = entry("e0", "n-a", 1).digest();
+    assert_eq!(fleet.find_digest(digest), fleet.find(&"e0".parse().unwrap()));
+}
+
 #[test]
 fn list_digests_agree_when_a_report_shows_draining_first() {
     let now = Instant::now();
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -209,7 +209,7 @@
     for change in changes {
         let fleet = &mut cx.state.borrow_mut().fleet;
         match change {
-            EndpointChange::Listed(entry) => fleet.upsert(entry, now, &mut changed),
+            EndpointChange::Listed(entry) => fleet.upsert_announced(entry, now, &mut changed),
             EndpointChange::Removed(name) => fleet.remove(&name, now, &mut changed),
         }
     }
