Decode allowed regions and cold start limits of the configuration

Cause: operators restrict routes and organisations to regions (`allowed-regions`), and state how many requests a cold endpoint tolerates (`cold-s`, `cold-per-s`) and how many connections an endpoint accepts (`max-conns`). The host ignored these fields.

Change: `Residency` is unrestricted or a sorted set of regions. The restrictions of a route and an organisation are intersected, and are also found by name for requests that were routed under another version. `Service` has `cold` and `max_connections`. A malformed region name allows no endpoint and is a warning with its place, since a rejected version would stop all other requests.

--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`raw`]: an unverified version, as decoded by an adapter.
 //! - [`route`]: the configuration of one route.
 //! - [`service`]: a pool of endpoints that routes send requests to.
+//! - [`residency`]: the regions in which a request may be processed.
 //! - [`limits`]: limits on client requests and connections.
 //! - [`set`]: a verified version with its lookups.
 //! - [`verify`]: verifies a raw version and collects every finding.
@@ -13,6 +14,7 @@
 pub mod limits;
 pub mod prelude;
 pub mod raw;
+pub mod residency;
 pub mod route;
 pub mod service;
 pub mod set;
--- a/crates/serving/src/raw.rs
+++ b/crates/serving/src/raw.rs
@@ -42,6 +42,8 @@
     pub max_sends: u32,
     /// True when clients need no key.
     pub public: bool,
+    /// Regions in which its requests may be processed. If empty, all are allowed.
+    pub allowed_regions: Vec<String>,
 }
 
 /// A service of a route and its share of the route's requests.
@@ -60,6 +62,12 @@
     pub name: String,
     /// Capabilities of its engines, for a service that runs generations.
     pub engine: Option<RawEngine>,
+    /// Time for which an endpoint is cold after a start, in seconds.
+    pub cold_s: f64,
+    /// Requests per second that a cold endpoint tolerates; 0 if there is no limit.
+    pub cold_per_s: f64,
+    /// Maximum number of connections of an endpoint; 0 if not stated.
+    pub max_connections: u32,
 }
 
 /// Capabilities of the engines of a service.
@@ -101,4 +109,6 @@
     pub keys: Vec<String>,
     /// Priority that overrides the priority of the route.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be processed. If empty, all are allowed.
+    pub allowed_regions: Vec<String>,
 }
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -5,6 +5,8 @@
 
 use camphorloft_types::prelude::*;
 
+use crate::residency::Residency;
+
 /// How a request may be retried.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum RetryMode {
@@ -82,6 +84,8 @@
     pub max_sends: u32,
     /// True when clients need no key.
     pub public: bool,
+    /// Regions in which its requests may be processed.
+    pub residency: Residency,
 }
 
 impl Route {
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -49,6 +49,15 @@
     }
 }
 
+/// Limit on the requests to an endpoint that has not warmed up.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// Time for which an endpoint is cold after a start.
+    pub period: Duration,
+    /// Rate of requests that a cold endpoint tolerates from all hosts together; above zero.
+    pub rate: RequestRate,
+}
+
 /// A pool of endpoints.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -56,4 +65,8 @@
     pub name: ServiceName,
     /// Capabilities of its engines, for a service that runs generations.
     pub engine: Option<EngineSpec>,
+    /// Limit on the requests to a cold endpoint, if there is one.
+    pub cold: Option<ColdLimit>,
+    /// Maximum number of connections of an endpoint, if stated.
+    pub max_connections: Option<u32>,
 }
--- a/crates/serving/src/set.rs
+++ b/crates/serving/src/set.rs
@@ -1,6 +1,6 @@
 //! A verified version with its lookups.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use camphorloft_config::finding::Findings;
 use camphorloft_types::prelude::*;
@@ -8,6 +8,7 @@
 
 use crate::limits::ClientLimits;
 use crate::raw::RawServing;
+use crate::residency::Residency;
 use crate::route::Route;
 use crate::service::Service;
 use crate::verify::verify;
@@ -28,6 +29,8 @@
     pub name: OrganisationName,
     /// Priority that overrides the priority of the route.
     pub priority: Option<u8>,
+    /// Regions in which its requests may be processed.
+    pub residency: Residency,
 }
 
 /// A verified version of the serving configuration.
@@ -43,9 +46,15 @@
     pub organisations: PrimaryMap<OrganisationIx, Organisation>,
     /// Limits on client requests and connections.
     pub limits: ClientLimits,
+    /// What an operator should correct although the version can be applied.
+    pub warnings: Findings,
     /// Routes by authority, longest prefix first.
     pub(crate) by_authority: HashMap<Box<str>, Vec<RouteIx>>,
     pub(crate) by_key: HashMap<Box<str>, OrganisationIx>,
+    /// The restricted routes. Where routes share a name, each restriction applies.
+    pub(crate) restricted_routes: HashMap<RouteName, Residency>,
+    /// The restricted organisations, likewise.
+    pub(crate) restricted_organisations: HashMap<OrganisationName, Residency>,
 }
 
 impl ServingSet {
@@ -81,6 +90,46 @@
         }
         Ok((route, organisation))
     }
+
+    /// Returns the regions in which the requests of an organisation to a route may be processed.
+    pub fn residency(&self, route: RouteIx, organisation: Option<OrganisationIx>) -> Residency {
+        let route = &self.routes[route].residency;
+        match organisation {
+            Some(organisation) => route.intersection(&self.organisations[organisation].residency),
+            None => route.clone(),
+        }
+    }
+
+    /// Returns the same by name, for requests that were routed under another version. A name that the
+    /// version does not contain is not restricted by it.
+    pub fn residency_by_name(
+        &self,
+        route: &RouteName,
+        organisation: Option<&OrganisationName>,
+    ) -> Residency {
+        let route = self.restricted_routes.get(route);
+        let organisation = organisation.and_then(|name| self.restricted_organisations.get(name));
+        let (route, organisation) = (route.unwrap_or_default(), organisation.unwrap_or_default());
+        route.intersection(organisation)
+    }
+
+    /// Returns the routes and organisations that have no allowed region in common.
+    pub fn residency_conflicts(&self) -> impl Iterator<Item = (&Route, &Organisation)> {
+        let restricted = |residency: &Residency| !residency.is_unrestricted();
+        let routes = self.routes.values().filter(move |route| restricted(&route.residency));
+        routes.flat_map(move |route| {
+            let organisations = self.organisations.values();
+            let conflicting = organisations.filter(|of| route.residency.excludes(&of.residency));
+            conflicting.map(move |organisation| (route, organisation))
+        })
+    }
+
+    /// Returns the regions that routes and organisations name, in order.
+    pub fn named_regions(&self) -> BTreeSet<&Region> {
+        let routes = self.routes.values().map(|route| &route.residency);
+        let organisations = self.organisations.values().map(|organisation| &organisation.residency);
+        routes.chain(organisations).flat_map(Residency::regions).collect()
+    }
 }
 
 impl TryFrom<RawServing> for ServingSet {
--- a/crates/serving/src/verify.rs
+++ b/crates/serving/src/verify.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::fmt::Display;
+use std::hash::Hash;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -11,14 +12,16 @@
 
 use crate::limits::ClientLimits;
 use crate::raw::{RawLimits, RawOrganisation, RawRoute, RawService, RawServing};
+use crate::residency::Residency;
 use crate::route::{RetryMode, Route, Target};
-use crate::service::{EngineSpec, Service};
+use crate::service::{ColdLimit, EngineSpec, Service};
 use crate::set::{Organisation, ServingSet};
 
 /// Verified objects and findings so far.
 struct Verifier<'a> {
     raw: &'a RawServing,
     findings: Findings,
+    warnings: Findings,
     services: PrimaryMap<ServiceIx, Service>,
     service_names: HashMap<&'a str, ServiceIx>,
     routes: PrimaryMap<RouteIx, Route>,
@@ -43,6 +46,7 @@
     let mut verifier = Verifier {
         raw,
         findings: Findings::default(),
+        warnings: Findings::default(),
         services: PrimaryMap::new(),
         service_names: HashMap::new(),
         routes: PrimaryMap::new(),
@@ -95,7 +99,49 @@
             supports_migration: engine.supports_migration && engine.link_mbps > 0.0,
             tokens_per_event: engine.tokens_per_event.max(1),
         });
-        Some(Service { name, engine })
+        let cold = self.check_cold_limit(path, raw);
+        let max_connections = (raw.max_connections > 0).then_some(raw.max_connections);
+        Some(Service { name, engine, cold, max_connections })
+    }
+
+    fn check_cold_limit(&mut self, path: &str, raw: &RawService) -> Option<ColdLimit> {
+        /// Longest accepted time, in seconds. No endpoint takes a day to warm up.
+        const MAX_COLD_SECONDS: f64 = 86_400.0;
+        let is_time = (0.0..=MAX_COLD_SECONDS).contains(&raw.cold_s);
+        if !is_time {
+            let what = format!("not a time from 0 to {MAX_COLD_SECONDS} seconds: {}", raw.cold_s);
+            self.findings.push(format!("{path}/cold_s"), what, "use a time within the range");
+        }
+        let rate = match RequestRate::try_from(raw.cold_per_s) {
+            Ok(rate) => rate,
+            Err(err) => {
+                let remedy = "use a rate within the range, or 0 for no limit";
+                self.findings.push(format!("{path}/cold_per_s"), err.to_string(), remedy);
+                return None;
+            }
+        };
+        let is_limited = is_time && rate > RequestRate::default();
+        is_limited.then(|| ColdLimit { period: Duration::from_secs_f64(raw.cold_s), rate })
+    }
+
+    /// Returns the residency that a list of regions stands for. A name that no region can have is only
+    /// warned of, since a version that is rejected would stop all other requests.
+    fn check_residency(&mut self, path: &str, raw: &[String]) -> Residency {
+        if raw.is_empty() {
+            return Residency::UNRESTRICTED;
+        }
+        let mut regions: Vec<Region> = Vec::with_capacity(raw.len());
+        for (position, text) in raw.iter().enumerate() {
+            match text.parse() {
+                Ok(region) => regions.push(region),
+                Err(err) => {
+                    let what = format!("{text:?} is not the name of a region: {err}");
+                    let remedy = "use the name of a region; no endpoint is allowed by this one";
+                    self.warnings.push(format!("{path}/allowed_regions/{position}"), what, remedy);
+                }
+            }
+        }
+        Residency::restricted_to(regions)
     }
 
     fn check_routes(&mut self) {
@@ -117,6 +163,7 @@
         }
         let retry_mode = self.check_retry_mode(path, raw);
         let targets = self.check_targets(path, raw);
+        let residency = self.check_residency(path, &raw.allowed_regions);
         Some(Route {
             name: name?,
             authority: raw.authority.to_ascii_lowercase().into(),
@@ -129,6 +176,7 @@
             targets: targets?,
             max_sends: raw.max_sends.max(1),
             public: raw.public,
+            residency,
         })
     }
 
@@ -176,7 +224,8 @@
 
     fn check_organisation(&mut self, path: &str, raw: &RawOrganisation) {
         let Some(name) = self.parse(format!("{path}/name"), &raw.name) else { return };
-        let ix = self.organisations.push(Organisation { name, priority: raw.priority });
+        let residency = self.check_residency(path, &raw.allowed_regions);
+        let ix = self.organisations.push(Organisation { name, priority: raw.priority, residency });
         for (position, key) in raw.keys.iter().enumerate() {
             if self.by_key.insert(key.as_str().into(), ix).is_some_and(|other| other != ix) {
                 let what = "another organisation has the same key";
@@ -211,14 +260,36 @@
         for routes in by_authority.values_mut() {
             routes.sort_by_key(|ix| std::cmp::Reverse(self.routes[*ix].prefix.len()));
         }
+        let mut restricted_routes: HashMap<RouteName, Residency> = HashMap::new();
+        for route in self.routes.values() {
+            restrict(&mut restricted_routes, &route.name, &route.residency);
+        }
+        let mut restricted_organisations: HashMap<OrganisationName, Residency> = HashMap::new();
+        for organisation in self.organisations.values() {
+            restrict(&mut restricted_organisations, &organisation.name, &organisation.residency);
+        }
         Ok(ServingSet {
             version: ConfigVersion(self.raw.version),
             routes: self.routes,
             services: self.services,
             organisations: self.organisations,
             limits,
+            warnings: self.warnings,
             by_authority,
             by_key: self.by_key,
+            restricted_routes,
+            restricted_organisations,
         })
     }
 }
+
+/// Adds a restriction to those known by name.
+fn restrict<Name>(known: &mut HashMap<Name, Residency>, name: &Name, residency: &Residency)
+where
+    Name: Clone + Eq + Hash,
+{
+    if !residency.is_unrestricted() {
+        let known = known.entry(name.clone()).or_default();
+        *known = known.intersection(residency);
+    }
+}
--- a/crates/serving/tests/set.rs
+++ b/crates/serving/tests/set.rs
@@ -29,7 +29,7 @@
         organisations: vec![RawOrganisation {
             name: "coop".to_owned(),
             keys: vec!["k1".to_owned()],
-            priority: None,
+            ..RawOrganisation::default()
         }],
     }
 }
