Keep restricted requests in their allowed regions

Cause: a request could be placed, retried, hedged, resumed or migrated in any region, and pass through a host of any region.

Change: `Host::residency` is the intersection of what the version of the call and the version in force say for the route and the organisation. It restricts each placement through `Candidates`, the destinations of migrations, and the hosts that forward a connection. Each send is checked once more when its connection stands, and a migration before each of its copies, so that a newer version also applies to requests that wait, retry, resume or migrate. Continuing at the source of a migration is a send like any other. An endpoint whose zone has no known region is not admitted. If no ready endpoint is allowed, the request is refused before its body is read and before it counts as an attempt to find a crash: `no_endpoint_in_region` with a Retry-After of 1.5 to 3 s, or `no_allowed_region` without one. Unknown regions and routes and organisations without a common region are logged as warnings once per version.

--- a/crates/dispatch/src/distance.rs
+++ b/crates/dispatch/src/distance.rs
@@ -38,6 +38,16 @@
 }
 
 impl Locality {
+    /// Returns the region of a zone, if the settings state it.
+    pub fn region_of(&self, zone: &AvailabilityZone) -> Option<&Region> {
+        self.regions.get(zone).or((*zone == self.zone).then_some(&self.region))
+    }
+
+    /// Returns true if a zone of the settings is in the region.
+    pub fn has_region(&self, region: &Region) -> bool {
+        self.region == *region || self.regions.values().any(|known| known == region)
+    }
+
     /// Returns the distance from this host to a zone. A zone that is not listed counts as remote.
     pub fn distance(&self, zone: &AvailabilityZone) -> Distance {
         self.between(&self.zone, zone)
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -55,6 +55,8 @@
     pub digest: u64,
     /// Distance from this host.
     pub distance: Distance,
+    /// Region of its zone, if the settings state it.
+    pub region: Option<Region>,
     /// State.
     pub state: EndpointState,
     /// Whether this host normally sends work to the endpoint. False for most endpoints of a service
@@ -97,7 +99,12 @@
 
 impl Endpoint {
     /// Creates the state of a newly listed endpoint.
-    pub fn new(entry: EndpointEntry, distance: Distance, now: Instant) -> Self {
+    pub fn new(
+        entry: EndpointEntry,
+        distance: Distance,
+        region: Option<Region>,
+        now: Instant,
+    ) -> Self {
         let state = match entry.draining {
             true => EndpointState::Draining { since: now },
             false => EndpointState::Ready,
@@ -112,6 +119,7 @@
             digest: entry.digest(),
             entry,
             distance,
+            region,
             state,
             in_subset: true,
             joined_at: now,
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -206,7 +206,8 @@
     fn insert(&mut self, entry: EndpointEntry, now: Instant) -> EndpointIx {
         self.list_revision += 1;
         let distance = self.locality.distance(&entry.zone);
-        let endpoint = Some(Endpoint::new(entry, distance, now));
+        let region = self.locality.region_of(&entry.zone).cloned();
+        let endpoint = Some(Endpoint::new(entry, distance, region, now));
         match self.free.pop() {
             Some(ix) => {
                 self.slots[ix] = endpoint;
@@ -223,6 +224,7 @@
         now: Instant,
         changes: &mut Vec<FleetChange>,
     ) {
+        let region = self.locality.region_of(&entry.zone).cloned();
         let Some(endpoint) = self.get_mut(ix) else { return };
         // Draining is final for a process: an entry that still lists it as ready is older.
         if entry.draining && endpoint.state == EndpointState::Ready {
@@ -232,6 +234,7 @@
         endpoint.warm_at = now + entry.warmup_remaining;
         let draining = endpoint.entry.draining;
         endpoint.entry = entry;
+        endpoint.region = region;
         endpoint.entry.draining |= draining;
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`fleet`]: the table of endpoints.
 //! - [`brittleness`]: services whose endpoints crash when they have to refuse many requests.
 //! - [`candidates`]: restricts the endpoints that a request may be sent to.
+//! - [`residency`]: refuses requests that no endpoint in their allowed regions can serve.
 //! - [`stream_origins`]: software versions that began streams.
 //! - [`choice`]: a selected endpoint, with the inputs to the decision.
 //! - [`migration`]: schedules migrations of generations between engines.
@@ -50,6 +51,7 @@
 pub mod reclaim;
 pub mod request_limit;
 pub mod request_window;
+pub mod residency;
 pub mod retry_quota;
 pub mod run;
 pub mod stream_origins;
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-use camphorloft_serving::prelude::EngineSpec;
+use camphorloft_serving::prelude::{EngineSpec, Residency};
 use camphorloft_types::prelude::*;
 
 use crate::distance::Distance;
@@ -67,12 +67,25 @@
     pub too_late: u32,
     /// Engines that refused a copy recently.
     pub refusing: u32,
+    /// Engines outside of the regions in which the generation may be processed.
+    pub other_region: u32,
     /// Engines of another software version, which cannot continue the generation.
     pub other_version: u32,
     /// Engines that limit requests, and that this host may not send the generation to in time.
     pub limited: u32,
 }
 
+/// A generation on a draining engine, and what restricts its destination.
+#[derive(Clone, Copy, Debug)]
+pub struct ReclaimedRun<'a> {
+    /// Generation.
+    pub run: &'a Run,
+    /// Engines that refused a copy of it.
+    pub tried: &'a [EndpointIx],
+    /// Regions in which it may be processed.
+    pub residency: &'a Residency,
+}
+
 /// Returns the expected shutdown time of an engine. Meaningful only for one that is draining.
 pub fn shutdown_at(endpoint: &Endpoint, now: Instant) -> Instant {
     let since = endpoint.draining_since().unwrap_or(now);
@@ -85,26 +98,24 @@
     run.kv_tokens() / TOKENS_PER_ROUND
 }
 
-/// Decides about a generation of this host on a draining engine. Engines in `tried` refused a copy
-/// of it.
+/// Decides about a generation of this host on a draining engine.
 pub fn decide(
     fleet: &Fleet,
     spec: &EngineSpec,
     from: EndpointIx,
-    run: &Run,
-    tried: &[EndpointIx],
+    reclaimed: &ReclaimedRun<'_>,
     now: Instant,
 ) -> ReclaimDecision {
     let Some(source) = fleet.get(from) else {
         return ReclaimDecision::NoDestination(NoDestination::default());
     };
     let remaining = shutdown_at(source, now).saturating_duration_since(now);
-    let to_finish = f64::from(run.expected_remaining()) / CONTENDED_TOKENS_PER_SECOND;
+    let to_finish = f64::from(reclaimed.run.expected_remaining()) / CONTENDED_TOKENS_PER_SECOND;
     if to_finish < remaining.as_secs_f64() * FINISH_FRACTION {
         return ReclaimDecision::Finish;
     }
     let deadline = shutdown_at(source, now) - HANDOVER_MARGIN;
-    match destination(fleet, spec, from, run, tried, deadline, now) {
+    match destination(fleet, spec, from, reclaimed, deadline, now) {
         Ok((to, duration)) => ReclaimDecision::Migrate { to, duration },
         Err(reasons) => ReclaimDecision::NoDestination(reasons),
     }
@@ -114,12 +125,12 @@
     fleet: &Fleet,
     spec: &EngineSpec,
     from: EndpointIx,
-    run: &Run,
-    tried: &[EndpointIx],
+    reclaimed: &ReclaimedRun<'_>,
     deadline: Instant,
     now: Instant,
 ) -> Result<(EndpointIx, Duration), NoDestination> {
     let source = fleet.get(from).ok_or_else(NoDestination::default)?;
+    let ReclaimedRun { run, tried, residency } = *reclaimed;
     let kv_tokens = run.kv_tokens();
     let demand = TokenDemand { kv_tokens, prefill_tokens: 0, expected: run.expected_remaining() };
     let mut best: Option<(f64, EndpointIx, Duration)> = None;
@@ -133,6 +144,10 @@
         if excluded || !endpoint.is_usable(now) {
             continue;
         }
+        if !residency.allows_place(endpoint.region.as_ref()) {
+            reasons.other_region += 1;
+            continue;
+        }
         let began = source.entry.software.as_ref();
         if !began.is_some_and(|software| endpoint.entry.has_software(software)) {
             reasons.other_version += 1;
--- a/crates/dispatch/tests/reclaim.rs
+++ b/crates/dispatch/tests/reclaim.rs
@@ -6,6 +6,7 @@
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_dispatch::reclaim;
+use camphorloft_serving::prelude::Residency;
 use camphorloft_types::prelude::*;
 use common::{call, engine, entry, find, fleet, work};
 use proptest::prelude::*;
@@ -21,6 +22,12 @@
     fleet.get(from).unwrap().runs.clone()
 }
 
+/// Decides about a run that may be processed in any region.
+fn decide(fleet: &Fleet, from: EndpointIx, run: &Run, now: Instant) -> ReclaimDecision {
+    let reclaimed = ReclaimedRun { run, tried: &[], residency: &Residency::UNRESTRICTED };
+    reclaim::decide(fleet, &engine(), from, &reclaimed, now)
+}
+
 /// Decides and plans the migrations of all runs, round by round. Returns the plans.
 fn plan_all(fleet: &mut Fleet, runs: &[Run], now: Instant) -> Vec<PlannedMigration> {
     let from = find(fleet, "e0");
@@ -28,9 +35,7 @@
     runs.sort_by_key(|run| reclaim::start_round(run));
     let mut plans = Vec::new();
     for run in runs {
-        if let ReclaimDecision::Migrate { to, duration } =
-            reclaim::decide(fleet, &engine(), from, run, &[], now)
-        {
+        if let ReclaimDecision::Migrate { to, duration } = decide(fleet, from, run, now) {
             plans.push(fleet.plan_migration(run.id.0, (from, to), run.kv_tokens(), duration, now));
         }
     }
@@ -78,7 +83,7 @@
         fleet.start_run(to, &call(100 + ix), work(3_200, 500), now);
     }
     let runs = drain_first(&mut fleet, &[3_000], now);
-    let decision = reclaim::decide(&fleet, &engine(), find(&fleet, "e0"), &runs[0], &[], now);
+    let decision = decide(&fleet, find(&fleet, "e0"), &runs[0], now);
     let reasons = NoDestination { full: 1, ..NoDestination::default() };
     assert_eq!(decision, ReclaimDecision::NoDestination(reasons));
 }
@@ -91,7 +96,7 @@
     fleet.start_run(from, &call(0), work(3_000, 60), now);
     fleet.upsert(EndpointEntry { draining: true, ..entry("e0", "n-a", 1) }, now, &mut Vec::new());
     let run = fleet.get(from).unwrap().runs[0].clone();
-    assert_eq!(reclaim::decide(&fleet, &engine(), from, &run, &[], now), ReclaimDecision::Finish);
+    assert_eq!(decide(&fleet, from, &run, now), ReclaimDecision::Finish);
 }
 
 /// On an engine that also prefills prompts a token takes up to 15 ms, so a generation can end later
@@ -104,7 +109,7 @@
     fleet.start_run(from, &call(0), work(3_000, 100), now);
     fleet.upsert(EndpointEntry { draining: true, ..entry("e0", "n-a", 1) }, now, &mut Vec::new());
     let run = fleet.get(from).unwrap().runs[0].clone();
-    let decision = reclaim::decide(&fleet, &engine(), from, &run, &[], now);
+    let decision = decide(&fleet, from, &run, now);
     assert!(matches!(decision, ReclaimDecision::Migrate { .. }), "{decision:?}");
 }
 
@@ -118,7 +123,7 @@
         fleet.start_run(to, &call(100 + ix), work(3_300, 500), now);
     }
     let runs = drain_first(&mut fleet, &[3_000], now);
-    let decision = reclaim::decide(&fleet, &engine(), find(&fleet, "e0"), &runs[0], &[], now);
+    let decision = decide(&fleet, find(&fleet, "e0"), &runs[0], now);
     assert!(
         matches!(decision, ReclaimDecision::Migrate { to: chosen, .. } if chosen == to),
         "{decision:?}"
@@ -202,11 +207,11 @@
     fleet.upsert(other, now, &mut Vec::new());
     let runs = drain_first(&mut fleet, &[3_000], now);
     let from = find(&fleet, "e0");
-    let decision = reclaim::decide(&fleet, &engine(), from, &runs[0], &[], now);
+    let decision = decide(&fleet, from, &runs[0], now);
     let reasons = NoDestination { other_version: 1, ..NoDestination::default() };
     assert_eq!(decision, ReclaimDecision::NoDestination(reasons));
     fleet.upsert(entry("e2", "n-a", 1), now, &mut Vec::new());
     let same = find(&fleet, "e2");
-    let decision = reclaim::decide(&fleet, &engine(), from, &runs[0], &[], now);
+    let decision = decide(&fleet, from, &runs[0], now);
     assert!(matches!(decision, ReclaimDecision::Migrate { to, .. } if to == same));
 }
--- a/crates/host/src/connecting.rs
+++ b/crates/host/src/connecting.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
+use camphorloft_serving::prelude::Residency;
 use camphorloft_types::prelude::*;
 use slog::info;
 use tokio::net::TcpStream;
@@ -32,11 +33,12 @@
     W: Wire,
     R: Registry,
 {
-    connect_to(cx, ix, MAX_PROBE_TIME).await.is_ok()
+    // A probe carries no request, so that it may take any path.
+    connect_to(cx, ix, &Residency::UNRESTRICTED, MAX_PROBE_TIME).await.is_ok()
 }
 
 /// Connects to an endpoint within `left` and records the result. A host that is cut off from the
-/// endpoints connects through another one.
+/// endpoints connects through another one, in a region that `residency` allows.
 ///
 /// # Errors
 ///
@@ -44,6 +46,7 @@
 pub async fn connect_to<W, R>(
     cx: &Rc<Host<W, R>>,
     ix: EndpointIx,
+    residency: &Residency,
     left: Duration,
 ) -> Result<HttpConnection, ExchangeError>
 where
@@ -64,7 +67,7 @@
         }
     }
     let left = deadline.saturating_duration_since(Instant::now());
-    match tunnel::open(cx, ix, left).await {
+    match tunnel::open(cx, ix, residency, left).await {
         Ok(connection) => {
             if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(ix) {
                 endpoint.reached_at = Some(Instant::now());
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -313,6 +313,7 @@
         info!(self.log, "version in force"; "version" => %version, "before" => %known,
             "source" => source, "routes" => set.routes.len(),
             "organisations" => set.organisations.len());
+        self.warn_of_restrictions(&set);
         self.metrics.serving_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
         self.state.borrow_mut().serving = Some(Rc::new(set));
         self.notify_fleet_changed();
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -5,6 +5,7 @@
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_dispatch::{admission, plain};
+use camphorloft_serving::prelude::Residency;
 use camphorloft_types::prelude::*;
 use http::{Response, StatusCode};
 use rand::Rng;
@@ -44,6 +45,8 @@
     /// Whether an engine may have run it.
     may_have_run: bool,
     wait_logged: bool,
+    /// Regions in which it may be processed, as of the last attempt to place it.
+    residency: Residency,
 }
 
 /// Reason that a generation was not placed, and the response to send.
@@ -70,6 +73,7 @@
         sends: 0,
         may_have_run: false,
         wait_logged: false,
+        residency: Residency::UNRESTRICTED,
     };
     match placement.cx.required_software(&placement.call, Instant::now()) {
         Ok(software) => placement.software = software,
@@ -101,7 +105,17 @@
         sends: u32,
     ) -> Self {
         let since = Instant::now();
-        Self { cx, call, since, tried, software, sends, may_have_run: true, wait_logged: false }
+        Self {
+            cx,
+            call,
+            since,
+            tried,
+            software,
+            sends,
+            may_have_run: true,
+            wait_logged: false,
+            residency: Residency::UNRESTRICTED,
+        }
     }
 
     /// Sends the generation to one engine after another until one responds or no retry is allowed.
@@ -176,6 +190,11 @@
         PlacementFailure { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after }
     }
 
+    fn refuse(&self, refusal: ResidencyRefusal) -> PlacementFailure {
+        let failure = self.failure(refusal.as_str(), Duration::ZERO);
+        PlacementFailure { retry_after: failure.retry_after.and(refusal.retry_after()), ..failure }
+    }
+
     fn timed_out(&self) -> PlacementFailure {
         let status = match self.may_have_run {
             true => StatusCode::GATEWAY_TIMEOUT,
@@ -191,6 +210,11 @@
     ) -> Result<(Choice, SendReservation<W, R>), PlacementFailure> {
         loop {
             let now = Instant::now();
+            self.residency = self.cx.residency(&self.call);
+            let service = &self.call.service().name;
+            if let Err(refusal) = self.cx.check_residency(service, &self.residency) {
+                return Err(self.refuse(refusal));
+            }
             if self.cx.crashes_endpoints(&self.call) {
                 let failure = self.failure("crashes_endpoints", Duration::ZERO);
                 return Err(PlacementFailure { retry_after: None, ..failure });
@@ -231,6 +255,7 @@
         let candidates = Candidates {
             tried: &self.tried,
             software: self.software.as_ref(),
+            residency: &self.residency,
             max_delay: Duration::ZERO,
         };
         let Some(spec) = &service.engine else {
@@ -305,6 +330,7 @@
             "cost_ms" => choice.cost_ms.round(), "fill" => (choice.fill * 100.0).round() / 100.0,
             "unread" => choice.prefill_tokens, "sequences" => choice.sequences,
             "delay_ms" => choice.delay.as_millis() as u64,
+            "regions" => self.residency.log_text(),
             "report_age_ms" => choice.report_age.map(|age| age.as_millis() as u64),
             "failure_share" => (choice.failure_rate * 100.0).round() / 100.0,
             "compared" => choice.compared, "unusable" => choice.unusable,
@@ -357,6 +383,7 @@
         info!(self.cx.log, "generation not served"; "call" => %self.call.id,
             "route" => %self.call.route().name, "outcome" => %outcome,
             "status" => status.as_u16(), "reason" => reason, "sends" => self.sends,
+            "regions" => self.residency.log_text(),
             "took_ms" => self.call.arrived_at.elapsed().as_millis() as u64);
     }
 
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use camphorloft_dispatch::prelude::ResidencyRefusal;
 use camphorloft_serving::prelude::*;
 use camphorloft_types::prelude::*;
 use http::{Request, Response, StatusCode, header, request};
@@ -38,15 +39,26 @@
     status: StatusCode,
     reason: &'static str,
     retry_after: Option<Duration>,
+    /// Route and allowed regions, if the reason is where the request may be processed.
+    restriction: Option<(RouteName, Residency)>,
 }
 
 impl Refusal {
     fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None }
+        Self { status, reason, retry_after: None, restriction: None }
     }
 
     fn unavailable(reason: &'static str, retry_after: Duration) -> Self {
-        Self { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after: Some(retry_after) }
+        let retry_after = Some(retry_after);
+        Self { retry_after, ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason) }
+    }
+
+    fn out_of_region(refusal: ResidencyRefusal, route: &Route, residency: Residency) -> Self {
+        Self {
+            retry_after: refusal.retry_after(),
+            restriction: Some((route.name.clone(), residency)),
+            ..Self::new(StatusCode::SERVICE_UNAVAILABLE, refusal.as_str())
+        }
     }
 }
 
@@ -72,11 +84,14 @@
         Ok(call) => Rc::new(call),
         Err(refusal) => {
             cx.metrics.refusals.with_label_values(&[refusal.reason]).inc();
+            let restriction = refusal.restriction.as_ref();
             info!(cx.log, "request refused"; "call" => %id, "reason" => refusal.reason,
                 "status" => refusal.status.as_u16(),
+                "route" => restriction.map(|(route, _)| route.to_string()),
+                "regions" => restriction.and_then(|(_, residency)| residency.log_text()),
                 "version" => cx.serving().map(|serving| serving.version.to_string()),
                 "took_ms" => arrived_at.elapsed().as_millis() as u64);
-            let Refusal { status, reason, retry_after } = refusal;
+            let Refusal { status, reason, retry_after, .. } = refusal;
             return local_response(status, Outcome::NotRun, reason, retry_after);
         }
     };
@@ -119,8 +134,13 @@
     let time_limit = decoded.timeout.unwrap_or(timeout).min(timeout);
     let deadline = arrived_at + time_limit;
     check_draining(cx, &serving.routes[route])?;
-    let body = read_body(&serving.limits, body, deadline, memory).await?;
     let draw = cx.state.borrow_mut().rng.random::<f64>();
+    let service = serving.routes[route].choose_target(draw);
+    let residency = serving.residency(route, organisation);
+    if let Err(refusal) = cx.check_residency(&serving.services[service].name, &residency) {
+        return Err(Refusal::out_of_region(refusal, &serving.routes[route], residency));
+    }
+    let body = read_body(&serving.limits, body, deadline, memory).await?;
     let name = organisation.map(|ix| &serving.organisations[ix].name);
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let organisation_name = name.map_or("", OrganisationName::as_str);
@@ -129,7 +149,7 @@
     let call = Call {
         id: decoded.call,
         features: std::iter::once(content).chain(decoded.shared_parts).collect(),
-        service: serving.routes[route].choose_target(draw),
+        service,
         head,
         body,
         serving,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`memory_budget`]: memory that bodies of one kind use together.
 //! - [`pace`]: pacing of large reads.
 //! - [`connecting`]: connects to endpoints, over own links or through another host.
+//! - [`residency`]: the regions in which a request may be processed.
 //! - [`sending`]: sends a request to an endpoint and records the run and its result.
 //! - [`crash_check`]: finds out whether an endpoint crashed, and which requests may have caused it.
 //! - [`plain_call`]: serves a call to a plain service.
@@ -72,6 +73,7 @@
 pub mod probes;
 pub mod registry_outage;
 pub mod report_poll;
+pub mod residency;
 pub mod response_body;
 pub mod sending;
 pub mod serving_watch;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -37,6 +37,8 @@
     pub pause_seconds: Histogram,
     /// Configuration version in force.
     pub serving_version: IntGauge,
+    /// Pairs of a route and an organisation without an allowed region in common.
+    pub residency_conflicts: IntGauge,
     /// Endpoints that accept new work.
     pub ready_endpoints: IntGauge,
     /// Active streams.
@@ -100,6 +102,10 @@
                 PAUSE_SECONDS,
             ),
             serving_version: set.gauge("camphorloft_serving_version", "Version in force"),
+            residency_conflicts: set.gauge(
+                "camphorloft_residency_conflicts",
+                "Pairs of a route and an organisation without an allowed region in common",
+            ),
             ready_endpoints: set.gauge("camphorloft_endpoints_ready", "Endpoints that take work"),
             streams: set.gauge("camphorloft_streams", "Streams in progress"),
             set,
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use camphorloft_dispatch::plain;
 use camphorloft_dispatch::prelude::*;
+use camphorloft_serving::prelude::Residency;
 use camphorloft_types::prelude::*;
 use http::{Response, StatusCode, response};
 use rand::Rng;
@@ -75,6 +76,10 @@
     may_have_run: bool,
     /// Time for which no further attempt can start because the endpoints limit requests.
     limited_for: Option<Duration>,
+    /// Regions in which the call may be processed, as of the last placement.
+    residency: Residency,
+    /// Reason that none of them can serve the call.
+    residency_refusal: Option<ResidencyRefusal>,
 }
 
 /// Serves a call.
@@ -94,6 +99,8 @@
         last_failure: None,
         may_have_run: false,
         limited_for: None,
+        residency: Residency::UNRESTRICTED,
+        residency_refusal: None,
     };
     match attempts.run().await {
         Some(buffered) => attempts.forward(buffered),
@@ -168,11 +175,21 @@
         }
         let now = Instant::now();
         let service = &self.call.service().name;
+        self.residency = self.cx.residency(&self.call);
+        self.residency_refusal = self.cx.check_residency(service, &self.residency).err();
+        if self.residency_refusal.is_some() {
+            return;
+        }
         let max_delay = self.hedge_delay().saturating_sub(now - self.call.arrived_at);
         let choice = {
             let mut guard = self.cx.state.borrow_mut();
             let state = &mut *guard;
-            let candidates = Candidates { tried: &self.tried, software: None, max_delay };
+            let candidates = Candidates {
+                tried: &self.tried,
+                software: None,
+                residency: &self.residency,
+                max_delay,
+            };
             let choice = plain::choose(&state.fleet, service, &candidates, now, &mut state.rng);
             let Some(choice) = choice else {
                 self.limited_for = state.fleet.limited_for(service, &candidates, now);
@@ -209,6 +226,7 @@
             "version" => %self.call.serving.version, "cost_ms" => choice.cost_ms.round(),
             "failure_share" => (choice.failure_rate * 100.0).round() / 100.0,
             "delay_ms" => choice.delay.as_millis() as u64,
+            "regions" => self.residency.log_text(),
             "compared" => choice.compared, "unusable" => choice.unusable);
     }
 
@@ -282,17 +300,26 @@
             self.log_end(Outcome::Unknown, status, reason, None);
             return local_response(status, Outcome::Unknown, reason, None);
         }
+        let (reason, retry_after) = match self.residency_refusal {
+            Some(refusal) => (refusal.as_str(), refusal.retry_after()),
+            None => self.busy_refusal(),
+        };
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        self.cx.metrics.refusals.with_label_values(&[reason]).inc();
+        self.log_end(Outcome::NotRun, status, reason, None);
+        local_response(status, Outcome::NotRun, reason, retry_after)
+    }
+
+    /// Returns the reason that no endpoint took the call, and when the client should retry.
+    fn busy_refusal(&self) -> (&'static str, Option<Duration>) {
         let reason = match (self.limited_for, self.tried.is_empty()) {
             (Some(_), _) => "limited",
             (None, true) => "no_endpoint",
             (None, false) => "refused_by_endpoints",
         };
         let retry_after = self.limited_for.unwrap_or_default().max(RETRY_AFTER);
-        let retry_after = retry_after.mul_f64(1.0 + self.cx.state.borrow_mut().rng.random::<f64>());
-        let status = StatusCode::SERVICE_UNAVAILABLE;
-        self.cx.metrics.refusals.with_label_values(&[reason]).inc();
-        self.log_end(Outcome::NotRun, status, reason, None);
-        local_response(status, Outcome::NotRun, reason, Some(retry_after))
+        let jitter = 1.0 + self.cx.state.borrow_mut().rng.random::<f64>();
+        (reason, Some(retry_after.mul_f64(jitter)))
     }
 
     fn log_end(
@@ -308,6 +335,7 @@
             "route" => %self.call.route().name, "outcome" => %outcome,
             "status" => status.as_u16(), "reason" => reason,
             "endpoint" => endpoint.map(ToString::to_string), "sends" => self.sends,
+            "regions" => self.residency.log_text(),
             "took_ms" => self.call.arrived_at.elapsed().as_millis() as u64);
     }
 }
@@ -324,7 +352,8 @@
     W: Wire,
     R: Registry,
 {
-    let Ok(connection) = connect_to(cx, endpoint, call.time_left(Instant::now())).await else {
+    let left = call.time_left(Instant::now());
+    let Ok(connection) = connect_to(cx, endpoint, &cx.residency(call), left).await else {
         return AttemptResult::NotSent;
     };
     unresolved.set(true);
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -115,7 +115,8 @@
     let connection = match connection {
         Some(connection) => connection,
         None => {
-            let result = connect_to(cx, ix, call.time_left(Instant::now())).await;
+            let left = call.time_left(Instant::now());
+            let result = connect_to(cx, ix, &cx.residency(call), left).await;
             result.inspect_err(|err| log_failure(cx, call, ix, err))?
         }
     };
@@ -123,6 +124,12 @@
         return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
     };
     let via = connection.via().cloned();
+    // A newer version may have restricted the call since it was placed.
+    if !cx.allows_send(call, ix, via.as_ref()) {
+        let err = ExchangeError::NotSent("the call is not allowed in that region".to_owned());
+        log_failure(cx, call, ix, &err);
+        return Err(err);
+    }
     if let Some(via) = &via {
         info!(cx.log, "request sent through host"; "call" => %call.id, "endpoint" => %name,
             "via" => %via);
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -69,6 +69,7 @@
         };
         let now = Instant::now();
         let from = self.source.guard.endpoint;
+        let residency = self.cx.residency(&self.call);
         let decision = {
             let state = self.cx.state.borrow();
             let Some(endpoint) = state.fleet.get(from) else { return };
@@ -77,7 +78,8 @@
             }
             let run = endpoint.runs.iter().find(|run| run.id == self.source.guard.run);
             let Some(run) = run else { return };
-            reclaim::decide(&state.fleet, spec, from, run, &self.tried, now)
+            let reclaimed = ReclaimedRun { run, tried: &self.tried, residency: &residency };
+            reclaim::decide(&state.fleet, spec, from, &reclaimed, now)
         };
         self.review_at = Some(now + REVIEW_INTERVAL);
         match decision {
@@ -98,7 +100,8 @@
         info!(self.cx.log, "no migration destination"; "call" => %self.call.id,
             "from" => %self.source.name, "events" => self.events, "full" => reasons.full,
             "too_late" => reasons.too_late, "refusing" => reasons.refusing,
-            "limited" => reasons.limited, "other_version" => reasons.other_version);
+            "limited" => reasons.limited, "other_version" => reasons.other_version,
+            "other_region" => reasons.other_region);
     }
 
     fn start_transfer(&mut self, from: EndpointIx, to: EndpointIx, transfer_duration: Duration) {
@@ -133,6 +136,7 @@
             TransferError::Unreachable => "unreachable",
             TransferError::Ended => "ended",
             TransferError::TooLate => "too_late",
+            TransferError::OutOfRegion => "out_of_region",
             TransferError::Failed(_) => "unclear",
         };
         self.cx.metrics.migrations.with_label_values(&[result]).inc();
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -66,6 +66,10 @@
         TooLate {
             display("the copy was not complete in time")
         }
+        /// A newer version does not allow the generation in the region of the destination.
+        OutOfRegion {
+            display("the generation is no longer allowed in the region of the destination")
+        }
         /// A copy request failed, or its response was not understood.
         Failed(detail: String) {
             display("the copy request failed: {}", detail)
@@ -99,13 +103,16 @@
     };
     let kv_copy = KvCopy { cx: &cx, call: &call, from_ix: plan.from, from: &from, to: &to };
     wait_for_start(&cx, plan, kv_tokens).await?;
+    check_region(&cx, &call, plan.to, None)?;
     let first_started_at = Instant::now();
     let handle = kv_copy.copy_first(plan.from).await?;
     let guard = CopyGuard { cx: cx.clone(), from: from.clone(), handle: Some(handle) };
     let first_duration = first_started_at.elapsed();
-    let Ok(connection) = connect_to(&cx, plan.to, CONNECT_TIMEOUT).await else {
+    let Ok(connection) = connect_to(&cx, plan.to, &cx.residency(&call), CONNECT_TIMEOUT).await
+    else {
         return Err(TransferError::Unreachable);
     };
+    check_region(&cx, &call, plan.to, connection.via())?;
     let final_started_at = Instant::now();
     let (handle, events, copied) = kv_copy.copy_final().await?;
     guard.disarm();
@@ -122,6 +129,19 @@
     Ok(Handover { to, connection, from: plan.from, copy, events })
 }
 
+/// Returns an error if a generation may no longer be resumed on an engine, through another host if given.
+fn check_region<W, R>(
+    cx: &Host<W, R>,
+    call: &Call,
+    to: EndpointIx,
+    via: Option<&HostName>,
+) -> Result<(), TransferError> {
+    match cx.allows_send(call, to, via) {
+        true => Ok(()),
+        false => Err(TransferError::OutOfRegion),
+    }
+}
+
 /// Returns the expected shutdown time of an engine.
 fn expected_shutdown<W, R>(cx: &Rc<Host<W, R>>, from: EndpointIx) -> Instant {
     let now = Instant::now();
--- a/crates/host/src/tunnel.rs
+++ b/crates/host/src/tunnel.rs
@@ -17,6 +17,7 @@
 use camphorloft_peer::wire::{
     WireConfigRequest, WireTunnelReply, WireTunnelRequest, WireTunnelResult,
 };
+use camphorloft_serving::prelude::Residency;
 use camphorloft_types::prelude::*;
 use quick_error::quick_error;
 use rand::Rng;
@@ -84,7 +85,7 @@
     }
 }
 
-/// Connects to an endpoint through another host, within `left`.
+/// Connects to an endpoint through another host in a region that `residency` allows, within `left`.
 ///
 /// # Errors
 ///
@@ -92,6 +93,7 @@
 pub async fn open<W, R>(
     cx: &Rc<Host<W, R>>,
     ix: EndpointIx,
+    residency: &Residency,
     left: Duration,
 ) -> Result<HttpConnection, TunnelError> {
     let keys = cx.state.borrow_mut().peers.link_mut().map(|(link, _)| link.keys().clone());
@@ -99,7 +101,7 @@
     let deadline = Instant::now() + left.min(MAX_CONNECT_TIME * 4);
     let (mut asked, mut witnesses) = (Vec::new(), 0);
     while asked.len() < MAX_HOSTS_ASKED && Instant::now() < deadline {
-        let Some((via, endpoint)) = choose_host(cx, ix, &asked) else { break };
+        let Some((via, endpoint)) = choose_host(cx, ix, residency, &asked) else { break };
         asked.push(via.host.clone());
         let allowed = MAX_CONNECT_TIME.min(deadline.saturating_duration_since(Instant::now()));
         let request = WireTunnelRequest {
@@ -130,15 +132,23 @@
 }
 
 /// Selects the host to ask next, and returns it with the digest of the endpoint: a host of the endpoint's
-/// region if there is one, of a zone in which no host has failed to help.
-fn choose_host<W, R>(cx: &Host<W, R>, ix: EndpointIx, asked: &[HostName]) -> Option<(Member, u64)> {
+/// region if there is one, of a zone in which no host has failed to help. The request passes through it, so
+/// that it has to be in an allowed region.
+fn choose_host<W, R>(
+    cx: &Host<W, R>,
+    ix: EndpointIx,
+    residency: &Residency,
+    asked: &[HostName],
+) -> Option<(Member, u64)> {
     let now = Instant::now();
     let mut guard = cx.state.borrow_mut();
     let State { fleet, peers, excluded_hosts, rng, .. } = &mut *guard;
     let endpoint = fleet.get(ix)?;
     let region = fleet.locality().regions.get(&endpoint.entry.zone);
     let hosts = peers.live().filter(|member| {
-        !asked.contains(&member.host) && !excluded_hosts.contains(&member.host, now)
+        residency.allows(&member.region)
+            && !asked.contains(&member.host)
+            && !excluded_hosts.contains(&member.host, now)
     });
     let host = hosts.min_by_key(|member| {
         let is_near = Some(&member.region) == region;
