Decide which zones are evacuated and detect pauses of the process

Cause: operators evacuate zones by a row in the store, and nothing keeps requests from the endpoints of such a zone. A host that was paused acts on what it knew before. Change: `Evacuations` holds the zones and the revision at which they were read; the greatest revision wins, and what a restored store lacks counts for another 5 s. `Fleet::set_evacuations` makes the endpoints unusable for placements and copies. `PauseDetector` tells when the process did not run for a second and whether the state of the registry arrived since. `Revision` and `RegistryEra` move here from the host.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -57,6 +57,8 @@
     pub distance: Distance,
     /// State.
     pub state: EndpointState,
+    /// Whether its zone is evacuated: it finishes what it runs and receives no further requests.
+    pub is_evacuated: bool,
     /// Whether this host normally sends work to the endpoint. False for most endpoints of a service
     /// with many.
     pub in_subset: bool,
@@ -113,6 +115,7 @@
             entry,
             distance,
             state,
+            is_evacuated: false,
             in_subset: true,
             joined_at: now,
             shutdown_at: None,
@@ -134,7 +137,7 @@
 
     /// Returns true if new work may be sent to the endpoint.
     pub fn is_usable(&self, now: Instant) -> bool {
-        self.state == EndpointState::Ready && !self.health.is_backed_off(now)
+        self.state == EndpointState::Ready && !self.is_evacuated && !self.health.is_backed_off(now)
     }
 
     /// Returns when this host may send a request to the endpoint, `now` at the earliest, or `None` if
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::distance::Locality;
 use crate::endpoint::{Endpoint, EndpointState};
 use crate::entry::EndpointEntry;
+use crate::evacuation::{Evacuations, KnownEvacuations};
 use crate::load::LoadReport;
 use crate::migration::{MigrationPlans, PlannedMigration};
 use crate::run::{CallId, Run, RunId, RunWork};
@@ -66,6 +67,7 @@
     list_revision: u64,
     /// Services whose endpoints crash when they have to refuse many requests.
     brittle: HashMap<ServiceName, Brittleness>,
+    evacuations: KnownEvacuations,
     /// Planned migrations between endpoints.
     pub migrations: MigrationPlans,
     next_run: u64,
@@ -82,6 +84,7 @@
             by_digest: HashMap::new(),
             list_revision: 0,
             brittle: HashMap::new(),
+            evacuations: KnownEvacuations::default(),
             migrations: MigrationPlans::default(),
             next_run: 0,
         }
@@ -170,6 +173,37 @@
         self.brittle.get(service).copied().filter(|brittleness| brittleness.holds(now))
     }
 
+    /// Returns what is known of the evacuations.
+    pub fn evacuations(&self) -> &KnownEvacuations {
+        &self.evacuations
+    }
+
+    /// Records which zones are evacuated, unless a newer state is known. Returns true if other zones are
+    /// evacuated than before.
+    pub fn set_evacuations(&mut self, new: &Evacuations, now: Instant) -> bool {
+        let changed = self.evacuations.record(new, now);
+        if changed {
+            self.update_evacuated();
+        }
+        changed
+    }
+
+    /// Ends the evacuations that were kept after a restoration of the registry, if it is time. Returns true
+    /// if there was one.
+    pub fn expire_evacuations(&mut self, now: Instant) -> bool {
+        let changed = self.evacuations.expire(now);
+        if changed {
+            self.update_evacuated();
+        }
+        changed
+    }
+
+    fn update_evacuated(&mut self) {
+        for endpoint in self.slots.values_mut().flatten() {
+            endpoint.is_evacuated = self.evacuations.includes(&endpoint.entry.zone);
+        }
+    }
+
     /// Adds or updates an endpoint from its list entry. Appends to `changes` what changed.
     pub fn upsert(&mut self, entry: EndpointEntry, now: Instant, changes: &mut Vec<FleetChange>) {
         if let Some(ix) = self.find(&entry.name) {
@@ -206,7 +240,10 @@
     fn insert(&mut self, entry: EndpointEntry, now: Instant) -> EndpointIx {
         self.list_revision += 1;
         let distance = self.locality.distance(&entry.zone);
-        let endpoint = Some(Endpoint::new(entry, distance, now));
+        let is_evacuated = self.evacuations.includes(&entry.zone);
+        let mut endpoint = Endpoint::new(entry, distance, now);
+        endpoint.is_evacuated = is_evacuated;
+        let endpoint = Some(endpoint);
         match self.free.pop() {
             Some(ix) => {
                 self.slots[ix] = endpoint;
@@ -223,7 +260,9 @@
         now: Instant,
         changes: &mut Vec<FleetChange>,
     ) {
+        let is_evacuated = self.evacuations.includes(&entry.zone);
         let Some(endpoint) = self.get_mut(ix) else { return };
+        endpoint.is_evacuated = is_evacuated;
         // Draining is final for a process: an entry that still lists it as ready is older.
         if entry.draining && endpoint.state == EndpointState::Ready {
             endpoint.state = EndpointState::Draining { since: now };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,9 @@
 //! - [`assignment`]: selects the host that performs a task for the others.
 //! - [`endpoint`]: state of one endpoint.
 //! - [`fleet`]: the table of endpoints.
+//! - [`revision`]: position in the registry's change history.
+//! - [`evacuation`]: zones that receive no requests because the operator evacuates them.
+//! - [`pause`]: whether the process was paused.
 //! - [`brittleness`]: services whose endpoints crash when they have to refuse many requests.
 //! - [`candidates`]: restricts the endpoints that a request may be sent to.
 //! - [`stream_origins`]: software versions that began streams.
@@ -38,11 +41,13 @@
 pub mod distance;
 pub mod endpoint;
 pub mod entry;
+pub mod evacuation;
 pub mod fleet;
 pub mod generation;
 pub mod health;
 pub mod load;
 pub mod migration;
+pub mod pause;
 pub mod plain;
 pub mod pool;
 pub mod prelude;
@@ -51,6 +56,7 @@
 pub mod request_limit;
 pub mod request_window;
 pub mod retry_quota;
+pub mod revision;
 pub mod run;
 pub mod stream_origins;
 pub mod subset;
