Send no request to an evacuated zone

Cause: requests were placed, retried, copied and delayed to endpoints of a zone that the operator evacuates. Change: the reader of table `op` reads the range up to `evacuate0` in the call that it made before, and its long poll returns changed rows, so that no call is added. A change is sent at once. Requests are checked again just before they are sent, which covers delayed placements, hand-overs, continuations at the source and connections for other hosts; copies are checked too, and the engines of the zone are not polled. A host that was paused waits up to 0.5 s for the state. A starting host is not ready before it knows the state, for up to 2 s after its first version.

--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use camphorloft_dispatch::prelude::*;
+pub use camphorloft_dispatch::revision::{RegistryEra, Revision};
 use camphorloft_serving::prelude::RawServing;
 use camphorloft_types::prelude::*;
 use http::{HeaderMap, Request, StatusCode, request, response};
@@ -238,32 +239,6 @@
     }
 }
 
-/// Number of times that the registry was restored from an older copy of its contents.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RegistryEra(pub u64);
-
-impl fmt::Display for RegistryEra {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-/// Position in the registry's change history. Numbers are assigned again after a restoration, so that
-/// they are comparable only within an era.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Revision {
-    /// Era of the history.
-    pub era: RegistryEra,
-    /// Number of the change in its era.
-    pub number: u64,
-}
-
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}.{}", self.era, self.number)
-    }
-}
-
 /// Items as of one revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Listing<Item> {
@@ -273,6 +248,15 @@
     pub items: Vec<Item>,
 }
 
+/// Part of the state that the operator writes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OperatorChange {
+    /// A configuration version, encoded.
+    Version(Bytes),
+    /// The evacuation of a zone started or ended.
+    Evacuation(EvacuationChange),
+}
+
 /// Change of the endpoint list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EndpointChange {
@@ -295,7 +279,7 @@
 
 /// Storage outside the process.
 pub trait Registry: 'static {
-    /// Reads the configuration version in force. `paced` limits the read rate so that most of the
+    /// Reads the configuration version in force and all evacuations. `paced` limits the read rate so that most of the
     /// link stays free for client traffic. Any host can pass the encoded form to
     /// [`Registry::decode_serving`].
     ///
@@ -305,9 +289,9 @@
     fn read_serving(
         &self,
         paced: bool,
-    ) -> impl Future<Output = Result<Listing<Bytes>, RegistryError>>;
+    ) -> impl Future<Output = Result<Listing<OperatorChange>, RegistryError>>;
 
-    /// Waits up to `wait` for configuration versions published after `after`.
+    /// Waits up to `wait` for configuration versions published and evacuations changed after `after`.
     ///
     /// # Errors
     ///
@@ -316,7 +300,7 @@
         &self,
         after: Revision,
         wait: Duration,
-    ) -> impl Future<Output = Result<Listing<Bytes>, RegistryError>>;
+    ) -> impl Future<Output = Result<Listing<OperatorChange>, RegistryError>>;
 
     /// Decodes a configuration version.
     ///
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -19,7 +19,9 @@
 use crate::context::{Host, State};
 use crate::endpoint_watch;
 use crate::frame_stream::FrameStream;
-use crate::peer_convert::{change_from_wire, change_to_wire};
+use crate::peer_convert::{
+    change_from_wire, change_to_wire, evacuations_from_wire, evacuations_to_wire,
+};
 use crate::tunnel;
 
 /// Timeout of an exchange; a version is at most 1 MB.
@@ -81,7 +83,8 @@
     };
     info!(cx.log, "version sent"; "version" => version, "known" => request.known,
         "bytes" => packed_set.len(), "endpoints_bytes" => packed_endpoints.len());
-    frames.write(&WireConfigReply { version, packed_set, packed_endpoints }).await
+    let evacuations = cx.state.borrow().fleet.evacuations().latest().map(evacuations_to_wire);
+    frames.write(&WireConfigReply { version, packed_set, packed_endpoints, evacuations }).await
 }
 
 impl<W, R> Host<W, R> {
@@ -137,6 +140,10 @@
             return;
         }
     };
+    // Evacuations apply before the first request is served under the version.
+    if let Some(evacuations) = &reply.evacuations {
+        cx.apply_evacuations(&evacuations_from_wire(evacuations), "host", Instant::now());
+    }
     apply_version(&cx, PackedSet::from(reply.packed_set));
     apply_endpoints(&cx, PackedSet::from(reply.packed_endpoints));
 }
--- a/crates/host/src/connecting.rs
+++ b/crates/host/src/connecting.rs
@@ -79,6 +79,7 @@
             cx.attribute_crash(ix, now);
             Err(ExchangeError::NotSent(TunnelError::Unreachable.to_string()))
         }
+        Err(err @ TunnelError::Evacuated) => Err(ExchangeError::NotSent(err.to_string())),
         Err(TunnelError::NoHost) => {
             let left = deadline.saturating_duration_since(Instant::now());
             let stream = open_directly(cx, ix, left).await;
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -66,6 +66,8 @@
     pub excluded_hosts: ExcludedHosts,
     /// When this host tells others that a feature is sound.
     pub refutations: BTreeMap<RequestFeature, Instant>,
+    /// Pauses of the process.
+    pub pauses: PauseDetector,
     /// Random number generator.
     pub rng: SmallRng,
 }
@@ -105,6 +107,8 @@
     pub version_read_at: Cell<Option<Instant>>,
     /// Notified when updates of other hosts are to be forwarded.
     pub updates_buffered: Notify,
+    /// Time of the first configuration version.
+    pub first_version_at: Cell<Option<Instant>>,
     /// Time of the last log line about a statement of an endpoint that is not valid.
     pub malformed_logged_at: Cell<Option<Instant>>,
     /// Time of the last fetch of a version from another host.
@@ -131,6 +135,7 @@
             reachability: Reachability::default(),
             excluded_hosts: ExcludedHosts::default(),
             refutations: BTreeMap::new(),
+            pauses: PauseDetector::default(),
             rng: SmallRng::from_os_rng(),
         };
         let memory = settings.memory.0 as f64;
@@ -152,6 +157,7 @@
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
+            first_version_at: Cell::new(None),
             malformed_logged_at: Cell::new(None),
             last_fetch_at: Cell::new(None),
             fleet_revision: watch::Sender::new(0),
@@ -215,7 +221,8 @@
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
         let knows_endpoints = state.fleet.iter().any(|(_, endpoint)| endpoint.is_ready());
-        self.stage() == Stage::Serving && state.serving.is_some() && knows_endpoints
+        let is_informed = self.has_awaited_evacuations(&state.fleet, Instant::now());
+        self.stage() == Stage::Serving && state.serving.is_some() && knows_endpoints && is_informed
     }
 
     /// Subscribes to changes of the fleet.
@@ -315,6 +322,9 @@
             "organisations" => set.organisations.len());
         self.metrics.serving_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
         self.state.borrow_mut().serving = Some(Rc::new(set));
+        if self.first_version_at.get().is_none() {
+            self.first_version_at.set(Some(Instant::now()));
+        }
         self.notify_fleet_changed();
         true
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -30,6 +30,7 @@
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
 //! - [`serving_watch`]: keeps the configuration version in force up to date.
 //! - [`endpoint_watch`]: keeps the endpoint list up to date.
+//! - [`evacuations`]: records which zones are evacuated and keeps requests from their endpoints.
 //! - [`endpoint_directives`]: records what endpoints state about themselves.
 //! - [`start_reads`]: when a starting host reads the registry by itself.
 //! - [`registry_outage`]: detection of registry outages.
@@ -54,6 +55,7 @@
 pub mod crash_check;
 pub mod endpoint_directives;
 pub mod endpoint_watch;
+pub mod evacuations;
 pub mod event_splitter;
 pub mod frame_stream;
 pub mod generation_call;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -159,7 +159,7 @@
     let backed_off = ready_ones.filter(|(_, e)| e.health.is_backed_off(now)).count();
     info!(cx.log, "state"; "version" => version, "endpoints_ready" => ready,
         "endpoints_backed_off" => backed_off, "cut_off" => state.reachability.is_cut_off(),
-        "tunnels" => cx.open_tunnels.get(),
+        "tunnels" => cx.open_tunnels.get(), "evacuated" => state.fleet.evacuations().zones().len(),
         "hosts_live" => state.peers.live().count() + 1, "reads_registry" => reads,
         "list_age_ms" => list_age, "peer_kb_out" => traffic.bytes_out / BYTES_PER_KB,
         "peer_kb_out_remote" => traffic.remote_bytes_out / BYTES_PER_KB,
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -39,6 +39,8 @@
     pub serving_version: IntGauge,
     /// Endpoints that accept new work.
     pub ready_endpoints: IntGauge,
+    /// Evacuated zones.
+    pub evacuated_zones: IntGauge,
     /// Active streams.
     pub streams: IntGauge,
 }
@@ -101,6 +103,7 @@
             ),
             serving_version: set.gauge("camphorloft_serving_version", "Version in force"),
             ready_endpoints: set.gauge("camphorloft_endpoints_ready", "Endpoints that take work"),
+            evacuated_zones: set.gauge("camphorloft_evacuated_zones", "Evacuated zones"),
             streams: set.gauge("camphorloft_streams", "Streams in progress"),
             set,
         }
--- a/crates/host/src/peer_convert.rs
+++ b/crates/host/src/peer_convert.rs
@@ -3,7 +3,9 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
-use camphorloft_peer::wire::{WireEndpoint, WireEndpointChange, WireMigration, WireReport};
+use camphorloft_peer::wire::{
+    WireEndpoint, WireEndpointChange, WireEvacuations, WireMigration, WireReport,
+};
 use camphorloft_types::prelude::{EndpointIx, EndpointName};
 
 use crate::boundary::EndpointChange;
@@ -56,6 +58,31 @@
     }))
 }
 
+/// Converts evacuations to their wire form.
+pub fn evacuations_to_wire(evacuations: &Evacuations) -> WireEvacuations {
+    WireEvacuations {
+        era: evacuations.revision.era.0,
+        number: evacuations.revision.number,
+        zones: evacuations.zones.iter().map(ToString::to_string).collect(),
+    }
+}
+
+/// Converts evacuations from their wire form. A name that is not valid is no zone of any endpoint.
+///
+/// ```
+/// use camphorloft_dispatch::prelude::Evacuations;
+/// use camphorloft_host::peer_convert::{evacuations_from_wire, evacuations_to_wire};
+/// let zones = ["north-a".parse().unwrap()].into();
+/// let evacuations = Evacuations { zones, ..Evacuations::default() };
+/// assert_eq!(evacuations_from_wire(&evacuations_to_wire(&evacuations)), evacuations);
+/// ```
+pub fn evacuations_from_wire(wire: &WireEvacuations) -> Evacuations {
+    Evacuations {
+        revision: Revision { era: RegistryEra(wire.era), number: wire.number },
+        zones: wire.zones.iter().filter_map(|zone| zone.parse().ok()).collect(),
+    }
+}
+
 /// Converts a load report as of `as_of` to its wire form.
 pub fn report_to_wire(
     endpoint: u64,
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -23,7 +23,9 @@
 use crate::context::Host;
 use crate::endpoint_watch;
 use crate::listener::bind;
-use crate::peer_convert::{change_from_wire, migration_from_wire, report_from_wire};
+use crate::peer_convert::{
+    change_from_wire, evacuations_from_wire, migration_from_wire, report_from_wire,
+};
 
 /// Time between two ticks of the peer protocols.
 const TICK: Duration = Duration::from_millis(100);
@@ -251,12 +253,14 @@
     for ticks in 0_u64.. {
         sleep(TICK).await;
         let now = Instant::now();
+        cx.record_tick(now);
         let version = cx.serving().map(|serving| serving.version);
         cx.with_link(|link, out| {
             link.set_config_version(version.unwrap_or_default());
             link.tick(now, out);
         });
         cx.tick_relays(now);
+        cx.expire_evacuations(now);
         cx.update_subset(now);
         cx.update_limit_shares(now);
         cx.send_refutations(now);
@@ -357,6 +361,9 @@
         cx.receive_request_limit(limit, now);
     }
     for registry in &datagram.registry {
+        if let Some(evacuations) = &registry.evacuations {
+            cx.apply_evacuations(&evacuations_from_wire(evacuations), "host", now);
+        }
         // Earlier releases do not name the reader, which is then the sender.
         let reader = match registry.reader.as_str() {
             "" => Ok(received.message.sender.host.clone()),
@@ -369,7 +376,9 @@
         let mut guard = cx.state.borrow_mut();
         let state = &mut *guard;
         let digest = state.fleet.list_digest();
-        state.peers.record_registry_state(&reader, registry, digest, now);
+        if state.peers.record_registry_state(&reader, registry, digest, now) {
+            state.pauses.record_registry_state(now);
+        }
     }
     let known = cx.serving().map_or(ConfigVersion(0), |serving| serving.version);
     let wants_version = received.message.config_version > known;
--- a/crates/host/src/peer_updates.rs
+++ b/crates/host/src/peer_updates.rs
@@ -13,7 +13,7 @@
 use slog::{info, warn};
 
 use crate::context::{Host, State};
-use crate::peer_convert::{change_to_wire, migration_to_wire, report_to_wire};
+use crate::peer_convert::{change_to_wire, evacuations_to_wire, migration_to_wire, report_to_wire};
 use crate::peers::UpdateScope;
 use crate::subset_table::Recipients;
 
@@ -217,6 +217,7 @@
                 list_age_ms: age(list_at),
                 version_age_ms: age(version_at),
                 reader: self.settings.host.to_string(),
+                evacuations: state.fleet.evacuations().latest().map(evacuations_to_wire),
             };
             let endpoint_changes = state.peers.changes_to_send(Vec::new(), now);
             Updates { registry: vec![registry], endpoint_changes, ..Updates::default() }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -230,20 +230,21 @@
         is_fresh(self.reader_seen_at, READER_TIMEOUT, now)
     }
 
-    /// Records a reader's view of the registry. `own_digest` is the digest of this host's list.
+    /// Records a reader's view of the registry. `own_digest` is the digest of this host's list. Returns
+    /// false if the reader does not reach the registry.
     pub fn record_registry_state(
         &mut self,
         reader: &HostName,
         state: &WireRegistryState,
         own_digest: u64,
         now: Instant,
-    ) {
+    ) -> bool {
         self.reader_seen_at = Some(now);
         if u128::from(state.list_age_ms) > LIST_STALE_AFTER.as_millis() {
             self.failed_readers
                 .retain(|_, at| now.saturating_duration_since(*at) < FAILED_READER_EXCLUSION);
             self.failed_readers.entry(reader.clone()).or_insert(now);
-            return;
+            return false;
         }
         self.failed_readers.remove(reader);
         let at = |age_ms: u32| now.checked_sub(Duration::from_millis(u64::from(age_ms)));
@@ -255,6 +256,7 @@
         } else if self.mismatch_since.is_none() {
             self.mismatch_since = Some(now);
         }
+        true
     }
 
     /// Returns true while a reader keeps this host's endpoint list up to date.
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -97,7 +97,9 @@
     };
     let engines = state.fleet.iter().filter(|(ix, endpoint)| {
         let of_interest = endpoint.is_ready() || !endpoint.runs.is_empty();
-        if !of_interest || endpoint.is_held_off(now) || !generates(&endpoint.entry.service) {
+        // The list tells when an engine of an evacuated zone drains.
+        let is_closed = endpoint.is_evacuated || endpoint.is_held_off(now);
+        if !of_interest || is_closed || !generates(&endpoint.entry.service) {
             return false;
         }
         let is_near = endpoint.distance != Distance::Remote;
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -122,6 +122,8 @@
     let Some(name) = cx.state.borrow().fleet.get(ix).map(|e| e.entry.name.clone()) else {
         return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
     };
+    cx.wait_until_informed().await;
+    cx.check_not_evacuated(ix).inspect_err(|err| log_failure(cx, call, ix, err))?;
     let via = connection.via().cloned();
     if let Some(via) = &via {
         info!(cx.log, "request sent through host"; "call" => %call.id, "endpoint" => %name,
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -3,12 +3,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use camphorloft_dispatch::prelude::Evacuations;
 use camphorloft_types::prelude::ByteRate;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
-use crate::boundary::{Listing, Registry, RegistryError, Revision, Wire};
+use crate::boundary::{Listing, OperatorChange, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
+use crate::peers::UpdateScope;
 use crate::registry_outage::RegistryOutage;
 use crate::start_reads;
 
@@ -36,13 +38,14 @@
 {
     start_reads::wait_to_read(&cx, || cx.is_version_maintained()).await;
     wait_for_peer_version(&cx).await;
-    let mut revision: Option<Revision> = None;
+    // What this host itself has read of the evacuations, and the revision up to which it has read.
+    let mut read: Option<Evacuations> = None;
     let mut outage = RegistryOutage::default();
     loop {
         if cx.is_version_maintained() {
             record_available(&cx, &mut outage);
             cx.version_read_at.set(None);
-            revision = None;
+            read = None;
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
@@ -50,40 +53,65 @@
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let response = read_or_await(&cx, revision).await;
+        let response = read_or_await(&cx, read.as_ref().map(|read| read.revision)).await;
         let result = if response.is_ok() { "ok" } else { "failed" };
         cx.metrics.registry_calls.with_label_values(&["serving", result]).inc();
         match response {
             Ok(listing) => {
                 record_available(&cx, &mut outage);
-                let is_first = revision.is_none();
-                revision = Some(revision.unwrap_or_default().max(listing.revision));
-                cx.version_read_at.set(Some(Instant::now()));
-                for encoded in listing.items {
-                    if cx.apply_encoded_serving(&encoded, None, "registry") {
-                        cx.announce_version(true);
-                    }
-                }
+                let is_first = read.is_none();
+                apply_listing(&cx, read.get_or_insert_default(), listing);
                 if is_first && cx.registry_read_scope(Instant::now()).is_none() {
                     sleep(READER_STATE_WAIT).await;
                 }
             }
             Err(err @ (RegistryError::HistoryLost | RegistryError::Restored)) => {
                 info!(cx.log, "reading the version again"; "reason" => %err);
-                revision = None;
+                read = None;
             }
             Err(err) => {
                 if outage.record_failure(Instant::now()) {
                     warn!(cx.log, "registry unavailable"; "registry_call" => "serving", "error" => %err);
                 }
                 // After a failure the full version is read again.
-                revision = None;
+                read = None;
                 cx.wait_to_retry().await;
             }
         }
     }
 }
 
+/// Applies what was read after `read`, or all of it if nothing was, and tells other hosts.
+fn apply_listing<W, R>(
+    cx: &Rc<Host<W, R>>,
+    read: &mut Evacuations,
+    listing: Listing<OperatorChange>,
+) where
+    W: Wire,
+    R: Registry,
+{
+    let now = Instant::now();
+    let mut versions = Vec::new();
+    for change in listing.items {
+        match change {
+            OperatorChange::Version(encoded) => versions.push(encoded),
+            OperatorChange::Evacuation(change) => read.apply(change),
+        }
+    }
+    read.revision = read.revision.max(listing.revision);
+    cx.version_read_at.set(Some(now));
+    cx.state.borrow_mut().pauses.record_registry_state(now);
+    // Evacuations apply before the first request is served under a version.
+    if cx.apply_evacuations(read, "registry", now) {
+        cx.announce_evacuations(now);
+    }
+    for encoded in versions {
+        if cx.apply_encoded_serving(&encoded, None, "registry") {
+            cx.announce_version(true);
+        }
+    }
+}
+
 /// Records that the registry is available again, as observed by this host or the assigned reader.
 fn record_available<W, R>(cx: &Rc<Host<W, R>>, outage: &mut RegistryOutage) {
     if let Some(duration) = outage.record_success(Instant::now()) {
@@ -119,7 +147,7 @@
 async fn read_or_await<W, R>(
     cx: &Rc<Host<W, R>>,
     revision: Option<Revision>,
-) -> Result<Listing<bytes::Bytes>, RegistryError>
+) -> Result<Listing<OperatorChange>, RegistryError>
 where
     R: Registry,
 {
@@ -138,6 +166,19 @@
 }
 
 impl<W, R> Host<W, R> {
+    /// Sends this host's view of the registry without waiting for the next regular time. A host that reads
+    /// for itself only, because no reader's updates arrive, tells those of its region, unless its own list
+    /// is outdated.
+    fn announce_evacuations(&self, now: Instant) {
+        const MAX_LIST_AGE: Duration = Duration::from_millis(1000);
+        let list_at = self.list_read_at.get();
+        let is_current = |at| now.saturating_duration_since(at) < MAX_LIST_AGE;
+        let stands_in = list_at.is_some_and(is_current).then_some(UpdateScope::Region);
+        if let Some(scope) = self.registry_read_scope(now).or(stands_in) {
+            self.send_registry_state(scope, list_at, now);
+        }
+    }
+
     /// Returns true while other hosts stand in for the reader before this one.
     fn is_version_left_to_others(&self) -> bool {
         let now = Instant::now();
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -130,6 +130,7 @@
         }
         let result = match err {
             TransferError::Refused => "refused",
+            TransferError::Evacuated => "evacuated",
             TransferError::Unreachable => "unreachable",
             TransferError::Ended => "ended",
             TransferError::TooLate => "too_late",
@@ -146,6 +147,9 @@
             }
             self.review();
         }
+        if *err == TransferError::Evacuated {
+            self.review();
+        }
     }
 
     /// Resumes a stopped generation at the destination or, failing that, at the source.
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -54,6 +54,10 @@
         Refused {
             display("the destination refused the copy")
         }
+        /// The zone of the destination was evacuated meanwhile.
+        Evacuated {
+            display("the zone of the destination is evacuated")
+        }
         /// The destination is unreachable.
         Unreachable {
             display("the destination is unreachable")
@@ -97,7 +101,8 @@
             entry(plan.to).ok_or(TransferError::Refused)?,
         )
     };
-    let kv_copy = KvCopy { cx: &cx, call: &call, from_ix: plan.from, from: &from, to: &to };
+    let (from_ix, to_ix) = (plan.from, plan.to);
+    let kv_copy = KvCopy { cx: &cx, call: &call, from_ix, from: &from, to_ix, to: &to };
     wait_for_start(&cx, plan, kv_tokens).await?;
     let first_started_at = Instant::now();
     let handle = kv_copy.copy_first(plan.from).await?;
@@ -204,6 +209,7 @@
     call: &'a Call,
     from_ix: EndpointIx,
     from: &'a EndpointEntry,
+    to_ix: EndpointIx,
     to: &'a EndpointEntry,
 }
 
@@ -218,6 +224,8 @@
         request_timeout: Duration,
     ) -> Result<CopyReply, TransferError> {
         let failed = |detail: String| TransferError::Failed(detail);
+        let check = self.cx.check_not_evacuated(self.to_ix);
+        check.map_err(|_| TransferError::Evacuated)?;
         let addr = self.cx.settings.endpoint_addr(self.from.addr);
         let connection = connect(addr, CONNECT_TIMEOUT).await;
         let mut connection = connection.map_err(|err| failed(err.to_string()))?;
--- a/crates/host/src/tunnel.rs
+++ b/crates/host/src/tunnel.rs
@@ -57,6 +57,10 @@
         NoHost {
             display("no other host reaches the endpoints")
         }
+        /// The zone of the endpoint is evacuated, as another host knows.
+        Evacuated {
+            display("the zone of the endpoint is evacuated")
+        }
         /// Other hosts do not reach the endpoint either.
         Unreachable {
             display("other hosts do not reach the endpoint either")
@@ -119,6 +123,7 @@
                 }
                 continue;
             }
+            Ok(Ok((WireTunnelResult::Evacuated, _))) => return Err(TunnelError::Evacuated),
             Ok(Ok((result, _))) => format!("{result:?}"),
             Ok(Err(err)) => err.to_string(),
             Err(_) => "no response in time".to_owned(),
@@ -201,6 +206,9 @@
         if matches!(cx.stage(), Stage::Draining { .. }) || is_busy || is_held_off {
             return Err(WireTunnelResult::Refused);
         }
+        if endpoint.is_some_and(|endpoint| endpoint.is_evacuated) {
+            return Err(WireTunnelResult::Evacuated);
+        }
         ix.ok_or(WireTunnelResult::UnknownEndpoint)?
     };
     if cx.state.borrow().reachability.is_cut_off() {
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -1,9 +1,15 @@
 //! A fleet of hosts that have discovered each other.
 
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
+use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use camphorloft_dispatch::prelude::{EndpointEntry, Locality, ProcessStart, QuotaSettings};
+use camphorloft_host::context::Host;
 use camphorloft_host::peers::Peers;
+use camphorloft_host::settings::HostSettings;
 use camphorloft_membership::settings::MembershipSettings;
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::link::{Link, LinkConfig};
@@ -18,6 +24,7 @@
         list_age_ms: age_ms,
         version_age_ms: age_ms,
         reader: "h2".to_owned(),
+        evacuations: None,
     }
 }
 
@@ -61,3 +68,51 @@
     });
     views.collect()
 }
+
+fn settings(name: &str, region: &str) -> HostSettings {
+    let addr = "127.0.0.1:9".parse().unwrap();
+    let regions = [("north-a", "north"), ("south-a", "south")];
+    let regions = regions.map(|(zone, region)| (zone.parse().unwrap(), region.parse().unwrap()));
+    HostSettings {
+        host: name.parse().unwrap(),
+        locality: Locality {
+            zone: format!("{region}-a").parse().unwrap(),
+            region: region.parse().unwrap(),
+            regions: BTreeMap::from(regions),
+        },
+        clients: addr,
+        readiness: addr,
+        metrics: addr,
+        peers: addr,
+        endpoint_gateway: None,
+        seeds: Vec::new(),
+        is_first_start: false,
+        registry_reads_per_s: None,
+        memory: ByteSize(64 << 20),
+        max_connections: 10,
+        bandwidth: None,
+        grace: Duration::from_secs(8),
+        quota: QuotaSettings { window: Duration::from_secs(10), ratio: 0.2, extra: 50.0 },
+    }
+}
+
+/// Returns a host without a wire format and a registry, which has discovered no other host.
+pub fn host(name: &str, region: &str) -> Rc<Host<(), ()>> {
+    let log = slog::Logger::root(slog::Discard, slog::o!());
+    Host::new(settings(name, region), (), (), log, 1)
+}
+
+/// Returns the entry of an endpoint.
+pub fn entry(name: &str, zone: &str) -> EndpointEntry {
+    EndpointEntry {
+        name: name.parse().unwrap(),
+        process_start: ProcessStart(1),
+        addr: "127.0.0.1:9".parse().unwrap(),
+        service: "fleet".parse().unwrap(),
+        software: None,
+        zone: zone.parse().unwrap(),
+        slots: 6,
+        draining: false,
+        warmup_remaining: Duration::ZERO,
+    }
+}
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -246,6 +246,20 @@
     pub entry: Option<WireEndpoint>,
 }
 
+/// The evacuated zones, complete.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct WireEvacuations {
+    /// Era of the revision at which they were read.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// Number of that revision.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Evacuated zones.
+    #[prost(string, repeated, tag = "3")]
+    pub zones: Vec<String>,
+}
+
 /// State of the registry, as known to a host that reads it.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireRegistryState {
@@ -262,6 +276,9 @@
     /// Name of the reader.
     #[prost(string, tag = "4")]
     pub reader: String,
+    /// Evacuated zones; absent if the reader does not know them.
+    #[prost(message, optional, tag = "5")]
+    pub evacuations: Option<WireEvacuations>,
 }
 
 /// The limit of requests that an endpoint stated.
@@ -401,6 +418,8 @@
     UnknownEndpoint = 4,
     /// The replying host is draining or busy, or the endpoint wants no requests from it.
     Refused = 5,
+    /// The zone of the endpoint is evacuated.
+    Evacuated = 7,
 }
 
 /// Reply to a [`WireTunnelRequest`].
@@ -425,6 +444,9 @@
     /// replying host does not know it to be complete.
     #[prost(bytes = "vec", tag = "4")]
     pub packed_endpoints: Vec<u8>,
+    /// Evacuated zones; absent if the replying host does not know them.
+    #[prost(message, optional, tag = "5")]
+    pub evacuations: Option<WireEvacuations>,
 }
 
 /// An endpoint list.
--- a/crates/peer/tests/frames.rs
+++ b/crates/peer/tests/frames.rs
@@ -39,7 +39,12 @@
         length: prop::sample::Index,
     ) {
         let mut bytes = Vec::new();
-        let reply = WireConfigReply { version, packed_set: set, packed_endpoints: endpoints };
+        let reply = WireConfigReply {
+            version,
+            packed_set: set,
+            packed_endpoints: endpoints,
+            evacuations: None,
+        };
         write_frame(&mut bytes, &keys(), &reply).unwrap();
         let whole: WireConfigReply = read_frame(&mut bytes.as_slice(), &keys()).unwrap();
         prop_assert_eq!(&whole, &reply);
