--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -41,6 +41,8 @@
     pub residency_conflicts: IntGauge,
     /// Endpoints that accept new work.
     pub ready_endpoints: IntGauge,
+    /// Evacuated zones.
+    pub evacuated_zones: IntGauge,
     /// Active streams.
     pub streams: IntGauge,
 }
@@ -107,6 +109,7 @@
                 "Pairs of a route and an organisation without an allowed region in common",
             ),
             ready_endpoints: set.gauge("camphorloft_endpoints_ready", "Endpoints that take work"),
+            evacuated_zones: set.gauge("camphorloft_evacuated_zones", "Evacuated zones"),
             streams: set.gauge("camphorloft_streams", "Streams in progress"),
             set,
         }
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -123,6 +123,8 @@
     let Some(name) = cx.state.borrow().fleet.get(ix).map(|e| e.entry.name.clone()) else {
         return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
     };
+    cx.wait_until_informed().await;
+    cx.check_not_evacuated(ix).inspect_err(|err| log_failure(cx, call, ix, err))?;
     let via = connection.via().cloned();
     // A newer version may have restricted the call since it was placed.
     if !cx.allows_send(call, ix, via.as_ref()) {
