Check configurations of the entry hosts with `camphorloft config check`

Cause: `config check` knew the daemon's object sets only. A mistake in a document of the store was found when hosts rejected it, or when clients were refused.

Change: `serving::check` runs the verifier and adds what a host tolerates: routes that are shadowed or can match no request, services without a route, unusable and repeated keys, objectives above the timeout, attempts beyond the quota of retries, cold limits without a time or a rate, engines that cannot run or migrate, allowed regions without a zone, and routes and organisations without a common region, which are errors of a proposal. `serving::change` lists the differences from the version in force without keys. The adapter decodes the document and translates paths into those of the document. The tool recognises documents by their content, so that object sets are checked as before; exit status 1 means warnings, 2 errors. `--settings` names the settings file of a host, which has the zones and the quota.

--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -16,6 +16,7 @@
 use rand::Rng;
 use serde_json::{Value, json};
 
+use crate::config_check;
 use crate::exit::{CommandError, CommandResult};
 use crate::hosts::{default_host, print_rows};
 use crate::operator::OperatorClient;
@@ -41,14 +42,21 @@
     History(HistoryArgs),
 }
 
-/// check a file and print every finding
+/// check a file and print every finding. The file contains an object set of the daemon, or a configuration
+/// of the entry hosts: exit code 0 if there are no findings, 1 if there are warnings, 2 if there are errors.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
 struct CheckArgs {
     /// print JSON
     #[argh(switch)]
     json: bool,
-    /// file with an object set
+    /// configuration in force, to print the differences (entry hosts)
+    #[argh(option)]
+    in_force: Option<PathBuf>,
+    /// settings file of a host, to check regions and the quota of retries (entry hosts)
+    #[argh(option)]
+    settings: Option<PathBuf>,
+    /// file with an object set or a configuration
     #[argh(positional)]
     file: PathBuf,
 }
@@ -150,6 +158,11 @@
 }
 
 fn check(args: &CheckArgs) -> CommandResult {
+    let is_for_hosts = args.in_force.is_some() || args.settings.is_some();
+    if is_for_hosts || config_check::is_document(&args.file) {
+        let (in_force, settings) = (args.in_force.as_deref(), args.settings.as_deref());
+        return config_check::run(&args.file, in_force, settings, args.json);
+    }
     let set = match read_set(&args.file) {
         Ok(set) => set,
         Err(err) => {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`ask`]: sends a prompt and prints the response as it arrives.
 //! - [`config`]: checks, proposes and watches object sets.
+//! - [`config_check`]: checks a configuration of the entry hosts.
 //! - [`exit`]: exit codes and errors.
 //! - [`explain`]: shows the decisions about one request from decision logs.
 //! - [`hosts`]: shows hosts and endpoints, drains a host.
@@ -17,6 +18,7 @@
 
 mod ask;
 mod config;
+mod config_check;
 mod exit;
 mod explain;
 mod hosts;
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,7 +10,11 @@
 //! - [`limits`]: limits on client requests and connections.
 //! - [`set`]: a verified version with its lookups.
 //! - [`verify`]: verifies a raw version and collects every finding.
+//! - [`check`]: checks a proposed version before it is published.
+//! - [`change`]: differences between two versions.
 
+pub mod change;
+pub mod check;
 pub mod limits;
 pub mod prelude;
 pub mod raw;
--- a/crates/serving/src/prelude.rs
+++ b/crates/serving/src/prelude.rs
@@ -1,5 +1,7 @@
 //! Common imports.
 
+pub use crate::change::Change;
+pub use crate::check::{CheckReport, CheckSettings};
 pub use crate::limits::ClientLimits;
 pub use crate::raw::{
     RawEngine, RawLimits, RawOrganisation, RawRoute, RawService, RawServing, RawTarget,
--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
-use camphorloft_types::prelude::Region;
+use camphorloft_types::prelude::{NameError, Region};
 
 /// The regions in which a request may be served, cached and stored.
 ///
@@ -37,6 +37,22 @@
         Self { regions: Some(regions.into()) }
     }
 
+    /// Returns the residency that a list of names stands for: an empty list allows all regions. Names that
+    /// no region can have allow nothing and are returned with their positions.
+    pub(crate) fn from_names(names: &[String]) -> (Self, Vec<(usize, NameError)>) {
+        if names.is_empty() {
+            return (Self::UNRESTRICTED, Vec::new());
+        }
+        let (mut regions, mut malformed) = (Vec::with_capacity(names.len()), Vec::new());
+        for (position, name) in names.iter().enumerate() {
+            match name.parse::<Region>() {
+                Ok(region) => regions.push(region),
+                Err(err) => malformed.push((position, err)),
+            }
+        }
+        (Self::restricted_to(regions), malformed)
+    }
+
     /// Returns true if all regions are allowed.
     pub fn is_unrestricted(&self) -> bool {
         self.regions.is_none()
--- a/crates/serving/src/verify.rs
+++ b/crates/serving/src/verify.rs
@@ -43,6 +43,11 @@
 /// assert!(findings.0.iter().any(|finding| finding.path == "/routes/0/prefix"));
 /// ```
 pub fn verify(raw: &RawServing) -> Result<ServingSet, Findings> {
+    verify_with_warnings(raw).0
+}
+
+/// Verifies a raw version. Returns its warnings also if it is rejected.
+pub(crate) fn verify_with_warnings(raw: &RawServing) -> (Result<ServingSet, Findings>, Findings) {
     let mut verifier = Verifier {
         raw,
         findings: Findings::default(),
@@ -57,7 +62,8 @@
     verifier.check_routes();
     verifier.check_organisations();
     let limits = verifier.check_limits(&raw.limits);
-    verifier.finish(limits)
+    let warnings = verifier.warnings.clone();
+    (verifier.finish(limits), warnings)
 }
 
 impl<'a> Verifier<'a> {
@@ -127,21 +133,13 @@
     /// Returns the residency that a list of regions stands for. A name that no region can have is only
     /// warned of, since a version that is rejected would stop all other requests.
     fn check_residency(&mut self, path: &str, raw: &[String]) -> Residency {
-        if raw.is_empty() {
-            return Residency::UNRESTRICTED;
-        }
-        let mut regions: Vec<Region> = Vec::with_capacity(raw.len());
-        for (position, text) in raw.iter().enumerate() {
-            match text.parse() {
-                Ok(region) => regions.push(region),
-                Err(err) => {
-                    let what = format!("{text:?} is not the name of a region: {err}");
-                    let remedy = "use the name of a region; no endpoint is allowed by this one";
-                    self.warnings.push(format!("{path}/allowed_regions/{position}"), what, remedy);
-                }
-            }
+        let (residency, malformed) = Residency::from_names(raw);
+        for (position, err) in malformed {
+            let what = format!("{:?} is not the name of a region: {err}", raw[position]);
+            let remedy = "use the name of a region; no endpoint is allowed by this one";
+            self.warnings.push(format!("{path}/allowed_regions/{position}"), what, remedy);
         }
-        Residency::restricted_to(regions)
+        residency
     }
 
     fn check_routes(&mut self) {
