Compare only different restrictions when looking for conflicts

Cause: a version with thousands of restricted routes and organisations was checked pair by pair when it came into force, on the thread that relays streams.

Change: organisations are grouped by their allowed regions first.

--- a/crates/serving/src/residency.rs
+++ b/crates/serving/src/residency.rs
@@ -8,7 +8,7 @@
 /// The regions in which a request may be served, cached and stored.
 ///
 /// Cloning it does not copy the regions, and each operation on an unrestricted one costs a comparison.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Residency {
     /// The allowed regions, sorted and without duplicates; `None` if all are allowed.
     regions: Option<Arc<[Region]>>,
--- a/crates/serving/src/set.rs
+++ b/crates/serving/src/set.rs
@@ -1,6 +1,6 @@
 //! A verified version with its lookups.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use camphorloft_config::finding::Findings;
 use camphorloft_types::prelude::*;
@@ -115,12 +115,16 @@
 
     /// Returns the routes and organisations that have no allowed region in common.
     pub fn residency_conflicts(&self) -> impl Iterator<Item = (&Route, &Organisation)> {
-        let restricted = |residency: &Residency| !residency.is_unrestricted();
-        let routes = self.routes.values().filter(move |route| restricted(&route.residency));
-        routes.flat_map(move |route| {
-            let organisations = self.organisations.values();
-            let conflicting = organisations.filter(|of| route.residency.excludes(&of.residency));
-            conflicting.map(move |organisation| (route, organisation))
+        // A version may contain thousands of each, and few different restrictions.
+        let mut restricted: BTreeMap<&Residency, Vec<&Organisation>> = BTreeMap::new();
+        for organisation in self.organisations.values() {
+            restricted.entry(&organisation.residency).or_default().push(organisation);
+        }
+        let restricted: Vec<_> = restricted.into_iter().collect();
+        self.routes.values().flat_map(move |route| {
+            let conflicting = restricted.iter().filter(|(of, _)| route.residency.excludes(of));
+            let organisations = conflicting.flat_map(|(_, organisations)| organisations);
+            organisations.map(|of| (route, *of)).collect::<Vec<_>>()
         })
     }
 
