--- a/crates/dispatch/tests/residency.rs
+++ b/crates/dispatch/tests/residency.rs
@@ -46,6 +46,38 @@
     assert!(plain::choose(&fleet, &name, &candidates, now, &mut rng).is_none());
 }
 
+/// The replayed load: bursts of calls with failures. Without a restriction, and with one that allows all
+/// regions, each call is placed as by a host that knows no restrictions.
+#[test]
+fn placements_without_a_restriction_change() {
+    let now = Instant::now();
+    let all = Residency::restricted_to(["north", "south"].map(|region| region.parse().unwrap()));
+    let replay = |residency: Option<&Residency>| -> Vec<Choice> {
+        let mut fleet = fleet(&["n-a", "n-b", "s-a", "s-a", "n-a"], now);
+        let (mut rng, name) = (rng(), service());
+        let place = |number: u64| {
+            let at = now + Duration::from_millis(number / 8 * 40);
+            let candidates = match residency {
+                Some(residency) => {
+                    let checked = residency::check(&fleet, &name, residency, &mut rng);
+                    assert_eq!(checked, Ok(()));
+                    candidates(residency)
+                }
+                None => Candidates::default(),
+            };
+            let choice = plain::choose(&fleet, &name, &candidates, at, &mut rng).unwrap();
+            let endpoint = fleet.get_mut(choice.endpoint).unwrap();
+            endpoint.health.record_answer(!number.is_multiple_of(7), at);
+            endpoint.record_service_time(Duration::from_millis(20 + number % 50));
+            choice
+        };
+        (0..500).map(place).collect()
+    };
+    let expected = replay(None);
+    assert_eq!(replay(Some(&Residency::UNRESTRICTED)), expected);
+    assert_eq!(replay(Some(&all)), expected);
+}
+
 /// An entry that moves its endpoint to another zone leaves its region as it was.
 #[test]
 fn endpoint_keeps_the_region_of_an_earlier_entry() {
