Respond to requests that arrive as a host begins to close connections

Cause: 2.5 s after the signal a host closed connections that waited for their next request without looking at what had arrived on them, and it read slow bodies beyond the end of the process. Change: a connection reads what has arrived before it is closed. One with a part of a head waits for the rest, up to the head timeout. A request whose body is not complete by then is refused with 503, which states that it has not run. The process ends only after three checks in a row without a request, so that connections in the queue of the listener are accepted before. The two constants of that time are one.

--- a/crates/host/src/connection.rs
+++ b/crates/host/src/connection.rs
@@ -54,6 +54,11 @@
         matches!(self.0.get(), Waiting::Request(_))
     }
 
+    /// Returns true if a part of a request head was received.
+    pub fn is_reading_head(&self) -> bool {
+        matches!(self.0.get(), Waiting::Head(_))
+    }
+
     /// Returns the time until a timeout expires, zero if it has expired, or `None` if none applies.
     ///
     /// ```
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -17,6 +17,7 @@
 use crate::boundary::{DecodedHead, Registry, Wire};
 use crate::call::Call;
 use crate::context::{Host, Stage};
+use crate::lifecycle::{DRAIN_ACCEPT_PERIOD, wait_for_accept_end};
 use crate::local_response::local_response;
 use crate::memory_budget::BudgetShare;
 use crate::response_body::ResponseBody;
@@ -29,9 +30,6 @@
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Retry delay sent when buffered request bodies have used up their part of the memory limit.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Time after the termination signal for which a draining host accepts requests on open
-/// connections.
-const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2500);
 
 /// Reason that a request was refused, and the response to send.
 struct Refusal {
@@ -119,7 +117,15 @@
     let time_limit = decoded.timeout.unwrap_or(timeout).min(timeout);
     let deadline = arrived_at + time_limit;
     check_draining(cx, &serving.routes[route])?;
-    let body = read_body(&serving.limits, body, deadline, memory).await?;
+    let mut stages = cx.stages();
+    let body = tokio::select! {
+        biased;
+        body = read_body(&serving.limits, body, deadline, memory) => body?,
+        // The rest of the body may arrive only after the end of the process.
+        () = wait_for_accept_end(&mut stages) => {
+            return Err(Refusal::unavailable("draining", DRAINING_RETRY_AFTER));
+        }
+    };
     let draw = cx.state.borrow_mut().rng.random::<f64>();
     let name = organisation.map(|ix| &serving.organisations[ix].name);
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -20,11 +20,14 @@
 
 /// Time after the termination signal for which the host still accepts requests; then it closes idle
 /// connections. By then the load balancer has detected that the host is not ready.
-const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2500);
+pub const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2500);
 /// Margin before the end of the grace period at which the process exits by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 /// Time between two checks whether the last request has ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of such checks in a row that find no request before the process ends. Connections that wait to be
+/// accepted become known in between.
+const DRAIN_IDLE_CHECKS: u32 = 3;
 /// Time between two sweeps, which purge removed endpoints and log the host's state.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(5);
 /// Maximum number of concurrent probe connections per address.
@@ -88,8 +91,10 @@
     let deadline = signalled_at + cx.grace.get().saturating_sub(GRACE_MARGIN);
     sleep(DRAIN_ACCEPT_PERIOD.min(cx.grace.get() / 2)).await;
     let is_busy = || Rc::strong_count(&clients) > 1 || cx.open_tunnels.get() > 0;
-    while is_busy() && Instant::now() < deadline {
+    let mut idle_checks = 0;
+    while idle_checks < DRAIN_IDLE_CHECKS && Instant::now() < deadline {
         sleep(DRAIN_POLL_INTERVAL).await;
+        idle_checks = if is_busy() { 0 } else { idle_checks + 1 };
     }
     let open = Rc::strong_count(&clients) - 1 + cx.open_tunnels.get();
     if open > 0 {
--- a/crates/host/src/listener.rs
+++ b/crates/host/src/listener.rs
@@ -114,9 +114,13 @@
         .serve_connection(io, service);
     let mut connection = pin!(connection);
     let mut stages = cx.stages();
+    let mut accept_ended = false;
     loop {
         let check_after = phase.time_left(&limits).unwrap_or(limits.idle_timeout);
         tokio::select! {
+            // The connection comes first, so that it reads what has arrived before a timeout closes it.
+            // Both are due at once after a pause of the process.
+            biased;
             ended = connection.as_mut() => {
                 if let Err(err) = ended {
                     debug!(cx.log, "connection failed"; "error" => %err);
@@ -131,14 +135,19 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
-            () = crate::lifecycle::wait_for_accept_end(&mut stages) => {
-                connection.as_mut().graceful_shutdown();
-                // No further timeouts apply; only wait for the end of the connection.
-                if let Err(err) = connection.as_mut().await {
-                    debug!(cx.log, "connection failed"; "error" => %err);
-                }
-                return;
+            () = crate::lifecycle::wait_for_accept_end(&mut stages), if !accept_ended => {
+                accept_ended = true;
+            }
+        }
+        // A head that is partly received is awaited: closing the connection now would cut off its request.
+        // The response to it says that the connection closes.
+        if accept_ended && !phase.is_reading_head() {
+            connection.as_mut().graceful_shutdown();
+            // No further timeouts apply; only wait for the end of the connection.
+            if let Err(err) = connection.as_mut().await {
+                debug!(cx.log, "connection failed"; "error" => %err);
             }
+            return;
         }
     }
 }
