End streams whose engines send no event any more

Cause: an engine that sends a few bytes of one event, or comments, now and then kept its stream open until the deadline of the request. Change: a stream without a complete event for one and a half times as long as its client waits (two seconds, four times the objective for the first event or eight times that for gaps, whichever is longest) counts as interrupted: it is resumed on another engine if the route allows it, and else its connection to the client is broken off. The engine counts as not having responded. The time is counted in eight checks, and a late check counts once, so that a pause of the host does not end its streams; the time for which a slow client delays the relay does not count. Comments are no events. A stream whose events are 1.8 s apart is complete where clients wait for 2 s. Two tests in virtual time cover events just within the patience of the client and a pause of the host. A response whose head does not arrive is still awaited until the deadline.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`health`]: failure rate of an endpoint, estimated from its responses.
 //! - [`load`]: load of an endpoint, estimated from reports and from the requests this host sent.
 //! - [`run`]: a request that this host sent to an endpoint.
+//! - [`stall_clock`]: recognises streams that their engines do not continue.
 //! - [`subset`]: selects the endpoints that a host sends work to.
 //! - [`assignment`]: selects the host that performs a task for the others.
 //! - [`endpoint`]: state of one endpoint.
@@ -52,5 +53,6 @@
 pub mod request_window;
 pub mod retry_quota;
 pub mod run;
+pub mod stall_clock;
 pub mod stream_origins;
 pub mod subset;
--- a/crates/host/src/event_splitter.rs
+++ b/crates/host/src/event_splitter.rs
@@ -14,6 +14,23 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns true if it has no field, so that clients ignore it. Servers send comments to keep a
+    /// connection open.
+    ///
+    /// ```
+    /// use camphorloft_host::event_splitter::EventSplitter;
+    /// let mut splitter = EventSplitter::default();
+    /// splitter.push(b": still here\r\n\r\nid: 7\ndata: a\n\n");
+    /// assert!(splitter.next_event().unwrap().is_comment());
+    /// assert!(!splitter.next_event().unwrap().is_comment());
+    /// ```
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+    }
+}
+
 /// Splits a byte stream into events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -6,6 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use camphorloft_dispatch::prelude::*;
+use camphorloft_dispatch::stall_clock::StallClock;
 use camphorloft_types::prelude::*;
 use http_body_util::BodyExt;
 use slog::{info, warn};
@@ -99,6 +100,8 @@
     pub(crate) source_event_at: Option<Instant>,
     /// Whether the engine has shown that the request does not crash it.
     pub(crate) is_proven: bool,
+    /// Time since the source's last event.
+    stall_clock: StallClock,
     pub(crate) longest_pause: Duration,
     /// Number of the event that followed the longest pause.
     pub(crate) longest_pause_before: u64,
@@ -133,6 +136,7 @@
     ) -> Self {
         let fleet_changes = cx.subscribe_fleet();
         let last_event_id = call.last_event_id;
+        let stall_clock = start_stall_clock(&call);
         Self {
             cx,
             call,
@@ -147,6 +151,7 @@
             last_event_at: None,
             source_event_at: None,
             is_proven: false,
+            stall_clock,
             longest_pause: Duration::ZERO,
             longest_pause_before: 0,
             source_changes: 0,
@@ -197,6 +202,11 @@
                         return end;
                     }
                 }
+                () = sleep_until(self.stall_clock.check_at().into()) => {
+                    if let Some(end) = self.check_stalled().await {
+                        return end;
+                    }
+                }
                 _ = self.fleet_changes.changed() => self.schedule_review(),
                 () = sleep_until(review_at), if self.review_at.is_some() => self.review(),
             }
@@ -226,6 +236,20 @@
         }
     }
 
+    /// Ends the stream of a source that sends no event for so long that the client counts it as lost, or
+    /// resumes it elsewhere. Returns the reason if the stream ended.
+    async fn check_stalled(&mut self) -> Option<StreamEnd> {
+        let now = Instant::now();
+        if !self.stall_clock.check(now) {
+            return None;
+        }
+        let endpoint = self.source.guard.endpoint;
+        if let Some(endpoint) = self.cx.state.borrow_mut().fleet.get_mut(endpoint) {
+            endpoint.health.record_no_answer(now);
+        }
+        self.handle_interruption("no event in time".to_owned()).await
+    }
+
     /// Forwards complete events to the client, without those that it has already received.
     pub(crate) async fn forward_events(&mut self, data: &[u8]) -> Result<(), StreamEnd> {
         if !self.splitter.push(data) {
@@ -233,7 +257,9 @@
             return Err(StreamEnd::Interrupted);
         }
         let mut out = BytesMut::new();
+        let mut has_event = false;
         while let Some(event) = self.splitter.next_event() {
+            has_event |= !event.is_comment();
             if let (Some(id), Some(last)) = (event.id, self.last_event_id) {
                 if id <= last {
                     continue;
@@ -248,12 +274,20 @@
             self.events += 1;
             out.extend_from_slice(&event.bytes);
         }
-        if out.is_empty() {
-            return Ok(());
+        if !out.is_empty() {
+            self.send_events(out.freeze()).await?;
         }
+        // The time for which a slow client delays the relay does not count against the source.
+        if has_event {
+            self.stall_clock.record_event(Instant::now());
+        }
+        Ok(())
+    }
+
+    async fn send_events(&mut self, events: Bytes) -> Result<(), StreamEnd> {
         self.record_events();
         self.record_origin();
-        let sent = timeout_at(self.call.deadline.into(), self.tx.send(Ok(out.freeze()))).await;
+        let sent = timeout_at(self.call.deadline.into(), self.tx.send(Ok(events))).await;
         match sent {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(StreamEnd::ClientDisconnected),
@@ -323,6 +357,7 @@
         self.source_event_at = None;
         self.is_proven = false;
         self.splitter = EventSplitter::default();
+        self.stall_clock = start_stall_clock(&self.call);
         self.source_changes += 1;
         self.tried.clear();
         self.review_at = None;
@@ -392,6 +427,11 @@
     }
 }
 
+fn start_stall_clock(call: &Call) -> StallClock {
+    let route = call.route();
+    StallClock::start(route.latency_objective, route.gap_objective, Instant::now())
+}
+
 /// Reads the next part of a body.
 pub(crate) async fn read_body(exchange: &mut Exchange) -> BodyRead {
     loop {
