Take over the secret that the store holds after a restoration

Cause: hosts only warned when the store held another secret than theirs, so that two groups of hosts never met. Change: the store decides which secret is in force; nobody writes over one. A host reads it again after a restoration, when a message of another host is not authentic, and while it knows no other host, at most once in 4 s and less often while it is unchanged. It seals with what it finds, which makes the others read it too, and accepts the former secret for ten minutes. peer_secret.rs holds this part of peer_link.rs; keys are taken from the link where they are needed.

--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_peer::packed::PackedSet;
-use camphorloft_peer::seal::FrameKeys;
 use camphorloft_peer::wire::{WireConfigReply, WireConfigRequest, WireEndpointList};
 use prost::Message;
 use slog::{debug, info, warn};
@@ -31,7 +30,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Serves requests of other hosts, for the version in force or for a connection to an endpoint.
-pub async fn serve<W, R>(cx: Rc<Host<W, R>>, listener: TcpListener, keys: FrameKeys)
+pub async fn serve<W, R>(cx: Rc<Host<W, R>>, listener: TcpListener)
 where
     W: Wire,
     R: Registry,
@@ -39,7 +38,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                let (cx, keys) = (cx.clone(), keys.clone());
+                let Some(keys) = cx.frame_keys() else { continue };
+                let cx = cx.clone();
                 spawn_local(async move {
                     if let Err(err) = serve_request(&cx, FrameStream::new(stream, keys)).await {
                         debug!(cx.log, "request of a host not served"; "from" => %from,
@@ -109,15 +109,12 @@
 
 /// Fetches the version in force of another host and applies it if it is newer. Fetches the endpoint
 /// list too if `wants_endpoints` is true.
-pub async fn fetch<W, R>(
-    cx: Rc<Host<W, R>>,
-    from: SocketAddr,
-    keys: FrameKeys,
-    wants_endpoints: bool,
-) where
+pub async fn fetch<W, R>(cx: Rc<Host<W, R>>, from: SocketAddr, wants_endpoints: bool)
+where
     W: Wire,
     R: Registry,
 {
+    let Some(keys) = cx.frame_keys() else { return };
     let known = cx.serving().map_or(0, |serving| serving.version.0);
     let exchange = async {
         let stream = TcpStream::connect(from).await?;
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -107,6 +107,8 @@
     pub updates_buffered: Notify,
     /// Time of the last log line about a statement of an endpoint that is not valid.
     pub malformed_logged_at: Cell<Option<Instant>>,
+    /// Whether another host may use another secret, so that the registry's is read again.
+    pub doubts_secret: Cell<bool>,
     /// Time of the last fetch of a version from another host.
     last_fetch_at: Cell<Option<Instant>>,
     fleet_revision: watch::Sender<u64>,
@@ -153,6 +155,7 @@
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
             malformed_logged_at: Cell::new(None),
+            doubts_secret: Cell::new(false),
             last_fetch_at: Cell::new(None),
             fleet_revision: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -37,6 +37,7 @@
 //! - [`subset_table`]: the endpoints that this host sends work to.
 //! - [`peers`]: state of the other hosts.
 //! - [`peer_link`]: joins the membership of hosts and exchanges datagrams.
+//! - [`peer_secret`]: keeps the secret shared by all hosts the same as in the registry.
 //! - [`peer_updates`]: sends updates to other hosts.
 //! - [`peer_convert`]: conversions to and from peer messages.
 //! - [`config_exchange`]: transfers the version in force between hosts.
@@ -66,6 +67,7 @@
 pub mod pace;
 pub mod peer_convert;
 pub mod peer_link;
+pub mod peer_secret;
 pub mod peer_updates;
 pub mod peers;
 pub mod plain_call;
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -9,7 +9,7 @@
 use camphorloft_membership::settings::MembershipSettings;
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::link::{Link, LinkConfig, Received};
-use camphorloft_peer::seal::FrameKeys;
+use camphorloft_peer::seal::{FrameError, FrameKeys};
 use camphorloft_types::prelude::*;
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -24,6 +24,7 @@
 use crate::endpoint_watch;
 use crate::listener::bind;
 use crate::peer_convert::{change_from_wire, migration_from_wire, report_from_wire};
+use crate::peer_secret;
 
 /// Time between two ticks of the peer protocols.
 const TICK: Duration = Duration::from_millis(100);
@@ -32,7 +33,7 @@
 /// Ticks between two announcements of known crashes.
 const TICKS_PER_CRASH_ANNOUNCEMENT: u64 = 10;
 /// Number of known hosts contacted in one attempt to join. Each of them replies with its whole view.
-const JOIN_CONTACTS: usize = 4;
+pub(crate) const JOIN_CONTACTS: usize = 4;
 /// Time between two attempts to join through the known addresses.
 const JOIN_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum time between two reads of the list of hosts while no other host is known.
@@ -69,25 +70,24 @@
     // announcements queue at the registry.
     let announced = Rc::new(Cell::new(false));
     spawn_local(announce(cx.clone(), record.clone(), announced.clone()));
-    let mut era = cx.registry.era();
+    let era = cx.registry.era();
     let keys = FrameKeys::derive(std::slice::from_ref(&secret));
     if let Err(err) = open(&cx, keys, started_ms).await {
         warn!(cx.log, "peer sockets could not be opened"; "error" => %err);
         return;
     }
+    spawn_local(peer_secret::follow(cx.clone(), secret, era, record));
     let mut addresses = peer_addresses(&cx, &known);
     info!(cx.log, "joining peers"; "addresses" => addresses.len());
     let mut reread_delay = JOIN_RETRY_INTERVAL;
     let mut reread_at = Instant::now() + reread_delay;
     loop {
-        if cx.registry.era() > era {
-            era = cx.registry.era();
-            spawn_local(write_again(cx.clone(), secret.clone(), record.clone()));
-        }
         if cx.state.borrow().peers.live().next().is_none() {
             // Hosts that start at the same time read the list before any of them is in it.
             if announced.get() && Instant::now() >= reread_at {
                 addresses = reread_addresses(&cx).await.unwrap_or(addresses);
+                // Other hosts do not respond to messages with an outdated secret.
+                cx.doubts_secret.set(true);
                 reread_delay = (reread_delay * 2).min(MAX_REREAD_DELAY);
                 reread_at = Instant::now() + reread_delay;
             }
@@ -101,22 +101,8 @@
     }
 }
 
-/// Writes again what this host had written to the registry, which came back from an older copy. Only
-/// the hosts that call the registry notice that; others can join through them.
-async fn write_again<W, R>(cx: Rc<Host<W, R>>, secret: Vec<u8>, record: HostRecord)
-where
-    R: Registry,
-{
-    info!(cx.log, "registry restored from an older copy"; "era" => %cx.registry.era());
-    let stored = retry_until_ok(&cx, "secret", || cx.registry.shared_secret(&secret)).await;
-    if stored != secret {
-        warn!(cx.log, "registry holds another secret than the hosts"; "era" => %cx.registry.era());
-    }
-    retry_until_ok(&cx, "announce", || cx.registry.announce(&record)).await;
-}
-
 /// Returns the addresses through which this host can join the others.
-fn peer_addresses<W, R>(cx: &Rc<Host<W, R>>, known: &[HostRecord]) -> Vec<SocketAddr> {
+pub(crate) fn peer_addresses<W, R>(cx: &Rc<Host<W, R>>, known: &[HostRecord]) -> Vec<SocketAddr> {
     let mut addresses = cx.settings.seeds.clone();
     addresses.extend(known.iter().map(|record| record.addr));
     addresses.retain(|addr| *addr != cx.settings.peers);
@@ -164,7 +150,7 @@
 }
 
 /// Retries a call to the registry until it succeeds. `name` is its name in logs and metrics.
-async fn retry_until_ok<W, R, Response, Call, Called>(
+pub(crate) async fn retry_until_ok<W, R, Response, Call, Called>(
     cx: &Rc<Host<W, R>>,
     name: &'static str,
     call: Call,
@@ -215,14 +201,14 @@
     let config = LinkConfig {
         own,
         membership: MembershipSettings::default(),
-        keys: keys.clone(),
+        keys,
         started_ms,
         seed: cx.state.borrow_mut().rng.random(),
     };
     let link = Link::new(config, Instant::now());
     cx.state.borrow_mut().peers.connect(link, socket.clone());
-    spawn_local(config_exchange::serve(cx.clone(), listener, keys.clone()));
-    spawn_local(receive_all(cx.clone(), socket, keys));
+    spawn_local(config_exchange::serve(cx.clone(), listener));
+    spawn_local(receive_all(cx.clone(), socket));
     spawn_local(tick_all(cx.clone()));
     spawn_local(forward_all(cx.clone()));
     Ok(())
@@ -276,7 +262,7 @@
     }
 }
 
-async fn receive_all<W, R>(cx: Rc<Host<W, R>>, socket: Rc<UdpSocket>, keys: FrameKeys)
+async fn receive_all<W, R>(cx: Rc<Host<W, R>>, socket: Rc<UdpSocket>)
 where
     W: Wire,
     R: Registry,
@@ -293,17 +279,25 @@
         };
         let now = Instant::now();
         let mut received = None;
-        cx.with_link(|link, out| received = link.receive(from, &buf[..length], now, out).ok());
-        // The link counts dropped datagrams.
-        let Some(received) = received else { continue };
+        cx.with_link(|link, out| received = Some(link.receive(from, &buf[..length], now, out)));
+        let received = match received {
+            Some(Ok(received)) => received,
+            // The link counts dropped datagrams.
+            dropped => {
+                if matches!(dropped, Some(Err(FrameError::InvalidTag))) {
+                    cx.doubts_secret.set(true);
+                }
+                continue;
+            }
+        };
         cx.metrics.datagrams.with_label_values(&["received"]).inc();
         cx.state.borrow_mut().peers.record_contact(now);
-        apply_datagram(&cx, &received, &keys, now);
+        apply_datagram(&cx, &received, now);
     }
 }
 
 /// Applies the contents of a datagram other than membership.
-fn apply_datagram<W, R>(cx: &Rc<Host<W, R>>, received: &Received, keys: &FrameKeys, now: Instant)
+fn apply_datagram<W, R>(cx: &Rc<Host<W, R>>, received: &Received, now: Instant)
 where
     W: Wire,
     R: Registry,
@@ -378,6 +372,6 @@
     let may_have_list = !datagram.registry.is_empty();
     if (wants_version || wants_endpoints && may_have_list) && cx.try_begin_fetch(now) {
         let addr = received.message.sender.addr;
-        spawn_local(config_exchange::fetch(cx.clone(), addr, keys.clone(), wants_endpoints));
+        spawn_local(config_exchange::fetch(cx.clone(), addr, wants_endpoints));
     }
 }
--- a/crates/host/src/tunnel.rs
+++ b/crates/host/src/tunnel.rs
@@ -94,8 +94,7 @@
     ix: EndpointIx,
     left: Duration,
 ) -> Result<HttpConnection, TunnelError> {
-    let keys = cx.state.borrow_mut().peers.link_mut().map(|(link, _)| link.keys().clone());
-    let keys = keys.ok_or(TunnelError::NoHost)?;
+    let keys = cx.frame_keys().ok_or(TunnelError::NoHost)?;
     let deadline = Instant::now() + left.min(MAX_CONNECT_TIME * 4);
     let (mut asked, mut witnesses) = (Vec::new(), 0);
     while asked.len() < MAX_HOSTS_ASKED && Instant::now() < deadline {
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -124,6 +124,11 @@
         &self.keys
     }
 
+    /// Replaces the keys that authenticate frames.
+    pub fn set_keys(&mut self, keys: FrameKeys) {
+        self.keys = keys;
+    }
+
     /// Returns the traffic counters.
     pub fn counts(&self) -> LinkCounts {
         self.counts
