--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -111,6 +111,8 @@
     pub first_version_at: Cell<Option<Instant>>,
     /// Time of the last log line about a statement of an endpoint that is not valid.
     pub malformed_logged_at: Cell<Option<Instant>>,
+    /// Whether another host may use another secret, so that the registry's is read again.
+    pub doubts_secret: Cell<bool>,
     /// Time of the last fetch of a version from another host.
     last_fetch_at: Cell<Option<Instant>>,
     fleet_revision: watch::Sender<u64>,
@@ -159,6 +161,7 @@
             updates_buffered: Notify::new(),
             first_version_at: Cell::new(None),
             malformed_logged_at: Cell::new(None),
+            doubts_secret: Cell::new(false),
             last_fetch_at: Cell::new(None),
             fleet_revision: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -18,6 +18,7 @@
 use crate::boundary::{DecodedHead, Registry, Wire};
 use crate::call::Call;
 use crate::context::{Host, Stage};
+use crate::lifecycle::{DRAIN_ACCEPT_PERIOD, wait_for_accept_end};
 use crate::local_response::local_response;
 use crate::memory_budget::BudgetShare;
 use crate::response_body::ResponseBody;
@@ -30,9 +31,6 @@
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Retry delay sent when buffered request bodies have used up their part of the memory limit.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Time after the termination signal for which a draining host accepts requests on open
-/// connections.
-const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2500);
 
 /// Reason that a request was refused, and the response to send.
 struct Refusal {
@@ -140,7 +138,15 @@
     if let Err(refusal) = cx.check_residency(&serving.services[service].name, &residency) {
         return Err(Refusal::out_of_region(refusal, &serving.routes[route], residency));
     }
-    let body = read_body(&serving.limits, body, deadline, memory).await?;
+    let mut stages = cx.stages();
+    let body = tokio::select! {
+        biased;
+        body = read_body(&serving.limits, body, deadline, memory) => body?,
+        // The rest of the body may arrive only after the end of the process.
+        () = wait_for_accept_end(&mut stages) => {
+            return Err(Refusal::unavailable("draining", DRAINING_RETRY_AFTER));
+        }
+    };
     let name = organisation.map(|ix| &serving.organisations[ix].name);
     let path = head.uri.path_and_query().map_or("", |path| path.as_str());
     let organisation_name = name.map_or("", OrganisationName::as_str);
