Estimate the speed of endpoints and place generations by it

Cause: placements assume that all engines work at the same speed. Where a quarter of them takes 2.2 times as long as the others and neighbours slow each for 600 ms at times, long generations on the slow ones pause for longer than the gap target as soon as a prompt is prefilled there. Change: the fourth figure of Replica-Load is decoded. dispatch::speed estimates the persistent slowness of an endpoint from the figure and from observed times, and whether neighbours slow it now. If an endpoint of the service stated a figure within 10 s, the cost of an engine includes the expected prefill time at its speed, the chance that the generation becomes late there, and the streams there that its prefill makes late.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -6,6 +6,7 @@
 
 use crate::candidates::Candidates;
 use crate::endpoint::Endpoint;
+use crate::expected_gaps::ExpectedGaps;
 use crate::fleet::Fleet;
 
 /// A selected endpoint, with the inputs to the decision.
@@ -26,6 +27,8 @@
     pub sequences: u32,
     /// Age of the load report used, if any.
     pub report_age: Option<Duration>,
+    /// Expected pauses between events, if engines of the service state their speed.
+    pub gaps: Option<ExpectedGaps>,
     /// Time until this host may send the request, because the endpoint limits requests.
     pub delay: Duration,
     /// Number of endpoints compared.
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -12,6 +12,7 @@
 use crate::request_limit::RequestLimit;
 use crate::request_window::RequestWindow;
 use crate::run::Run;
+use crate::speed::SpeedEstimate;
 
 /// Weight of a new sample in the moving averages of durations.
 const EWMA_WEIGHT: f64 = 0.15;
@@ -74,6 +75,8 @@
     pub health: Health,
     /// Load.
     pub load: Load,
+    /// Speed.
+    pub speed: SpeedEstimate,
     /// Rate of requests that it accepts from all hosts together.
     pub request_limit: RequestLimit,
     /// Number of requests that this host may have in progress after a refusal.
@@ -120,6 +123,7 @@
             no_room_until: None,
             health: Health::default(),
             load: Load::default(),
+            speed: SpeedEstimate::default(),
             request_limit: RequestLimit::default(),
             window: None,
             unsent: 0,
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -12,9 +12,11 @@
 use crate::distance::Locality;
 use crate::endpoint::{Endpoint, EndpointState};
 use crate::entry::EndpointEntry;
+use crate::expected_gaps::usual_gap_ms;
 use crate::load::LoadReport;
 use crate::migration::{MigrationPlans, PlannedMigration};
 use crate::run::{CallId, Run, RunId, RunWork};
+use crate::service_speed::ServiceSpeed;
 
 /// Time after which a client should retry if only other hosts may send requests to the endpoints of a
 /// service.
@@ -66,6 +68,8 @@
     list_revision: u64,
     /// Services whose endpoints crash when they have to refuse many requests.
     brittle: HashMap<ServiceName, Brittleness>,
+    /// Speed of the endpoints of each service.
+    speeds: HashMap<ServiceName, ServiceSpeed>,
     /// Planned migrations between endpoints.
     pub migrations: MigrationPlans,
     next_run: u64,
@@ -82,6 +86,7 @@
             by_digest: HashMap::new(),
             list_revision: 0,
             brittle: HashMap::new(),
+            speeds: HashMap::new(),
             migrations: MigrationPlans::default(),
             next_run: 0,
         }
@@ -275,6 +280,65 @@
         newly_draining
     }
 
+    /// Returns what the endpoints of a service have in common in speed, if one of them stated its speed
+    /// recently, so that speed counts in placements.
+    pub fn stated_speed(&self, service: &ServiceName, now: Instant) -> Option<&ServiceSpeed> {
+        self.speeds.get(service).filter(|speed| speed.is_stated(now))
+    }
+
+    /// Sets the shortest target for pauses between events on the routes of a service.
+    pub fn set_gap_target(&mut self, service: &ServiceName, target: Option<Duration>) {
+        self.speeds.entry(service.clone()).or_default().set_gap_target(target);
+    }
+
+    /// Records the duration of work that an endpoint stated, in percent of the usual one, as of
+    /// `as_of`.
+    pub fn record_stated_pace(&mut self, ix: EndpointIx, percent: u32, as_of: Instant) {
+        let Some(Some(endpoint)) = self.slots.get_mut(ix) else { return };
+        endpoint.speed.record_stated(percent, as_of);
+        let Some(ratio) = endpoint.speed.stated_ratio() else { return };
+        if !self.speeds.contains_key(&endpoint.entry.service) {
+            self.speeds.insert(endpoint.entry.service.clone(), ServiceSpeed::default());
+        }
+        let Some(service) = self.speeds.get_mut(&endpoint.entry.service) else { return };
+        service.record_stated(ratio, as_of);
+        endpoint.load.set_slowness(endpoint.speed.slowness(service), as_of);
+    }
+
+    /// Records the mean time between events of `tokens_per_event` tokens of a stream of this host.
+    /// `prefills` tells whether the engine prefilled a prompt all that time, or never. Returns the time
+    /// as a fraction of the estimate, if endpoints of the service state their speed.
+    pub fn record_gap(
+        &mut self,
+        ix: EndpointIx,
+        gap: Duration,
+        tokens_per_event: u32,
+        prefills: bool,
+        now: Instant,
+    ) -> Option<f64> {
+        let endpoint = self.get(ix)?;
+        let service = self.stated_speed(&endpoint.entry.service, now)?;
+        let estimated = endpoint.speed.slowness(service);
+        let sequences = endpoint.load.estimate_engine_load(&endpoint.runs, now).sequences;
+        let usual_ms = usual_gap_ms(tokens_per_event, sequences, prefills);
+        let slowness = gap.as_secs_f64() * 1e3 / usual_ms;
+        self.record_slowness(ix, slowness, now);
+        Some(slowness / estimated)
+    }
+
+    /// Records the ratio of an observed duration of work at an endpoint to the usual one.
+    pub fn record_slowness(&mut self, ix: EndpointIx, slowness: f64, now: Instant) {
+        let Some(Some(endpoint)) = self.slots.get_mut(ix) else { return };
+        endpoint.speed.record_observed(slowness, now);
+        let Some(service) = self.speeds.get_mut(&endpoint.entry.service) else { return };
+        if let Some(ln_unstated) = endpoint.speed.ln_unstated() {
+            service.record_unstated(ln_unstated);
+        }
+        if service.is_stated(now) {
+            endpoint.load.set_slowness(endpoint.speed.slowness(service), now);
+        }
+    }
+
     /// Counts a request against the limit of an endpoint, when it is placed there.
     pub fn reserve_send(&mut self, ix: EndpointIx, now: Instant) {
         if let Some(endpoint) = self.get_mut(ix) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,10 @@
 //! - [`crash_suspects`]: recognises requests that crash the endpoints that run them.
 //! - [`health`]: failure rate of an endpoint, estimated from its responses.
 //! - [`load`]: load of an endpoint, estimated from reports and from the requests this host sent.
+//! - [`speed`]: speed of an endpoint, estimated from what it states and from what hosts observe.
+//! - `slowness_samples`: recent samples of how slow an endpoint is.
+//! - [`service_speed`]: what the endpoints of one service have in common in speed.
+//! - [`expected_gaps`]: expected pauses between the events of the streams of an engine.
 //! - [`run`]: a request that this host sent to an endpoint.
 //! - [`subset`]: selects the endpoints that a host sends work to.
 //! - [`assignment`]: selects the host that performs a task for the others.
@@ -38,6 +42,7 @@
 pub mod distance;
 pub mod endpoint;
 pub mod entry;
+pub mod expected_gaps;
 pub mod fleet;
 pub mod generation;
 pub mod health;
@@ -52,5 +57,8 @@
 pub mod request_window;
 pub mod retry_quota;
 pub mod run;
+pub mod service_speed;
+mod slowness_samples;
+pub mod speed;
 pub mod stream_origins;
 pub mod subset;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -22,6 +22,14 @@
 /// in this time.
 const REFUSED_COPY_BACKOFF: Duration = Duration::from_millis(500);
 
+/// Time for which an estimate of an engine's slowness applies to its prefill.
+const SLOWNESS_VALIDITY: Duration = Duration::from_secs(10);
+/// Time in which a prompt loses most of its weight in the rate of prompts.
+const PROMPT_RATE_PERIOD: Duration = Duration::from_secs(4);
+/// Time after the expected end of a prefill in which it may still be in progress: the estimate lacks
+/// placements that other hosts have just made.
+const PREFILL_MARGIN: Duration = Duration::from_millis(100);
+
 /// Load of an endpoint as attached to a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadHint {
@@ -31,6 +39,8 @@
     pub waiting: u32,
     /// Maximum concurrent requests.
     pub slots: u32,
+    /// Duration of work at this moment in percent of the usual one, if stated.
+    pub pace_percent: Option<u32>,
 }
 
 /// Load report of an engine.
@@ -70,6 +80,10 @@
     peer_placements: Vec<(Instant, u32)>,
     /// Prompt tokens pending prefill.
     pending_prefill: Option<Observed<f64>>,
+    /// Factor by which the engine's prefill takes longer than usual.
+    slowness: Option<Observed<f64>>,
+    /// Prompts placed there, each with a weight that decays.
+    recent_prompts: Option<Observed<f64>>,
     /// When the engine last refused a copy for lack of capacity.
     refused_copy_at: Option<Instant>,
 }
@@ -113,10 +127,57 @@
 
     /// Records a placement with `prefill_tokens` tokens to prefill.
     pub fn record_placement(&mut self, prefill_tokens: u32, now: Instant) {
+        if prefill_tokens > 0 {
+            let item = self.recent_prompts(now) + 1.0;
+            self.recent_prompts = Some(Observed { item, as_of: now });
+        }
         let item = self.pending_prefill(now) + f64::from(prefill_tokens);
         self.pending_prefill = Some(Observed { item, as_of: now });
     }
 
+    /// Sets the factor by which the engine's prefill takes longer than usual. It applies for a few
+    /// seconds.
+    pub fn set_slowness(&mut self, slowness: f64, now: Instant) {
+        let item = self.pending_prefill(now);
+        if let Some(pending) = &mut self.pending_prefill
+            && pending.as_of < now
+        {
+            *pending = Observed { item, as_of: now };
+        }
+        self.slowness = Some(Observed { item: slowness, as_of: now });
+    }
+
+    /// Returns the number of prompts that are placed on the engine per second.
+    pub fn prompts_per_s(&self, now: Instant) -> f64 {
+        self.recent_prompts(now) / PROMPT_RATE_PERIOD.as_secs_f64()
+    }
+
+    fn recent_prompts(&self, now: Instant) -> f64 {
+        let Some(recent) = &self.recent_prompts else { return 0.0 };
+        let age = now.saturating_duration_since(recent.as_of).as_secs_f64();
+        recent.item * (-age / PROMPT_RATE_PERIOD.as_secs_f64()).exp()
+    }
+
+    /// Returns whether the engine prefills a prompt, or `None` while that is uncertain: about when a
+    /// prefill is expected to end, and just after.
+    pub fn prefills(&self, now: Instant) -> Option<bool> {
+        let Some(pending) = &self.pending_prefill else { return Some(false) };
+        let takes = pending.item / self.prefill_tokens_per_s(now);
+        let ends_at = pending.as_of + Duration::from_secs_f64(takes.max(0.0));
+        if now + PREFILL_MARGIN / 2 < ends_at {
+            return Some(true);
+        }
+        (now > ends_at + PREFILL_MARGIN).then_some(false)
+    }
+
+    fn prefill_tokens_per_s(&self, now: Instant) -> f64 {
+        let is_valid = |known: &&Observed<f64>| {
+            now.saturating_duration_since(known.as_of) <= SLOWNESS_VALIDITY
+        };
+        let slowness = self.slowness.as_ref().filter(is_valid).map_or(1.0, |known| known.item);
+        PREFILL_TOKENS_PER_SECOND / slowness
+    }
+
     /// Records a placement of `kv_tokens` tokens announced by another host.
     pub fn record_peer_placement(&mut self, kv_tokens: u32, prefill_tokens: u32, now: Instant) {
         const MAX_PEER_PLACEMENTS: usize = 256;
@@ -141,8 +202,8 @@
     /// estimated progress of the engine since.
     pub fn pending_prefill(&self, now: Instant) -> f64 {
         let Some(pending) = &self.pending_prefill else { return 0.0 };
-        let prefilled =
-            now.saturating_duration_since(pending.as_of).as_secs_f64() * PREFILL_TOKENS_PER_SECOND;
+        let since = now.saturating_duration_since(pending.as_of).as_secs_f64();
+        let prefilled = since * self.prefill_tokens_per_s(now);
         (pending.item - prefilled).max(0.0)
     }
 
--- a/crates/dispatch/src/plain.rs
+++ b/crates/dispatch/src/plain.rs
@@ -49,6 +49,7 @@
         prefill_tokens: 0,
         sequences: endpoint.runs.len() as u32,
         report_age: None,
+        gaps: None,
         delay: Duration::ZERO,
         compared: 0,
         unusable: 0,
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -20,4 +20,6 @@
 pub use crate::request_limit::RequestLimit;
 pub use crate::retry_quota::{QuotaSettings, RetryQuota};
 pub use crate::run::{CallId, Run, RunId, RunWork};
+pub use crate::service_speed::ServiceSpeed;
+pub use crate::speed::SpeedEstimate;
 pub use crate::stream_origins::{StreamDigest, StreamOrigins};
--- /dev/null
+++ b/crates/dispatch/src/service_speed.rs
@@ -0,0 +1,90 @@
+//! What the endpoints of one service have in common in speed.
+
+use std::time::{Duration, Instant};
+
+use crate::speed::SpeedEstimate;
+
+/// Time for which speed counts in placements after an endpoint of the service stated it.
+const STATED_VALIDITY: Duration = Duration::from_secs(10);
+/// Weight of a new sample in the moving averages of the share of slowed endpoints and of their
+/// slowness. All endpoints together state some hundred figures a second.
+const SLOWED_WEIGHT: f64 = 0.01;
+/// Weight of a new sample in the moving average of the slowness that endpoints do not state.
+const UNSTATED_WEIGHT: f64 = 0.05;
+/// Assumed share of endpoints that neighbours slow, before figures are known.
+const INITIAL_SLOWED_SHARE: f64 = 0.1;
+/// Assumed factor by which neighbours slow an endpoint, before figures are known.
+const INITIAL_SLOWED_FACTOR: f64 = 2.0;
+/// Largest assumed factor by which neighbours slow an endpoint.
+const MAX_SLOWED_FACTOR: f64 = 6.0;
+
+/// What the endpoints of one service have in common in speed.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceSpeed {
+    stated_at: Option<Instant>,
+    gap_target: Option<Duration>,
+    /// Logarithm of the mean slowness that endpoints do not state.
+    ln_unstated: f64,
+    slowed_share: f64,
+    slowed_factor: f64,
+}
+
+impl Default for ServiceSpeed {
+    fn default() -> Self {
+        Self {
+            stated_at: None,
+            gap_target: None,
+            ln_unstated: 0.0,
+            slowed_share: INITIAL_SLOWED_SHARE,
+            slowed_factor: INITIAL_SLOWED_FACTOR,
+        }
+    }
+}
+
+impl ServiceSpeed {
+    /// Records that an endpoint stated its slowness, `ratio` times its usual figure.
+    pub fn record_stated(&mut self, ratio: f64, as_of: Instant) {
+        self.stated_at = self.stated_at.max(Some(as_of));
+        let slowed = SpeedEstimate::is_slowed(ratio);
+        self.slowed_share += (f64::from(u8::from(slowed)) - self.slowed_share) * SLOWED_WEIGHT;
+        if slowed {
+            let ratio = ratio.min(MAX_SLOWED_FACTOR);
+            self.slowed_factor += (ratio - self.slowed_factor) * SLOWED_WEIGHT.sqrt();
+        }
+    }
+
+    /// Records the logarithm of the slowness that an endpoint has but does not state.
+    pub fn record_unstated(&mut self, ln_slowness: f64) {
+        self.ln_unstated += (ln_slowness - self.ln_unstated) * UNSTATED_WEIGHT;
+    }
+
+    /// Sets the shortest target for pauses between events on the routes of the service.
+    pub fn set_gap_target(&mut self, target: Option<Duration>) {
+        self.gap_target = target;
+    }
+
+    /// Returns the shortest target for pauses between events on the routes of the service.
+    pub fn gap_target(&self) -> Option<Duration> {
+        self.gap_target
+    }
+
+    /// Returns true if an endpoint stated its slowness recently, so that speed counts in placements.
+    pub fn is_stated(&self, now: Instant) -> bool {
+        self.stated_at.is_some_and(|at| now.saturating_duration_since(at) <= STATED_VALIDITY)
+    }
+
+    /// Returns the logarithm of the mean slowness that endpoints do not state.
+    pub(crate) fn ln_unstated(&self) -> f64 {
+        self.ln_unstated
+    }
+
+    /// Returns the share of the endpoints that neighbours slow at any time.
+    pub fn slowed_share(&self) -> f64 {
+        self.slowed_share
+    }
+
+    /// Returns the factor by which neighbours slow an endpoint.
+    pub fn slowed_factor(&self) -> f64 {
+        self.slowed_factor
+    }
+}
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -189,11 +189,14 @@
 {
     let now = Instant::now();
     let mut state = cx.state.borrow_mut();
+    let misdirected = ResponseKind::NotRun { wrong_endpoint: true };
+    let mut pace_percent = None;
     if let Some(endpoint) = state.fleet.get_mut(ix) {
         endpoint.reached_at = Some(now);
         if let Some(hint) = cx.wire.load_hint(&exchange.head) {
             let in_flight = endpoint.runs.len() as u32;
             endpoint.load.record_hint(hint, in_flight, now);
+            pace_percent = hint.pace_percent;
         }
         let success = match kind {
             ResponseKind::Success => true,
@@ -201,11 +204,14 @@
             ResponseKind::NotRun { .. } | ResponseKind::Mismatched => false,
         };
         endpoint.health.record_answer(success, now);
-        if kind == (ResponseKind::NotRun { wrong_endpoint: true }) {
+        if kind == misdirected {
             // The endpoint list is outdated: the address now belongs to another process.
             endpoint.health.record_unreachable(now);
         }
     }
+    if let Some(percent) = pace_percent.filter(|_| kind != misdirected) {
+        state.fleet.record_stated_pace(ix, percent, now);
+    }
 }
 
 fn log_failure<W, R>(cx: &Rc<Host<W, R>>, call: &Call, ix: EndpointIx, err: &ExchangeError) {
