Observe the time between events and use it for the speed of engines

Cause: the estimate of an engine's speed needs what hosts see, since engines may state only what their neighbours cause. The gap target of a service is the shortest one of its routes. Log fields slowness_percent, stated_age_ms and gap_ms of "generation placed"; metric camphorloft_gap_ratio. Not yet measured under load.

--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -19,6 +19,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{Peers, UpdateScope};
 use crate::settings::HostSettings;
+use crate::stall_monitor::StallMonitor;
 use crate::subset_table::SubsetTable;
 use crate::tunnel::ExcludedHosts;
 
@@ -83,6 +84,8 @@
     pub log: Logger,
     /// Metrics.
     pub metrics: Metrics,
+    /// Recognises times in which the process did not run.
+    pub stalls: StallMonitor,
     /// When the process started.
     pub started_at: Instant,
     /// Whether this host has received a complete endpoint list.
@@ -142,6 +145,7 @@
             registry,
             log,
             metrics: Metrics::default(),
+            stalls: StallMonitor::new(Instant::now()),
             started_at: Instant::now(),
             has_full_list: Cell::new(false),
             announced_hosts: Cell::new(0),
@@ -314,7 +318,12 @@
             "source" => source, "routes" => set.routes.len(),
             "organisations" => set.organisations.len());
         self.metrics.serving_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
-        self.state.borrow_mut().serving = Some(Rc::new(set));
+        let mut state = self.state.borrow_mut();
+        for (ix, service) in &set.services {
+            state.fleet.set_gap_target(&service.name, set.gap_target(ix));
+        }
+        state.serving = Some(Rc::new(set));
+        drop(state);
         self.notify_fleet_changed();
         true
     }
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -17,6 +17,7 @@
 use crate::local_response::local_response;
 use crate::response_body::ResponseBody;
 use crate::sending::{SendPlan, SendReservation, UpstreamResponse, send};
+use crate::speed_observation::logged_speed;
 use crate::stream_continuation::ContinuationError;
 use crate::stream_relay::{Source, StreamRelay};
 use crate::upstream::ExchangeError;
@@ -295,6 +296,7 @@
         let endpoint = state.fleet.get(choice.endpoint);
         let name = endpoint.map(|e| e.entry.name.to_string());
         let limit = endpoint.and_then(|e| e.request_limit.rate(Instant::now()));
+        let speed = logged_speed(choice, endpoint);
         let software = endpoint.and_then(|e| e.entry.software.as_ref().map(ToString::to_string));
         info!(self.cx.log, "generation placed"; "call" => %self.call.id,
             "limit_per_s" => limit.map(RequestRate::per_second),
@@ -304,7 +306,8 @@
             "attempt" => self.tried.len() + 1, "version" => %self.call.serving.version,
             "cost_ms" => choice.cost_ms.round(), "fill" => (choice.fill * 100.0).round() / 100.0,
             "unread" => choice.prefill_tokens, "sequences" => choice.sequences,
-            "delay_ms" => choice.delay.as_millis() as u64,
+            "slowness_percent" => speed.slowness_percent, "stated_age_ms" => speed.stated_age_ms,
+            "gap_ms" => speed.gap_ms, "delay_ms" => choice.delay.as_millis() as u64,
             "report_age_ms" => choice.report_age.map(|age| age.as_millis() as u64),
             "failure_share" => (choice.failure_rate * 100.0).round() / 100.0,
             "compared" => choice.compared, "unusable" => choice.unusable,
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -28,6 +28,9 @@
 //! - [`stream_continuation`]: which software version may continue a stream.
 //! - [`transfer`]: copies the KV cache of a running generation to another engine.
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
+//! - [`gap_window`]: measures the mean time between the events of a stream.
+//! - [`stall_monitor`]: recognises times in which this process did not run.
+//! - [`speed_observation`]: observes how fast engines are.
 //! - [`serving_watch`]: keeps the configuration version in force up to date.
 //! - [`endpoint_watch`]: keeps the endpoint list up to date.
 //! - [`endpoint_directives`]: records what endpoints state about themselves.
@@ -56,6 +59,7 @@
 pub mod endpoint_watch;
 pub mod event_splitter;
 pub mod frame_stream;
+pub mod gap_window;
 pub mod generation_call;
 pub mod intake;
 pub mod lifecycle;
@@ -76,6 +80,8 @@
 pub mod sending;
 pub mod serving_watch;
 pub mod settings;
+pub mod speed_observation;
+pub mod stall_monitor;
 pub mod start_reads;
 pub mod stream_continuation;
 pub mod stream_migration;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -16,7 +16,7 @@
 use crate::listener::{accept_loop, bind, serve_client};
 use crate::probes::{Probe, serve_probe};
 use crate::settings::HostSettings;
-use crate::{endpoint_watch, peer_link, report_poll, serving_watch};
+use crate::{endpoint_watch, peer_link, report_poll, serving_watch, stall_monitor};
 
 /// Time after the termination signal for which the host still accepts requests; then it closes idle
 /// connections. By then the load balancer has detected that the host is not ready.
@@ -133,9 +133,17 @@
     spawn_local(report_poll::poll_all(cx.clone()));
     spawn_local(peer_link::run(cx.clone()));
     spawn_local(sweep(cx.clone()));
+    spawn_local(watch_stalls(cx.clone()));
     Ok(clients)
 }
 
+async fn watch_stalls<W, R>(cx: Rc<Host<W, R>>) {
+    loop {
+        cx.stalls.tick(Instant::now());
+        sleep(stall_monitor::TICK).await;
+    }
+}
+
 async fn sweep<W, R>(cx: Rc<Host<W, R>>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -11,6 +11,10 @@
 /// Upper bounds of the histogram of pauses between events, in seconds.
 const PAUSE_SECONDS: &[f64] = &[0.02, 0.05, 0.1, 0.18, 0.3, 0.5, 1.0, 2.0, 5.0];
 
+/// Upper bounds of the histogram of observed to estimated times. A well estimated time is between 0.7
+/// and 1.4.
+const RATIOS: &[f64] = &[0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.4, 2.0, 3.0, 5.0];
+
 /// Metrics of one host, in their own Prometheus registry.
 #[derive(Debug)]
 pub struct Metrics {
@@ -35,6 +39,8 @@
     pub answer_seconds: HistogramVec,
     /// Longest pause between two events of a stream.
     pub pause_seconds: Histogram,
+    /// Observed mean time between the events of a stream, as a fraction of the estimate.
+    pub gap_ratio: Histogram,
     /// Configuration version in force.
     pub serving_version: IntGauge,
     /// Endpoints that accept new work.
@@ -99,6 +105,11 @@
                 "Longest pause between the events of a stream",
                 PAUSE_SECONDS,
             ),
+            gap_ratio: set.histogram(
+                "camphorloft_gap_ratio",
+                "Observed time between events as a fraction of the estimate",
+                RATIOS,
+            ),
             serving_version: set.gauge("camphorloft_serving_version", "Version in force"),
             ready_endpoints: set.gauge("camphorloft_endpoints_ready", "Endpoints that take work"),
             streams: set.gauge("camphorloft_streams", "Streams in progress"),
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -16,6 +16,7 @@
 use crate::call::Call;
 use crate::context::Host;
 use crate::event_splitter::EventSplitter;
+use crate::gap_window::GapWindow;
 use crate::generation_call::Placement;
 use crate::response_body::BodyError;
 use crate::sending::{RunGuard, UpstreamResponse};
@@ -99,6 +100,8 @@
     pub(crate) source_event_at: Option<Instant>,
     /// Whether the engine has shown that the request does not crash it.
     pub(crate) is_proven: bool,
+    /// Measures the time between the events of the source.
+    pub(crate) gap_window: Option<GapWindow>,
     pub(crate) longest_pause: Duration,
     /// Number of the event that followed the longest pause.
     pub(crate) longest_pause_before: u64,
@@ -147,6 +150,7 @@
             last_event_at: None,
             source_event_at: None,
             is_proven: false,
+            gap_window: None,
             longest_pause: Duration::ZERO,
             longest_pause_before: 0,
             source_changes: 0,
@@ -233,7 +237,9 @@
             return Err(StreamEnd::Interrupted);
         }
         let mut out = BytesMut::new();
+        let mut received = 0;
         while let Some(event) = self.splitter.next_event() {
+            received += 1;
             if let (Some(id), Some(last)) = (event.id, self.last_event_id) {
                 if id <= last {
                     continue;
@@ -252,7 +258,11 @@
             return Ok(());
         }
         self.record_events();
+        self.observe_gaps(received, Instant::now());
         self.record_origin();
+        if self.tx.capacity() == 0 {
+            self.observe_slow_client();
+        }
         let sent = timeout_at(self.call.deadline.into(), self.tx.send(Ok(out.freeze()))).await;
         match sent {
             Ok(Ok(())) => Ok(()),
@@ -322,6 +332,7 @@
         self.source = Source::from(upstream);
         self.source_event_at = None;
         self.is_proven = false;
+        self.gap_window = None;
         self.splitter = EventSplitter::default();
         self.source_changes += 1;
         self.tried.clear();
--- a/crates/serving/src/set.rs
+++ b/crates/serving/src/set.rs
@@ -1,6 +1,7 @@
 //! A verified version with its lookups.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use camphorloft_config::finding::Findings;
 use camphorloft_types::prelude::*;
@@ -56,6 +57,14 @@
         routes.iter().copied().find(|route| path.starts_with(&*self.routes[*route].prefix))
     }
 
+    /// Returns the shortest target for pauses between events on the routes of a service, if any has one.
+    pub fn gap_target(&self, service: ServiceIx) -> Option<Duration> {
+        let routes = self.routes.values();
+        let of_service =
+            routes.filter(|route| route.targets.iter().any(|target| target.service == service));
+        of_service.map(|route| route.gap_objective).filter(|target| !target.is_zero()).min()
+    }
+
     /// Returns the organisation that a key belongs to.
     pub fn organisation(&self, key: &str) -> Option<OrganisationIx> {
         self.by_key.get(key).copied()
