Share the speed of engines between hosts and leave fast engines to long generations

Cause: measured on real load, each of 64 hosts sees an engine about once a minute, so that most placements did not know its speed; load reports do not carry the figure, responses at the health path of the service do. Short generations took the memory of fast engines. Migrations chose destinations by copy time only. The first host that observed an engine for three periods tells the others. Generations that could be in time on slower engines cost more on engines that keep the gap target. A long generation goes to another region for such an engine. Destinations of migrations, and whether a generation ends before its engine, follow from the speed. Tests of dispatch, host, peer, serving and the platform pass. Not yet measured under load.

--- a/crates/dispatch/src/expected_gaps.rs
+++ b/crates/dispatch/src/expected_gaps.rs
@@ -19,9 +19,8 @@
 const CHUNK_TOKENS: f64 = 112.0;
 /// Time for which neighbours slow an endpoint, in milliseconds.
 const SLOWED_MS: f64 = 600.0;
-/// Uncertainty of an expected pause as a fraction: of a well known engine, and in addition of one of
-/// which nothing was observed.
-const UNCERTAINTY: (f64, f64) = (0.1, 0.3);
+/// Uncertainty of an expected pause on a well known engine, as a fraction.
+const MIN_UNCERTAINTY: f64 = 0.08;
 
 /// Returns the usual time between events, in milliseconds, on an engine that runs `sequences`.
 ///
@@ -72,8 +71,7 @@
         let prefill_ms = usual_gap_ms(tokens_per_event, sequences, true) * slowness;
         let token_ms = prefill_ms / f64::from(tokens_per_event.max(1)) / CHUNK_TOKENS;
         let slowed_factor = service.slowed_factor();
-        let unknown = 1.0 - endpoint.speed.confidence();
-        let width = UNCERTAINTY.0 + UNCERTAINTY.1 * unknown;
+        let width = MIN_UNCERTAINTY + endpoint.speed.uncertainty(service);
         let target_ms = service.gap_target().map(|target| target.as_secs_f64() * 1e3);
         // The probability rises linearly around the target.
         let exceeds = |gap_ms: f64| match target_ms {
@@ -93,6 +91,11 @@
         }
     }
 
+    /// Returns the mean time between events during prefills, in milliseconds.
+    pub fn mean_prefill_ms(&self) -> f64 {
+        self.prefill_ms * (1.0 + self.slowed_share * (self.slowed_factor - 1.0))
+    }
+
     /// Returns the expected duration of the prefill of `tokens`, in milliseconds, from now.
     pub fn prefill_duration_ms(&self, tokens: f64) -> f64 {
         let unslowed = tokens * self.token_ms;
@@ -130,6 +133,12 @@
         1.0 - (-(prompts * per_prompt + usual)).exp()
     }
 
+    /// Returns true if a pause is not expected to exceed the target even while neighbours slow the
+    /// engine during a prefill.
+    pub fn keeps_target(&self) -> bool {
+        self.prefill_late[1] < 0.5
+    }
+
     /// Returns the expected time between events.
     pub fn expected_gap(&self) -> Duration {
         Duration::from_secs_f64(self.usual_ms / 1e3)
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -15,6 +15,7 @@
 use crate::expected_gaps::usual_gap_ms;
 use crate::load::LoadReport;
 use crate::migration::{MigrationPlans, PlannedMigration};
+use crate::peer_slowness::PeerSlowness;
 use crate::run::{CallId, Run, RunId, RunWork};
 use crate::service_speed::ServiceSpeed;
 
@@ -296,15 +297,28 @@
     pub fn record_stated_pace(&mut self, ix: EndpointIx, percent: u32, as_of: Instant) {
         let Some(Some(endpoint)) = self.slots.get_mut(ix) else { return };
         endpoint.speed.record_stated(percent, as_of);
-        let Some(ratio) = endpoint.speed.stated_ratio() else { return };
-        if !self.speeds.contains_key(&endpoint.entry.service) {
-            self.speeds.insert(endpoint.entry.service.clone(), ServiceSpeed::default());
-        }
-        let Some(service) = self.speeds.get_mut(&endpoint.entry.service) else { return };
-        service.record_stated(ratio, as_of);
+        let service = self.speeds.entry(endpoint.entry.service.clone()).or_default();
+        let Some(ratio) = endpoint.speed.stated_ratio(service) else { return };
+        service.record_stated(ratio, endpoint.speed.ln_known_stated(), as_of);
         endpoint.load.set_slowness(endpoint.speed.slowness(service), as_of);
     }
 
+    /// Records the speed of an endpoint as known to another host.
+    pub fn record_peer_slowness(&mut self, ix: EndpointIx, known: &PeerSlowness, now: Instant) {
+        let Some(Some(endpoint)) = self.slots.get_mut(ix) else { return };
+        let speed = &mut endpoint.speed;
+        speed.record_peer(known.stated, known.observed);
+        let service = self.speeds.entry(endpoint.entry.service.clone()).or_default();
+        service.record_stated_at(known.stated_at);
+        if let Some((percent, as_of)) = known.latest
+            && speed.record_peer_figure(percent, as_of)
+            && let Some(ratio) = speed.stated_ratio(service)
+        {
+            service.record_stated(ratio, speed.ln_known_stated(), as_of);
+        }
+        endpoint.load.set_slowness(endpoint.speed.slowness(service), now);
+    }
+
     /// Records the mean time between events of `tokens_per_event` tokens of a stream of this host.
     /// `prefills` tells whether the engine prefilled a prompt all that time, or never. Returns the time
     /// as a fraction of the estimate, if endpoints of the service state their speed.
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -19,7 +19,7 @@
 use crate::expected_gaps::ExpectedGaps;
 use crate::load::{EngineLoad, PREFILL_TOKENS_PER_SECOND};
 use crate::pool::Pool;
-use crate::service_speed::ServiceSpeed;
+use crate::uneven_speed::UnevenSpeed;
 
 /// Memory use, as a fraction, above which contention has a cost. Less than 1 because output lengths
 /// are estimates.
@@ -40,6 +40,11 @@
 /// Cost of an engine in another region, in milliseconds: network latency, billed traffic, and late
 /// updates about the placements made by the hosts of that region.
 const CROSS_REGION_MS: f64 = 900.0;
+/// The same for a long generation on an engine that keeps the gap target: the latency of the network
+/// counts once, and no pause on the way is as long as those of a slow engine.
+const CROSS_REGION_LONG_MS: f64 = 150.0;
+/// Expected tokens from which a generation counts as long in this respect.
+const LONG_TOKENS: f64 = 200.0;
 /// Random part of the cost of an engine in another region, in milliseconds. Without it, hosts of
 /// several regions would select the same engine before they receive each other's updates.
 const CROSS_REGION_JITTER_MS: f64 = 600.0;
@@ -50,15 +55,6 @@
 const WARMUP_FACTOR: f64 = 0.3;
 /// Cost of a failed generation, in milliseconds.
 const FAILURE_MS: f64 = 6000.0;
-/// Cost of a stream of which a pause exceeds the target, in milliseconds: it loses six sevenths of
-/// what a generation is worth, which is the cost of one that is not served in time.
-const LATE_STREAM_MS: f64 = 3400.0;
-/// Cost of each millisecond by which a prefill delays each stream that runs at the engine, in
-/// milliseconds: the stream holds memory for longer.
-const DELAYED_STREAM_FACTOR: f64 = 0.1;
-/// Part of the mean rate of prompts that any engine is expected to receive, however few it received
-/// recently.
-const MIN_PROMPT_RATE_FRACTION: f64 = 0.2;
 /// Maximum random part of a cost, in milliseconds, so that hosts with the same information do not
 /// all select the same engine.
 const JITTER_MS: f64 = 250.0;
@@ -95,7 +91,7 @@
 where
     Draws: Rng,
 {
-    let uneven = UnevenSpeed::new(pool, now);
+    let uneven = UnevenSpeed::new(pool, demand, now);
     cheapest(pool.fleet, pool.service, candidates, now, |ix, endpoint| {
         let load = endpoint.load.estimate_engine_load(&endpoint.runs, now);
         let fill = expected_fill(&load, demand, pool.spec);
@@ -147,85 +143,12 @@
     let network = match endpoint.distance {
         Distance::Zone => 0.0,
         Distance::Region => CROSS_ZONE_MS,
+        Distance::Remote if gaps.is_some_and(|gaps| gaps.keeps_target()) => {
+            let long = (f64::from(demand.expected) / LONG_TOKENS).min(1.0);
+            CROSS_REGION_MS + (CROSS_REGION_LONG_MS - CROSS_REGION_MS) * long
+        }
         Distance::Remote => CROSS_REGION_MS,
     };
     let failures = endpoint.health.failure_rate(now) * FAILURE_MS;
     prefill + late + contention + concurrent + warmup + network + failures
 }
-
-/// Cost of uneven speed of the engines of a service.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct UnevenSpeed<'a> {
-    service: &'a ServiceSpeed,
-    tokens_per_event: u32,
-    /// Mean rate of prompts at an engine, per second.
-    mean_prompts_per_s: f64,
-}
-
-impl<'a> UnevenSpeed<'a> {
-    /// Returns `None` if no engine of the service stated its speed recently.
-    pub(crate) fn new(pool: &Pool<'a>, now: Instant) -> Option<Self> {
-        let service = pool.fleet.stated_speed(pool.service, now)?;
-        let ready = pool.fleet.of_service(pool.service).filter(|(_, endpoint)| endpoint.is_ready());
-        let (engines, prompts) = ready.fold((0.0, 0.0), |(engines, prompts), (_, endpoint)| {
-            (engines + 1.0, prompts + endpoint.load.prompts_per_s(now))
-        });
-        let mean_prompts_per_s = prompts / f64::max(engines, 1.0);
-        Some(Self { service, tokens_per_event: pool.spec.tokens_per_event, mean_prompts_per_s })
-    }
-
-    /// Returns the expected pauses on an engine with one more sequence.
-    pub(crate) fn gaps(
-        &self,
-        endpoint: &Endpoint,
-        load: &EngineLoad,
-        now: Instant,
-    ) -> ExpectedGaps {
-        let sequences = load.sequences.saturating_add(1);
-        ExpectedGaps::new(endpoint, self.service, self.tokens_per_event, sequences, now)
-    }
-
-    /// Returns the probability that a generation becomes late on an engine.
-    pub(crate) fn late_probability(
-        &self,
-        endpoint: &Endpoint,
-        gaps: &ExpectedGaps,
-        demand: &TokenDemand,
-        now: Instant,
-    ) -> f64 {
-        let min_rate = self.mean_prompts_per_s * MIN_PROMPT_RATE_FRACTION;
-        let rate = endpoint.load.prompts_per_s(now).max(min_rate);
-        let events = f64::from(demand.expected) / f64::from(self.tokens_per_event.max(1));
-        gaps.late_within_stream(events, f64::from(demand.kv_tokens), rate)
-    }
-
-    /// Returns the cost of the streams that become late: the generation itself, and those that run at
-    /// the engine and that its prefill delays.
-    fn late_streams_ms(
-        &self,
-        endpoint: &Endpoint,
-        load: &EngineLoad,
-        gaps: &ExpectedGaps,
-        demand: &TokenDemand,
-        now: Instant,
-    ) -> f64 {
-        let own = self.late_probability(endpoint, gaps, demand, now);
-        let pending_ms = gaps.prefill_duration_ms(f64::from(load.prefill_tokens));
-        let prefill_tokens = f64::from(load.prefill_tokens) + f64::from(demand.prefill_tokens);
-        let prefill_ms = gaps.prefill_duration_ms(prefill_tokens);
-        // Streams that the pending prefill makes late lose nothing more.
-        let newly_late =
-            gaps.late_within_prefill(prefill_ms) - gaps.late_within_prefill(pending_ms);
-        // Others are late already, or will be, because of other prompts.
-        let streams = f64::from(load.sequences);
-        let events = f64::from(load.growth)
-            / f64::max(streams, 1.0)
-            / f64::from(self.tokens_per_event.max(1));
-        let rate = endpoint.load.prompts_per_s(now);
-        let in_time = 1.0 - gaps.late_within_stream(events, f64::from(demand.prefill_tokens), rate);
-        let delayed = (prefill_ms - pending_ms) * (1.0 - gaps.usual_ms / gaps.prefill_ms);
-        own * LATE_STREAM_MS
-            + streams * newly_late * in_time * LATE_STREAM_MS
-            + streams * delayed * DELAYED_STREAM_FACTOR
-    }
-}
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,9 +11,11 @@
 //! - [`health`]: failure rate of an endpoint, estimated from its responses.
 //! - [`load`]: load of an endpoint, estimated from reports and from the requests this host sent.
 //! - [`speed`]: speed of an endpoint, estimated from what it states and from what hosts observe.
-//! - `slowness_samples`: recent samples of how slow an endpoint is.
+//! - [`slowness_samples`]: recent samples of how slow an endpoint is.
+//! - [`peer_slowness`]: speed of an endpoint as known to another host.
 //! - [`service_speed`]: what the endpoints of one service have in common in speed.
 //! - [`expected_gaps`]: expected pauses between the events of the streams of an engine.
+//! - [`uneven_speed`]: cost of uneven speed of the engines of a service.
 //! - [`run`]: a request that this host sent to an endpoint.
 //! - [`subset`]: selects the endpoints that a host sends work to.
 //! - [`assignment`]: selects the host that performs a task for the others.
@@ -48,6 +50,7 @@
 pub mod health;
 pub mod load;
 pub mod migration;
+pub mod peer_slowness;
 pub mod plain;
 pub mod pool;
 pub mod prelude;
@@ -58,7 +61,8 @@
 pub mod retry_quota;
 pub mod run;
 pub mod service_speed;
-mod slowness_samples;
+pub mod slowness_samples;
 pub mod speed;
 pub mod stream_origins;
 pub mod subset;
+pub mod uneven_speed;
--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -15,7 +15,9 @@
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
 use crate::generation::{TokenDemand, expected_fill};
+use crate::pool::Pool;
 use crate::run::Run;
+use crate::uneven_speed::UnevenSpeed;
 
 /// Assumed time from the notice to the shutdown of an engine that does not announce it: the
 /// shortest observed is about 1.5 seconds.
@@ -41,6 +43,12 @@
 /// Cost of a destination whose whole memory is expected to be used, in milliseconds: it is
 /// preferred to an empty engine only if its copy ends sooner by more than this.
 const FULL_MS: f64 = 400.0;
+/// Expected memory use, as a fraction, from which a destination may preempt a generation. It matters
+/// where destinations are preferred for their speed, so that they fill up.
+const CONTENDED_FILL: f64 = 0.85;
+/// Cost of a destination where the generation becomes late for certain, in milliseconds: a copy to
+/// another engine may end later by several copies, as long as it ends before the shutdown.
+const LATE_MS: f64 = 1000.0;
 
 /// Decision about a generation on a draining engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -99,29 +107,42 @@
         return ReclaimDecision::NoDestination(NoDestination::default());
     };
     let remaining = shutdown_at(source, now).saturating_duration_since(now);
-    let to_finish = f64::from(run.expected_remaining()) / CONTENDED_TOKENS_PER_SECOND;
+    let pool = Pool { fleet, service: &source.entry.service, spec };
+    let demand = demand(run);
+    let uneven = UnevenSpeed::new(&pool, &demand, now);
+    let to_finish = match &uneven {
+        Some(uneven) => uneven.finish_secs(source, &demand, now),
+        None => f64::from(run.expected_remaining()) / CONTENDED_TOKENS_PER_SECOND,
+    };
     if to_finish < remaining.as_secs_f64() * FINISH_FRACTION {
         return ReclaimDecision::Finish;
     }
     let deadline = shutdown_at(source, now) - HANDOVER_MARGIN;
-    match destination(fleet, spec, from, run, tried, deadline, now) {
+    match destination(&pool, uneven.as_ref(), from, run, tried, deadline, now) {
         Ok((to, duration)) => ReclaimDecision::Migrate { to, duration },
         Err(reasons) => ReclaimDecision::NoDestination(reasons),
     }
 }
 
+/// Returns what a generation that migrates requires.
+fn demand(run: &Run) -> TokenDemand {
+    let expected = run.expected_remaining();
+    TokenDemand { kv_tokens: run.kv_tokens(), prefill_tokens: 0, expected }
+}
+
 fn destination(
-    fleet: &Fleet,
-    spec: &EngineSpec,
+    pool: &Pool<'_>,
+    uneven: Option<&UnevenSpeed<'_>>,
     from: EndpointIx,
     run: &Run,
     tried: &[EndpointIx],
     deadline: Instant,
     now: Instant,
 ) -> Result<(EndpointIx, Duration), NoDestination> {
+    let Pool { fleet, spec, .. } = *pool;
     let source = fleet.get(from).ok_or_else(NoDestination::default)?;
-    let kv_tokens = run.kv_tokens();
-    let demand = TokenDemand { kv_tokens, prefill_tokens: 0, expected: run.expected_remaining() };
+    let demand = demand(run);
+    let kv_tokens = demand.kv_tokens;
     let mut best: Option<(f64, EndpointIx, Duration)> = None;
     let mut reasons = NoDestination::default();
     for (ix, endpoint) in fleet.of_service(&source.entry.service) {
@@ -161,9 +182,14 @@
             continue;
         }
         let wait_ms = done_at.saturating_duration_since(now).as_secs_f64() * 1e3;
-        let cost = wait_ms
-            + expected_fill(&load, &demand, spec) * FULL_MS
-            + endpoint.health.failure_rate(now) * FULL_MS;
+        let fill = expected_fill(&load, &demand, spec);
+        let late = uneven.map_or(0.0, |uneven| {
+            let gaps = uneven.gaps(endpoint, &load, now);
+            let preempted = ((fill - CONTENDED_FILL) / (1.0 - CONTENDED_FILL)).max(0.0);
+            uneven.late_probability(endpoint, &gaps, &demand, now) + preempted
+        });
+        let cost =
+            wait_ms + late * LATE_MS + fill * FULL_MS + endpoint.health.failure_rate(now) * FULL_MS;
         if best.is_none_or(|best| cost < best.0) {
             best = Some((cost, ix, duration));
         }
--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -183,6 +183,9 @@
     /// Returns true when a status guarantees to the client that its request has not run.
     fn guarantees_not_run(&self, status: StatusCode) -> bool;
 
+    /// Builds a request for a path at which an endpoint states how it is. Its response carries the load.
+    fn health_request(&self, endpoint: &EndpointEntry, path: &str) -> Request<FullBody>;
+
     /// Builds the request for an engine's load report.
     fn report_request(&self, endpoint: &EndpointEntry) -> Request<FullBody>;
 
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -31,6 +31,8 @@
     pub registry_calls: IntCounterVec,
     /// Polls of engines' load reports by result.
     pub reports: IntCounterVec,
+    /// Requests for the speed of engines by result.
+    pub speed_probes: IntCounterVec,
     /// Statements of endpoints about themselves that were not valid.
     pub malformed_directives: IntCounterVec,
     /// Peer datagrams by result.
@@ -84,6 +86,11 @@
                 "Reports asked of engines",
                 &[result],
             ),
+            speed_probes: set.counters(
+                "camphorloft_speed_probes_total",
+                "Requests for the speed of engines",
+                &[result],
+            ),
             malformed_directives: set.counters(
                 "camphorloft_malformed_directives_total",
                 "Statements of endpoints about themselves that were not valid",
--- a/crates/host/src/peer_convert.rs
+++ b/crates/host/src/peer_convert.rs
@@ -61,9 +61,19 @@
     endpoint: u64,
     report: &LoadReport,
     as_of: Instant,
+    speed: Option<&PeerSlowness>,
     now: Instant,
 ) -> WireReport {
+    let age = |at: Instant| millis(now.saturating_duration_since(at));
+    let latest = speed.and_then(|speed| speed.latest);
     WireReport {
+        stated_percent: speed.and_then(|speed| speed.stated.percent()),
+        stated_periods: speed.map_or(0, |speed| speed.stated.periods()),
+        observed_percent: speed.and_then(|speed| speed.observed.percent()),
+        observed_periods: speed.map_or(0, |speed| speed.observed.periods()),
+        stated_age_ms: speed.map(|speed| age(speed.stated_at)),
+        pace_percent: latest.map(|(percent, _)| percent),
+        pace_age_ms: latest.map_or(0, |(_, at)| age(at)),
         endpoint,
         age_ms: millis(now.saturating_duration_since(as_of)),
         used_tokens: report.used_tokens,
@@ -89,6 +99,20 @@
     (report, now.checked_sub(age).unwrap_or(now))
 }
 
+/// Returns what a report says about the speed of the engine, if the sender knows it.
+pub fn speed_from_wire(wire: &WireReport, now: Instant) -> Option<PeerSlowness> {
+    let at = |age_ms: u32| now.checked_sub(Duration::from_millis(u64::from(age_ms)));
+    let usual = |percent: Option<u32>, periods| {
+        percent.map_or_else(UsualSlowness::default, |p| UsualSlowness::from_percent(p, periods))
+    };
+    Some(PeerSlowness {
+        stated: usual(wire.stated_percent, wire.stated_periods),
+        observed: usual(wire.observed_percent, wire.observed_periods),
+        latest: wire.pace_percent.zip(at(wire.pace_age_ms)),
+        stated_at: at(wire.stated_age_ms?)?,
+    })
+}
+
 /// Converts a planned migration to its wire form. `from` and `to` are endpoint digests.
 pub fn migration_to_wire(
     plan: &PlannedMigration,
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -23,7 +23,9 @@
 use crate::context::Host;
 use crate::endpoint_watch;
 use crate::listener::bind;
-use crate::peer_convert::{change_from_wire, migration_from_wire, report_from_wire};
+use crate::peer_convert::{
+    change_from_wire, migration_from_wire, report_from_wire, speed_from_wire,
+};
 
 /// Time between two ticks of the peer protocols.
 const TICK: Duration = Duration::from_millis(100);
@@ -346,6 +348,9 @@
         let ix = cx.state.borrow().fleet.find_digest(wire.endpoint);
         if let Some(ix) = ix {
             cx.apply_report(ix, report, as_of, "host");
+            if let Some(known) = speed_from_wire(wire, now) {
+                cx.state.borrow_mut().fleet.record_peer_slowness(ix, &known, now);
+            }
         }
     }
     let changes = datagram.endpoint_changes.iter().filter_map(change_from_wire);
--- a/crates/host/src/peer_updates.rs
+++ b/crates/host/src/peer_updates.rs
@@ -154,10 +154,37 @@
     /// Sends an engine's load report to other hosts.
     pub fn send_report(&self, endpoint: EndpointIx, report: &LoadReport, as_of: Instant) {
         let Some(digest) = self.endpoint_digest(endpoint) else { return };
-        let reports = vec![report_to_wire(digest, report, as_of, Instant::now())];
+        let now = Instant::now();
+        let speed = self.known_speed(endpoint, now);
+        let reports = vec![report_to_wire(digest, report, as_of, speed.as_ref(), now)];
         self.send_about(&[endpoint], Updates { reports, ..Updates::default() }, false);
     }
 
+    /// Sends what this host knows of the speed of an engine to other hosts, with the latest known report.
+    pub fn send_speed(&self, endpoint: EndpointIx, now: Instant) {
+        let state = self.state.borrow();
+        let known = state.fleet.get(endpoint).and_then(|e| e.load.report(now));
+        let known = known.map(|(report, age)| (*report, age));
+        drop(state);
+        if let Some((report, age)) = known {
+            self.send_report(endpoint, &report, now - age);
+        }
+    }
+
+    /// Returns the speed of an endpoint to send to other hosts, or `None` if no endpoint of the service
+    /// stated its speed recently.
+    fn known_speed(&self, endpoint: EndpointIx, now: Instant) -> Option<PeerSlowness> {
+        let state = self.state.borrow();
+        let endpoint = state.fleet.get(endpoint)?;
+        let service = state.fleet.stated_speed(&endpoint.entry.service, now)?;
+        Some(PeerSlowness {
+            stated: endpoint.speed.stated(),
+            observed: endpoint.speed.observed(),
+            latest: endpoint.speed.latest_figure(),
+            stated_at: service.stated_at()?,
+        })
+    }
+
     fn endpoint_digest(&self, endpoint: EndpointIx) -> Option<u64> {
         self.state.borrow().fleet.get(endpoint).map(|endpoint| endpoint.digest)
     }
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -29,6 +29,8 @@
 const MISSED_REPORT_AGE: Duration = Duration::from_millis(1900);
 /// Maximum interval between two reports of an engine that limits requests. Reports expire after 3 s.
 const MAX_LIMITED_INTERVAL: Duration = Duration::from_millis(2500);
+/// Maximum size of the response to a request for an engine's speed.
+const MAX_HEALTH_BYTES: usize = 16 << 10;
 /// Maximum size of a report.
 const MAX_REPORT_BYTES: usize = 256 << 10;
 
@@ -47,6 +49,9 @@
             sleep(interval).await;
         }
         for (ix, entry) in engines {
+            if let Some(path) = probe_path(&cx, ix) {
+                spawn_local(probe_speed(cx.clone(), ix, entry.clone(), path));
+            }
             spawn_local(poll(cx.clone(), ix, entry));
             sleep(pause).await;
         }
@@ -115,6 +120,59 @@
     engines.map(|(ix, endpoint)| (ix, endpoint.entry.clone())).collect()
 }
 
+/// Returns the path at which to ask an engine for its speed, if that is not known well and other
+/// engines of the service state theirs. Other hosts receive what this one knows with the reports.
+fn probe_path<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx) -> Option<Box<str>> {
+    let now = Instant::now();
+    let serving = cx.serving()?;
+    let fleet = &mut cx.state.borrow_mut().fleet;
+    let service = fleet.get(ix)?.entry.service.clone();
+    fleet.stated_speed(&service, now)?;
+    let path = serving.services.values().find(|s| s.name == service)?.health_path.clone()?;
+    // Of an engine that limits requests, the responses to requests have to suffice.
+    let may_ask = |e: &&mut Endpoint| {
+        e.is_ready() && !e.is_held_off(now) && e.request_limit.rate(now).is_none()
+    };
+    let endpoint = fleet.get_mut(ix).filter(may_ask).filter(|e| e.speed.wants_probe(now))?;
+    endpoint.speed.record_probe(now);
+    Some(path)
+}
+
+/// Asks an engine for its speed.
+async fn probe_speed<W, R>(cx: Rc<Host<W, R>>, ix: EndpointIx, entry: EndpointEntry, path: Box<str>)
+where
+    W: Wire,
+    R: Registry,
+{
+    let req = cx.wire.health_request(&entry, &path);
+    let call = async {
+        let mut connected = connect(cx.settings.endpoint_addr(entry.addr), REPORT_TIMEOUT).await?;
+        connected.fetch(req, MAX_HEALTH_BYTES).await
+    };
+    let result = match timeout(REPORT_TIMEOUT, call).await {
+        Ok(Ok((head, _))) => {
+            cx.record_own_call_directives(ix, &entry, &head);
+            let pace = cx.wire.load_hint(&head).and_then(|hint| hint.pace_percent);
+            let now = Instant::now();
+            let fleet = &mut cx.state.borrow_mut().fleet;
+            let same = fleet.get(ix).is_some_and(|e| e.entry.is_same_process(&entry));
+            match pace.filter(|_| same) {
+                Some(percent) => {
+                    fleet.record_stated_pace(ix, percent, now);
+                    "ok"
+                }
+                None => "not_understood",
+            }
+        }
+        Ok(Err(err)) => {
+            debug!(cx.log, "engine speed unknown"; "endpoint" => %entry.name, "error" => %err);
+            "failed"
+        }
+        Err(_) => "timeout",
+    };
+    cx.metrics.speed_probes.with_label_values(&[result]).inc();
+}
+
 async fn poll<W, R>(cx: Rc<Host<W, R>>, ix: EndpointIx, entry: EndpointEntry)
 where
     W: Wire,
--- a/crates/host/src/speed_observation.rs
+++ b/crates/host/src/speed_observation.rs
@@ -32,8 +32,12 @@
         };
         let tokens = self.tokens_per_event();
         let ratio = state.fleet.record_gap(endpoint, mean.gap, tokens, mean.prefills, now);
-        if let Some(ratio) = ratio {
-            self.cx.metrics.gap_ratio.observe(ratio);
+        let Some(ratio) = ratio else { return };
+        self.cx.metrics.gap_ratio.observe(ratio);
+        let announces = state.fleet.get_mut(endpoint).is_some_and(|e| e.speed.begin_announcement());
+        drop(state);
+        if announces {
+            self.cx.send_speed(endpoint, now);
         }
     }
 
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -134,6 +134,8 @@
         let held_us = u32::try_from(held.as_micros()).unwrap_or(u32::MAX);
         for report in &mut self.reports {
             report.age_ms = report.age_ms.saturating_add(held_ms);
+            report.stated_age_ms = report.stated_age_ms.map(|age| age.saturating_add(held_ms));
+            report.pace_age_ms = report.pace_age_ms.saturating_add(held_ms);
         }
         for limit in &mut self.request_limits {
             limit.age_ms = limit.age_ms.saturating_add(held_ms);
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -204,6 +204,28 @@
     /// Time from the report until the engine shuts down, in milliseconds.
     #[prost(uint32, optional, tag = "10")]
     pub leaves_ms: Option<u32>,
+    /// What the engine usually states as the duration of work, in percent, as far as the sender knows.
+    #[prost(uint32, optional, tag = "40")]
+    pub stated_percent: Option<u32>,
+    /// Number of periods in which it was stated.
+    #[prost(uint32, tag = "41")]
+    pub stated_periods: u32,
+    /// Duration of work that the sender or another host usually observes, in percent.
+    #[prost(uint32, optional, tag = "42")]
+    pub observed_percent: Option<u32>,
+    /// Number of periods in which it was observed.
+    #[prost(uint32, tag = "43")]
+    pub observed_periods: u32,
+    /// Time since any endpoint of the service last stated its duration of work, when this message was
+    /// sent, in milliseconds.
+    #[prost(uint32, optional, tag = "44")]
+    pub stated_age_ms: Option<u32>,
+    /// Latest duration of work that the engine stated, in percent.
+    #[prost(uint32, optional, tag = "45")]
+    pub pace_percent: Option<u32>,
+    /// Age of that when this message was sent, in milliseconds.
+    #[prost(uint32, tag = "46")]
+    pub pace_age_ms: u32,
 }
 
 /// An entry of the endpoint list.
--- a/crates/serving/src/raw.rs
+++ b/crates/serving/src/raw.rs
@@ -60,6 +60,8 @@
     pub name: String,
     /// Capabilities of its engines, for a service that runs generations.
     pub engine: Option<RawEngine>,
+    /// Path at which its endpoints state how they are; empty if there is none.
+    pub health_path: String,
 }
 
 /// Capabilities of the engines of a service.
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -56,4 +56,6 @@
     pub name: ServiceName,
     /// Capabilities of its engines, for a service that runs generations.
     pub engine: Option<EngineSpec>,
+    /// Path at which its endpoints state how they are, if they do.
+    pub health_path: Option<Box<str>>,
 }
