Place calls of plain services by stated speed and bound the risk on idle engines

Cause: endpoints of plain services state their speed too, and a call that meets a slowed one takes 2.5 times as long. On an idle service, long generations went to slow engines as readily as to fast ones, since no prompt was expected there. The estimated prefill backlog of a slow engine left out that neighbours slow it, so that first events were late with many hosts. Change: plain::choose scales the expected duration by the stated figure. Any engine is expected to receive a few prompts, and the time that a generation runs has a cost. The backlog drains at the mean speed. An engine counts as one that keeps the target only if the chance of a longer pause is below 0.35, so that engines just at the target do not.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -96,6 +96,8 @@
     connect_secs: f64,
     /// Moving average of the duration of a plain call, in seconds.
     service_secs: f64,
+    /// Whether a call of this host ended there.
+    has_served: bool,
 }
 
 impl Endpoint {
@@ -133,6 +135,7 @@
             reached_at: None,
             connect_secs: connect.as_secs_f64(),
             service_secs: INITIAL_SERVICE_TIME.as_secs_f64(),
+            has_served: false,
         }
     }
 
@@ -252,6 +255,11 @@
         Duration::from_secs_f64(self.service_secs)
     }
 
+    /// Returns true if a call of this host ended there, so that the average duration is known.
+    pub fn has_served(&self) -> bool {
+        self.has_served
+    }
+
     /// Records the duration of connecting.
     pub fn record_connect_time(&mut self, took: Duration) {
         self.connect_secs += (took.as_secs_f64() - self.connect_secs) * EWMA_WEIGHT;
@@ -260,6 +268,7 @@
     /// Records the duration of a plain call, including the network round trip.
     pub fn record_service_time(&mut self, took: Duration) {
         let service_secs = (took.as_secs_f64() - self.connect_secs).max(0.0);
+        self.has_served = true;
         self.service_secs += (service_secs - self.service_secs) * EWMA_WEIGHT;
     }
 }
--- a/crates/dispatch/src/expected_gaps.rs
+++ b/crates/dispatch/src/expected_gaps.rs
@@ -21,6 +21,8 @@
 const SLOWED_MS: f64 = 600.0;
 /// Uncertainty of an expected pause on a well known engine, as a fraction.
 const MIN_UNCERTAINTY: f64 = 0.08;
+/// Largest probability of a longer pause with which an engine counts as one that keeps the target.
+const MAX_KEEPING_LATE: f64 = 0.35;
 
 /// Returns the usual time between events, in milliseconds, on an engine that runs `sequences`.
 ///
@@ -136,7 +138,7 @@
     /// Returns true if a pause is not expected to exceed the target even while neighbours slow the
     /// engine during a prefill.
     pub fn keeps_target(&self) -> bool {
-        self.prefill_late[1] < 0.5
+        self.prefill_late[1] < MAX_KEEPING_LATE
     }
 
     /// Returns the expected time between events.
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -300,7 +300,7 @@
         let service = self.speeds.entry(endpoint.entry.service.clone()).or_default();
         let Some(ratio) = endpoint.speed.stated_ratio(service) else { return };
         service.record_stated(ratio, endpoint.speed.ln_known_stated(), as_of);
-        endpoint.load.set_slowness(endpoint.speed.slowness(service), as_of);
+        endpoint.load.set_slowness(endpoint.speed.slowness(service) * service.mean_factor(), as_of);
     }
 
     /// Records the speed of an endpoint as known to another host.
@@ -316,7 +316,7 @@
         {
             service.record_stated(ratio, speed.ln_known_stated(), as_of);
         }
-        endpoint.load.set_slowness(endpoint.speed.slowness(service), now);
+        endpoint.load.set_slowness(endpoint.speed.slowness(service) * service.mean_factor(), now);
     }
 
     /// Records the mean time between events of `tokens_per_event` tokens of a stream of this host.
@@ -349,7 +349,9 @@
             service.record_unstated(ln_unstated);
         }
         if service.is_stated(now) {
-            endpoint.load.set_slowness(endpoint.speed.slowness(service), now);
+            endpoint
+                .load
+                .set_slowness(endpoint.speed.slowness(service) * service.mean_factor(), now);
         }
     }
 
--- a/crates/dispatch/src/plain.rs
+++ b/crates/dispatch/src/plain.rs
@@ -14,6 +14,7 @@
 use crate::distance::Distance;
 use crate::endpoint::Endpoint;
 use crate::fleet::Fleet;
+use crate::service_speed::ServiceSpeed;
 
 /// Time that a failed call is expected to cost its client, in milliseconds: a retry or a lost
 /// response.
@@ -41,9 +42,10 @@
 where
     Draws: Rng,
 {
+    let speed = fleet.stated_speed(service, now);
     cheapest(fleet, service, candidates, now, |ix, endpoint| Choice {
         endpoint: ix,
-        cost_ms: expected_cost_ms(endpoint, now) * (1.0 + JITTER * rng.random::<f64>()),
+        cost_ms: expected_cost_ms(endpoint, speed, now) * (1.0 + JITTER * rng.random::<f64>()),
         failure_rate: endpoint.health.failure_rate(now),
         fill: 0.0,
         prefill_tokens: 0,
@@ -56,9 +58,12 @@
     })
 }
 
-fn expected_cost_ms(endpoint: &Endpoint, now: Instant) -> f64 {
+/// Returns the expected duration of a call, in milliseconds. `speed` is that of the service, if its
+/// endpoints state theirs.
+fn expected_cost_ms(endpoint: &Endpoint, speed: Option<&ServiceSpeed>, now: Instant) -> f64 {
     let network = endpoint.connect_time().as_secs_f64() * 1e3 * ROUND_TRIPS;
-    let work = endpoint.service_time().as_secs_f64() * 1e3;
+    let pace = speed.map_or(1.0, |speed| pace(endpoint, speed, now));
+    let work = endpoint.service_time().as_secs_f64() * 1e3 * pace;
     let slots = f64::from(endpoint.entry.slots.max(1));
     let busy = endpoint.runs.len() as f64 + endpoint.load.peer_requests(now);
     let queued = (busy + 1.0 - slots).max(0.0);
@@ -68,3 +73,15 @@
     let failures = endpoint.health.failure_rate(now) * FAILURE_MS;
     network + work + contention + work * queued / slots + warmup.min(work) + remote + failures
 }
+
+/// Returns the factor by which a call takes longer than its average at the endpoint: more while
+/// neighbours slow the endpoint and less while they do not. Before its first call, the persistent
+/// slowness is part of it.
+fn pace(endpoint: &Endpoint, speed: &ServiceSpeed, now: Instant) -> f64 {
+    let slowed = |probability: f64| 1.0 + probability * (speed.slowed_factor() - 1.0);
+    let now_slowed = slowed(endpoint.speed.slowed_probability(speed, now));
+    match endpoint.has_served() {
+        true => now_slowed / slowed(speed.slowed_share()),
+        false => now_slowed * endpoint.speed.slowness(speed),
+    }
+}
--- a/crates/dispatch/src/service_speed.rs
+++ b/crates/dispatch/src/service_speed.rs
@@ -117,6 +117,11 @@
         self.slowed_share
     }
 
+    /// Returns the factor by which neighbours slow an endpoint on average.
+    pub(crate) fn mean_factor(&self) -> f64 {
+        1.0 + self.slowed_share * (self.slowed_factor - 1.0)
+    }
+
     /// Returns the factor by which neighbours slow an endpoint.
     pub fn slowed_factor(&self) -> f64 {
         self.slowed_factor
--- a/crates/dispatch/src/slowness_samples.rs
+++ b/crates/dispatch/src/slowness_samples.rs
@@ -11,7 +11,7 @@
 const ACCEPTED: (f64, f64) = (0.25, 8.0);
 /// Confidence in the usual slowness by number of periods, 0 to 1; the last value applies to more. A single
 /// period may be one in which the endpoint's neighbours slowed it.
-const CONFIDENCE: [f64; 4] = [0.0, 0.5, 0.8, 0.95];
+const CONFIDENCE: [f64; 5] = [0.0, 0.5, 0.8, 0.9, 1.0];
 
 /// Usual slowness of an endpoint, and how well it is known. Hosts send it to each other.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/dispatch/src/uneven_speed.rs
+++ b/crates/dispatch/src/uneven_speed.rs
@@ -23,11 +23,17 @@
 /// Cost of a generation that could be in time on other engines, on an engine that keeps the target
 /// where others do not, in milliseconds: it takes memory and prefill from a generation that could not.
 const SCARCE_ENGINE_MS: f64 = 700.0;
+/// Cost of each millisecond for which a generation is expected to run, in milliseconds: engines are
+/// replaced about every 20 s, and a third of the streams that migrate pause for too long then.
+const LIFE_FACTOR: f64 = 0.1;
 /// Sequences that an engine is assumed to run when engines are compared in general.
 const TYPICAL_SEQUENCES: u32 = 6;
 /// Part of the mean rate of prompts that any engine is expected to receive, however few it received
 /// recently.
 const MIN_PROMPT_RATE_FRACTION: f64 = 0.2;
+/// Rate of prompts that an engine of an idle service is expected to receive, per second: demand may rise
+/// within the life of a stream.
+const MIN_PROMPTS_PER_S: f64 = 0.1;
 
 /// Cost of uneven speed of the engines of a service.
 #[derive(Clone, Copy, Debug)]
@@ -77,6 +83,10 @@
         ExpectedGaps::new(endpoint, self.service, self.tokens_per_event, sequences, now)
     }
 
+    fn events(&self, demand: &TokenDemand) -> f64 {
+        f64::from(demand.expected) / f64::from(self.tokens_per_event.max(1))
+    }
+
     /// Returns the probability that a generation becomes late on an engine.
     pub(crate) fn late_probability(
         &self,
@@ -85,10 +95,9 @@
         demand: &TokenDemand,
         now: Instant,
     ) -> f64 {
-        let min_rate = self.mean_prompts_per_s * MIN_PROMPT_RATE_FRACTION;
+        let min_rate = self.mean_prompts_per_s * MIN_PROMPT_RATE_FRACTION + MIN_PROMPTS_PER_S;
         let rate = endpoint.load.prompts_per_s(now).max(min_rate);
-        let events = f64::from(demand.expected) / f64::from(self.tokens_per_event.max(1));
-        gaps.late_within_stream(events, f64::from(demand.kv_tokens), rate)
+        gaps.late_within_stream(self.events(demand), f64::from(demand.kv_tokens), rate)
     }
 
     /// Returns the expected time until a generation ends at an engine that also prefills prompts, in
@@ -101,8 +110,7 @@
     ) -> f64 {
         let load = endpoint.load.estimate_engine_load(&endpoint.runs, now);
         let gaps = self.gaps(endpoint, &load, now);
-        let events = f64::from(demand.expected) / f64::from(self.tokens_per_event.max(1));
-        events * gaps.mean_prefill_ms() / 1e3
+        self.events(demand) * gaps.mean_prefill_ms() / 1e3
     }
 
     /// Returns the cost of the streams that become late: the generation itself, and those that run at
@@ -135,7 +143,9 @@
             Some(late) if gaps.keeps_target() => (1.0 - late) * SCARCE_ENGINE_MS,
             _ => 0.0,
         };
+        let life_ms = self.events(demand) * gaps.usual_ms;
         own * LATE_STREAM_MS
+            + life_ms * LIFE_FACTOR
             + occupied
             + streams * newly_late * in_time * LATE_STREAM_MS
             + streams * delayed * DELAYED_STREAM_FACTOR
