--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -12,6 +12,7 @@
 use crate::request_limit::RequestLimit;
 use crate::request_window::RequestWindow;
 use crate::run::Run;
+use crate::speed::SpeedEstimate;
 
 /// Weight of a new sample in the moving averages of durations.
 const EWMA_WEIGHT: f64 = 0.15;
@@ -80,6 +81,8 @@
     pub health: Health,
     /// Load.
     pub load: Load,
+    /// Speed.
+    pub speed: SpeedEstimate,
     /// Rate of requests that it accepts from all hosts together.
     pub request_limit: RequestLimit,
     /// Number of requests that this host may have in progress after a refusal.
@@ -99,6 +102,8 @@
     connect_secs: f64,
     /// Moving average of the duration of a plain call, in seconds.
     service_secs: f64,
+    /// Whether a call of this host ended there.
+    has_served: bool,
 }
 
 impl Endpoint {
@@ -134,6 +139,7 @@
             no_room_until: None,
             health: Health::default(),
             load: Load::default(),
+            speed: SpeedEstimate::default(),
             request_limit: RequestLimit::default(),
             window: None,
             unsent: 0,
@@ -143,6 +149,7 @@
             reached_at: None,
             connect_secs: connect.as_secs_f64(),
             service_secs: INITIAL_SERVICE_TIME.as_secs_f64(),
+            has_served: false,
         }
     }
 
@@ -262,6 +269,11 @@
         Duration::from_secs_f64(self.service_secs)
     }
 
+    /// Returns true if a call of this host ended there, so that the average duration is known.
+    pub fn has_served(&self) -> bool {
+        self.has_served
+    }
+
     /// Records the duration of connecting.
     pub fn record_connect_time(&mut self, took: Duration) {
         self.connect_secs += (took.as_secs_f64() - self.connect_secs) * EWMA_WEIGHT;
@@ -270,6 +282,7 @@
     /// Records the duration of a plain call, including the network round trip.
     pub fn record_service_time(&mut self, took: Duration) {
         let service_secs = (took.as_secs_f64() - self.connect_secs).max(0.0);
+        self.has_served = true;
         self.service_secs += (service_secs - self.service_secs) * EWMA_WEIGHT;
     }
 }
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -16,8 +16,10 @@
 use crate::choice::{Choice, cheapest};
 use crate::distance::Distance;
 use crate::endpoint::Endpoint;
+use crate::expected_gaps::ExpectedGaps;
 use crate::load::{EngineLoad, PREFILL_TOKENS_PER_SECOND};
 use crate::pool::Pool;
+use crate::uneven_speed::UnevenSpeed;
 
 /// Memory use, as a fraction, above which contention has a cost. Less than 1 because output lengths
 /// are estimates.
@@ -38,6 +40,11 @@
 /// Cost of an engine in another region, in milliseconds: network latency, billed traffic, and late
 /// updates about the placements made by the hosts of that region.
 const CROSS_REGION_MS: f64 = 900.0;
+/// The same for a long generation on an engine that keeps the gap target: the latency of the network
+/// counts once, and no pause on the way is as long as those of a slow engine.
+const CROSS_REGION_LONG_MS: f64 = 150.0;
+/// Expected tokens from which a generation counts as long in this respect.
+const LONG_TOKENS: f64 = 200.0;
 /// Random part of the cost of an engine in another region, in milliseconds. Without it, hosts of
 /// several regions would select the same engine before they receive each other's updates.
 const CROSS_REGION_JITTER_MS: f64 = 600.0;
@@ -84,6 +91,7 @@
 where
     Draws: Rng,
 {
+    let uneven = UnevenSpeed::new(pool, demand, now);
     cheapest(pool.fleet, pool.service, candidates, now, |ix, endpoint| {
         let load = endpoint.load.estimate_engine_load(&endpoint.runs, now);
         let fill = expected_fill(&load, demand, pool.spec);
@@ -91,7 +99,11 @@
             Distance::Zone | Distance::Region => JITTER_MS,
             Distance::Remote => CROSS_REGION_JITTER_MS,
         };
-        let cost = expected_cost_ms(endpoint, &load, fill, demand, due, now);
+        let gaps = uneven.as_ref().map(|uneven| uneven.gaps(endpoint, &load, now));
+        let mut cost = expected_cost_ms(endpoint, &load, fill, gaps.as_ref(), demand, due, now);
+        if let (Some(uneven), Some(gaps)) = (&uneven, &gaps) {
+            cost += uneven.late_streams_ms(endpoint, &load, gaps, demand, now);
+        }
         Choice {
             endpoint: ix,
             cost_ms: cost + jitter * rng.random::<f64>(),
@@ -100,6 +112,7 @@
             prefill_tokens: load.prefill_tokens,
             sequences: load.sequences,
             report_age: endpoint.load.report(now).map(|(_, age)| age),
+            gaps,
             delay: Duration::ZERO,
             compared: 0,
             unusable: 0,
@@ -111,13 +124,16 @@
     endpoint: &Endpoint,
     load: &EngineLoad,
     fill: f64,
+    gaps: Option<&ExpectedGaps>,
     demand: &TokenDemand,
     due: Duration,
     now: Instant,
 ) -> f64 {
-    let prefill = (f64::from(load.prefill_tokens) + f64::from(demand.prefill_tokens))
-        / PREFILL_TOKENS_PER_SECOND
-        * 1e3;
+    let prefill_tokens = f64::from(load.prefill_tokens) + f64::from(demand.prefill_tokens);
+    let prefill = match gaps {
+        Some(gaps) => gaps.prefill_duration_ms(prefill_tokens),
+        None => prefill_tokens / PREFILL_TOKENS_PER_SECOND * 1e3,
+    };
     let contention = (fill - CONTENDED_FILL).max(0.0) / (1.0 - CONTENDED_FILL) * FULL_MS;
     let late =
         (prefill - due.as_secs_f64() * 1e3 * MAX_PREFILL_FRACTION).max(0.0) * LATENESS_FACTOR;
@@ -127,6 +143,10 @@
     let network = match endpoint.distance {
         Distance::Zone => 0.0,
         Distance::Region => CROSS_ZONE_MS,
+        Distance::Remote if gaps.is_some_and(|gaps| gaps.keeps_target()) => {
+            let long = (f64::from(demand.expected) / LONG_TOKENS).min(1.0);
+            CROSS_REGION_MS + (CROSS_REGION_LONG_MS - CROSS_REGION_MS) * long
+        }
         Distance::Remote => CROSS_REGION_MS,
     };
     let failures = endpoint.health.failure_rate(now) * FAILURE_MS;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,12 @@
 //! - [`crash_suspects`]: recognises requests that crash the endpoints that run them.
 //! - [`health`]: failure rate of an endpoint, estimated from its responses.
 //! - [`load`]: load of an endpoint, estimated from reports and from the requests this host sent.
+//! - [`speed`]: speed of an endpoint, estimated from what it states and from what hosts observe.
+//! - [`slowness_samples`]: recent samples of how slow an endpoint is.
+//! - [`peer_slowness`]: speed of an endpoint as known to another host.
+//! - [`service_speed`]: what the endpoints of one service have in common in speed.
+//! - [`expected_gaps`]: expected pauses between the events of the streams of an engine.
+//! - [`uneven_speed`]: cost of uneven speed of the engines of a service.
 //! - [`run`]: a request that this host sent to an endpoint.
 //! - [`stall_clock`]: recognises streams that their engines do not continue.
 //! - [`subset`]: selects the endpoints that a host sends work to.
@@ -44,12 +50,14 @@
 pub mod endpoint;
 pub mod entry;
 pub mod evacuation;
+pub mod expected_gaps;
 pub mod fleet;
 pub mod generation;
 pub mod health;
 pub mod load;
 pub mod migration;
 pub mod pause;
+pub mod peer_slowness;
 pub mod plain;
 pub mod pool;
 pub mod prelude;
@@ -61,6 +69,10 @@
 pub mod retry_quota;
 pub mod revision;
 pub mod run;
+pub mod service_speed;
+pub mod slowness_samples;
+pub mod speed;
 pub mod stall_clock;
 pub mod stream_origins;
 pub mod subset;
+pub mod uneven_speed;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -11,6 +11,10 @@
 /// Upper bounds of the histogram of pauses between events, in seconds.
 const PAUSE_SECONDS: &[f64] = &[0.02, 0.05, 0.1, 0.18, 0.3, 0.5, 1.0, 2.0, 5.0];
 
+/// Upper bounds of the histogram of observed to estimated times. A well estimated time is between 0.7
+/// and 1.4.
+const RATIOS: &[f64] = &[0.25, 0.5, 0.7, 0.85, 1.0, 1.2, 1.4, 2.0, 3.0, 5.0];
+
 /// Metrics of one host, in their own Prometheus registry.
 #[derive(Debug)]
 pub struct Metrics {
@@ -27,6 +31,8 @@
     pub registry_calls: IntCounterVec,
     /// Polls of engines' load reports by result.
     pub reports: IntCounterVec,
+    /// Requests for the speed of engines by result.
+    pub speed_probes: IntCounterVec,
     /// Statements of endpoints about themselves that were not valid.
     pub malformed_directives: IntCounterVec,
     /// Peer datagrams by result.
@@ -35,6 +41,8 @@
     pub answer_seconds: HistogramVec,
     /// Longest pause between two events of a stream.
     pub pause_seconds: Histogram,
+    /// Observed mean time between the events of a stream, as a fraction of the estimate.
+    pub gap_ratio: Histogram,
     /// Configuration version in force.
     pub serving_version: IntGauge,
     /// Pairs of a route and an organisation without an allowed region in common.
@@ -82,6 +90,11 @@
                 "Reports asked of engines",
                 &[result],
             ),
+            speed_probes: set.counters(
+                "camphorloft_speed_probes_total",
+                "Requests for the speed of engines",
+                &[result],
+            ),
             malformed_directives: set.counters(
                 "camphorloft_malformed_directives_total",
                 "Statements of endpoints about themselves that were not valid",
@@ -103,6 +116,11 @@
                 "Longest pause between the events of a stream",
                 PAUSE_SECONDS,
             ),
+            gap_ratio: set.histogram(
+                "camphorloft_gap_ratio",
+                "Observed time between events as a fraction of the estimate",
+                RATIOS,
+            ),
             serving_version: set.gauge("camphorloft_serving_version", "Version in force"),
             residency_conflicts: set.gauge(
                 "camphorloft_residency_conflicts",
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -17,6 +17,7 @@
 use crate::call::Call;
 use crate::context::Host;
 use crate::event_splitter::EventSplitter;
+use crate::gap_window::GapWindow;
 use crate::generation_call::Placement;
 use crate::response_body::BodyError;
 use crate::sending::{RunGuard, UpstreamResponse};
@@ -102,6 +103,8 @@
     pub(crate) is_proven: bool,
     /// Time since the source's last event.
     stall_clock: StallClock,
+    /// Measures the time between the events of the source.
+    pub(crate) gap_window: Option<GapWindow>,
     pub(crate) longest_pause: Duration,
     /// Number of the event that followed the longest pause.
     pub(crate) longest_pause_before: u64,
@@ -152,6 +155,7 @@
             source_event_at: None,
             is_proven: false,
             stall_clock,
+            gap_window: None,
             longest_pause: Duration::ZERO,
             longest_pause_before: 0,
             source_changes: 0,
@@ -257,8 +261,9 @@
             return Err(StreamEnd::Interrupted);
         }
         let mut out = BytesMut::new();
-        let mut has_event = false;
+        let (mut received, mut has_event) = (0, false);
         while let Some(event) = self.splitter.next_event() {
+            received += 1;
             has_event |= !event.is_comment();
             if let (Some(id), Some(last)) = (event.id, self.last_event_id) {
                 if id <= last {
@@ -275,7 +280,7 @@
             out.extend_from_slice(&event.bytes);
         }
         if !out.is_empty() {
-            self.send_events(out.freeze()).await?;
+            self.send_events(out.freeze(), received).await?;
         }
         // The time for which a slow client delays the relay does not count against the source.
         if has_event {
@@ -284,9 +289,15 @@
         Ok(())
     }
 
-    async fn send_events(&mut self, events: Bytes) -> Result<(), StreamEnd> {
+    /// Sends events to the client. `received` is the number of events that the source has sent since the
+    /// last call.
+    async fn send_events(&mut self, events: Bytes, received: u32) -> Result<(), StreamEnd> {
         self.record_events();
+        self.observe_gaps(received, Instant::now());
         self.record_origin();
+        if self.tx.capacity() == 0 {
+            self.observe_slow_client();
+        }
         let sent = timeout_at(self.call.deadline.into(), self.tx.send(Ok(events))).await;
         match sent {
             Ok(Ok(())) => Ok(()),
@@ -356,6 +367,7 @@
         self.source = Source::from(upstream);
         self.source_event_at = None;
         self.is_proven = false;
+        self.gap_window = None;
         self.splitter = EventSplitter::default();
         self.stall_clock = start_stall_clock(&self.call);
         self.source_changes += 1;
--- a/crates/serving/src/change.rs
+++ b/crates/serving/src/change.rs
@@ -171,11 +171,12 @@
 }
 
 fn service_fields(service: &RawService) -> Fields {
-    let RawService { name: _, engine, cold_s, cold_per_s, max_connections } = service;
+    let RawService { name: _, engine, cold_s, cold_per_s, max_connections, health_path } = service;
     let mut fields = vec![
         ("cold_s", cold_s.to_string()),
         ("cold_per_s", cold_per_s.to_string()),
         ("max_connections", max_connections.to_string()),
+        ("health_path", health_path.clone()),
         ("engine", if engine.is_some() { "present" } else { "absent" }.to_owned()),
     ];
     let RawEngine {
--- a/crates/serving/src/raw.rs
+++ b/crates/serving/src/raw.rs
@@ -68,6 +68,8 @@
     pub cold_per_s: f64,
     /// Maximum number of connections of an endpoint; 0 if not stated.
     pub max_connections: u32,
+    /// Path at which its endpoints state how they are; empty if there is none.
+    pub health_path: String,
 }
 
 /// Capabilities of the engines of a service.
--- a/crates/serving/src/service.rs
+++ b/crates/serving/src/service.rs
@@ -69,4 +69,6 @@
     pub cold: Option<ColdLimit>,
     /// Maximum number of connections of an endpoint, if stated.
     pub max_connections: Option<u32>,
+    /// Path at which its endpoints state how they are, if they do.
+    pub health_path: Option<Box<str>>,
 }
--- a/crates/serving/src/verify.rs
+++ b/crates/serving/src/verify.rs
@@ -107,7 +107,9 @@
         });
         let cold = self.check_cold_limit(path, raw);
         let max_connections = (raw.max_connections > 0).then_some(raw.max_connections);
-        Some(Service { name, engine, cold, max_connections })
+        let health_path = raw.health_path.as_str();
+        let health_path = health_path.starts_with('/').then(|| health_path.into());
+        Some(Service { name, engine, cold, max_connections, health_path })
     }
 
     fn check_cold_limit(&mut self, path: &str, raw: &RawService) -> Option<ColdLimit> {
