--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -55,6 +55,8 @@
     pub digest: u64,
     /// Distance from this host.
     pub distance: Distance,
+    /// Region of its zone, if the settings state it.
+    pub region: Option<Region>,
     /// State.
     pub state: EndpointState,
     /// Whether its zone is evacuated: it finishes what it runs and receives no further requests.
@@ -99,7 +101,12 @@
 
 impl Endpoint {
     /// Creates the state of a newly listed endpoint.
-    pub fn new(entry: EndpointEntry, distance: Distance, now: Instant) -> Self {
+    pub fn new(
+        entry: EndpointEntry,
+        distance: Distance,
+        region: Option<Region>,
+        now: Instant,
+    ) -> Self {
         let state = match entry.draining {
             true => EndpointState::Draining { since: now },
             false => EndpointState::Ready,
@@ -114,6 +121,7 @@
             digest: entry.digest(),
             entry,
             distance,
+            region,
             state,
             is_evacuated: false,
             in_subset: true,
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -241,7 +241,8 @@
         self.list_revision += 1;
         let distance = self.locality.distance(&entry.zone);
         let is_evacuated = self.evacuations.includes(&entry.zone);
-        let mut endpoint = Endpoint::new(entry, distance, now);
+        let region = self.locality.region_of(&entry.zone).cloned();
+        let mut endpoint = Endpoint::new(entry, distance, region, now);
         endpoint.is_evacuated = is_evacuated;
         let endpoint = Some(endpoint);
         match self.free.pop() {
@@ -261,6 +262,7 @@
         changes: &mut Vec<FleetChange>,
     ) {
         let is_evacuated = self.evacuations.includes(&entry.zone);
+        let region = self.locality.region_of(&entry.zone).cloned();
         let Some(endpoint) = self.get_mut(ix) else { return };
         endpoint.is_evacuated = is_evacuated;
         // Draining is final for a process: an entry that still lists it as ready is older.
@@ -271,6 +273,7 @@
         endpoint.warm_at = now + entry.warmup_remaining;
         let draining = endpoint.entry.draining;
         endpoint.entry = entry;
+        endpoint.region = region;
         endpoint.entry.draining |= draining;
     }
 
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -8,6 +8,7 @@
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_dispatch::{generation, plain, reclaim};
+use camphorloft_serving::prelude::Residency;
 use camphorloft_types::prelude::*;
 use common::{call, engine, entry, find, fleet, service, work};
 use rand::SeedableRng;
@@ -70,7 +71,8 @@
     fleet.mark_draining(from, now, &mut Vec::new());
     let decide = |fleet: &Fleet| {
         let run = &fleet.get(from).unwrap().runs[0];
-        reclaim::decide(fleet, &engine(), from, run, &[], now)
+        let reclaimed = ReclaimedRun { run, tried: &[], residency: &Residency::UNRESTRICTED };
+        reclaim::decide(fleet, &engine(), from, &reclaimed, now)
     };
     let (same_zone, other_zone) = (find(&fleet, "e1"), find(&fleet, "e2"));
     assert!(matches!(decide(&fleet), ReclaimDecision::Migrate { to, .. } if to == same_zone));
