Limit the requests to cold endpoints as a second source of their limit

Cause: an endpoint that has not warmed up crashes if all hosts together send well more than its service states, and nothing limits them. Shares have to hold also for hosts that are not in contact, that wake from a pause, and that learn it from different sources. Hosts without a share may send when the endpoint is warm. `Cold-Ms` of any response and `cold-left-ms` of an entry go to all hosts at once as a `FleetChange`, and again every second while they hold; relays and repetitions take off the time that has passed, and a stale entry does not shorten it. Lost hosts keep their rank for 10 minutes, and a host that knows no other takes one by its name among those that the store lists. Load reports and copies count against the share, and a cold engine is polled only by a host that has one. A request that was placed before the endpoint turned cold, or before a pause of the process, is checked again before it is sent. Shares begin anew after a pause. The tick is a function of its own that tests call.

--- a/crates/dispatch/src/directives.rs
+++ b/crates/dispatch/src/directives.rs
@@ -22,6 +22,8 @@
     /// Rate of requests that it accepts from all hosts together, for as long as its responses state
     /// it.
     pub request_limit: Directive<RequestRate>,
+    /// Time for which it stays cold.
+    pub cold: Directive<Duration>,
     /// Whether it leaves: it accepts no new work and shuts down soon.
     pub leaving: Directive<bool>,
     /// Refusals a second, to all hosts together, beyond which it crashes.
--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -70,6 +70,10 @@
     pub shutdown_at: Option<Instant>,
     /// When its warm-up ends.
     pub warm_at: Instant,
+    /// When it last stated that it is cold.
+    cold_stated_at: Option<Instant>,
+    /// Rate of requests that it tolerates while it is cold, if its service limits them.
+    cold_rate: Option<RequestRate>,
     /// Until when it wants no request from this host.
     pub hold_off_until: Option<Instant>,
     /// Until when this host sends it nothing because it had no room and is brittle.
@@ -127,6 +131,8 @@
             in_subset: true,
             joined_at: now,
             shutdown_at: None,
+            cold_stated_at: None,
+            cold_rate: None,
             hold_off_until: None,
             no_room_until: None,
             health: Health::default(),
@@ -177,6 +183,50 @@
         f64::from(self.unsent) + self.runs.len() as f64
     }
 
+    /// Returns true if the endpoint is cold and its service limits the requests to cold endpoints.
+    pub fn is_cold_limited(&self, now: Instant) -> bool {
+        self.request_limit.cold_rate(now).is_some()
+    }
+
+    /// Records that the endpoint stated how long it stays cold. Returns true if it turned cold, or stays so
+    /// for longer than was known.
+    pub fn record_cold(&mut self, left: Duration, now: Instant) -> bool {
+        /// Time by which two statements about the same warm-up differ, because each arrives with its own
+        /// delay.
+        const TOLERANCE: Duration = Duration::from_millis(300);
+        /// Time after which a shorter statement is not one from before a longer one: entries are written
+        /// about once a second and read within another one.
+        const STATEMENT_LIFETIME: Duration = Duration::from_secs(3);
+        let until = now + left;
+        let is_recent = |at| now.saturating_duration_since(at) < STATEMENT_LIFETIME;
+        if until <= self.warm_at && self.cold_stated_at.is_some_and(is_recent) {
+            return false;
+        }
+        let is_news = until > self.warm_at.max(now) + TOLERANCE;
+        self.warm_at = until;
+        if !left.is_zero() {
+            self.cold_stated_at = Some(now);
+        }
+        self.update_cold_limit(now);
+        is_news
+    }
+
+    /// Sets the rate of requests that the endpoint tolerates while it is cold, if it is limited.
+    pub fn set_cold_rate(&mut self, rate: Option<RequestRate>, now: Instant) {
+        self.cold_rate = rate;
+        self.update_cold_limit(now);
+    }
+
+    fn update_cold_limit(&mut self, now: Instant) {
+        self.request_limit.set_cold(self.cold_rate, Some(self.warm_at), now);
+    }
+
+    /// Returns its list entry with what is left of its warm-up.
+    pub fn entry_now(&self, now: Instant) -> EndpointEntry {
+        let warmup_remaining = self.warm_at.saturating_duration_since(now);
+        EndpointEntry { warmup_remaining, ..self.entry.clone() }
+    }
+
     /// Returns true during the time for which the endpoint wants no request from this host.
     pub fn is_held_off(&self, now: Instant) -> bool {
         self.hold_off_until.is_some_and(|until| now < until)
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -28,6 +28,8 @@
     Joined(EndpointIx),
     /// The endpoint started draining.
     Draining(EndpointIx),
+    /// The endpoint turned cold, or stays cold for longer than was known.
+    Cold(EndpointIx),
     /// The endpoint is no longer listed.
     Removed(EndpointIx),
 }
@@ -36,7 +38,10 @@
     /// Returns the endpoint.
     pub fn endpoint(self) -> EndpointIx {
         match self {
-            FleetChange::Joined(ix) | FleetChange::Draining(ix) | FleetChange::Removed(ix) => ix,
+            FleetChange::Joined(ix)
+            | FleetChange::Draining(ix)
+            | FleetChange::Cold(ix)
+            | FleetChange::Removed(ix) => ix,
         }
     }
 }
@@ -46,6 +51,7 @@
         f.write_str(match self {
             FleetChange::Joined(_) => "joined",
             FleetChange::Draining(_) => "leaving",
+            FleetChange::Cold(_) => "cold",
             FleetChange::Removed(_) => "gone",
         })
     }
@@ -67,6 +73,8 @@
     list_revision: u64,
     /// Services whose endpoints crash when they have to refuse many requests.
     brittle: HashMap<ServiceName, Brittleness>,
+    /// Rates of requests that cold endpoints tolerate, by service.
+    cold_rates: HashMap<ServiceName, RequestRate>,
     evacuations: KnownEvacuations,
     /// Planned migrations between endpoints.
     pub migrations: MigrationPlans,
@@ -84,6 +92,7 @@
             by_digest: HashMap::new(),
             list_revision: 0,
             brittle: HashMap::new(),
+            cold_rates: HashMap::new(),
             evacuations: KnownEvacuations::default(),
             migrations: MigrationPlans::default(),
             next_run: 0,
@@ -221,6 +230,38 @@
         changes.push(FleetChange::Joined(ix));
     }
 
+    /// Records that an endpoint states how long it stays cold. Appends to `changes` if that is new.
+    pub fn record_cold(
+        &mut self,
+        ix: EndpointIx,
+        left: Duration,
+        now: Instant,
+        changes: &mut Vec<FleetChange>,
+    ) {
+        if self.get_mut(ix).is_some_and(|endpoint| endpoint.record_cold(left, now)) {
+            changes.push(FleetChange::Cold(ix));
+        }
+    }
+
+    /// Sets the rates of requests that cold endpoints tolerate, by service. Other services do not limit
+    /// them.
+    pub fn set_cold_rates(&mut self, rates: HashMap<ServiceName, RequestRate>, now: Instant) {
+        if self.cold_rates == rates {
+            return;
+        }
+        for endpoint in self.slots.values_mut().flatten() {
+            endpoint.set_cold_rate(rates.get(&endpoint.entry.service).copied(), now);
+        }
+        self.cold_rates = rates;
+    }
+
+    /// Lets this host's shares of all limits begin anew after a pause of the process.
+    pub fn restart_shares(&mut self, now: Instant) {
+        for endpoint in self.slots.values_mut().flatten() {
+            endpoint.request_limit.restart_share(now);
+        }
+    }
+
     /// Records that an endpoint states that it is draining. Appends to `changes` if that is new.
     pub fn mark_draining(&mut self, ix: EndpointIx, now: Instant, changes: &mut Vec<FleetChange>) {
         if let Some(endpoint) = self.get_mut(ix)
@@ -244,6 +285,7 @@
         let region = self.locality.region_of(&entry.zone).cloned();
         let mut endpoint = Endpoint::new(entry, distance, region, now);
         endpoint.is_evacuated = is_evacuated;
+        endpoint.set_cold_rate(self.cold_rates.get(&endpoint.entry.service).copied(), now);
         let endpoint = Some(endpoint);
         match self.free.pop() {
             Some(ix) => {
@@ -270,11 +312,14 @@
             endpoint.state = EndpointState::Draining { since: now };
             changes.push(FleetChange::Draining(ix));
         }
-        endpoint.warm_at = now + entry.warmup_remaining;
+        let left = entry.warmup_remaining;
         let draining = endpoint.entry.draining;
         endpoint.entry = entry;
         endpoint.region = region;
         endpoint.entry.draining |= draining;
+        if endpoint.record_cold(left, now) {
+            changes.push(FleetChange::Cold(ix));
+        }
     }
 
     /// Removes an endpoint that is no longer listed. Like a draining one, it accepts no new work.
@@ -317,11 +362,10 @@
         newly_draining
     }
 
-    /// Counts a request against the limit of an endpoint, when it is placed there.
-    pub fn reserve_send(&mut self, ix: EndpointIx, now: Instant) {
-        if let Some(endpoint) = self.get_mut(ix) {
-            endpoint.request_limit.reserve(now);
-        }
+    /// Counts a request against the limit of an endpoint, when it is placed there. Returns true if it has
+    /// one, and this host a share of it.
+    pub fn reserve_send(&mut self, ix: EndpointIx, now: Instant) -> bool {
+        self.get_mut(ix).is_some_and(|endpoint| endpoint.request_limit.reserve(now))
     }
 
     /// Records that a request is placed on an endpoint, until it is sent or abandoned.
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -96,16 +96,20 @@
         let mut guard = self.state.borrow_mut();
         let State { fleet, packed_list, .. } = &mut *guard;
         let digest = fleet.list_digest();
+        let now = Instant::now();
+        // What is left of warm-ups is not part of the digest.
+        let has_cold = fleet.iter().any(|(_, endpoint)| endpoint.warm_at > now);
         if let Some((known, packed)) = packed_list
             && *known == digest
+            && !has_cold
         {
             return Ok(packed.clone());
         }
         let listed = fleet.iter().filter(|(_, endpoint)| endpoint.is_listed());
-        let endpoints = listed.map(|(_, e)| change_to_wire(&e.entry.name, Some(&e.entry)));
+        let endpoints = listed.map(|(_, e)| change_to_wire(&e.entry.name, Some(&e.entry_now(now))));
         let list = WireEndpointList { endpoints: endpoints.collect() };
         let packed = PackedSet::pack(&list.encode_to_vec())?;
-        *packed_list = Some((digest, packed.clone()));
+        *packed_list = (!has_cold).then(|| (digest, packed.clone()));
         Ok(packed)
     }
 }
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -322,6 +322,7 @@
             "organisations" => set.organisations.len());
         self.warn_of_restrictions(&set);
         self.metrics.serving_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+        self.apply_cold_limits(&set, Instant::now());
         self.state.borrow_mut().serving = Some(Rc::new(set));
         if self.first_version_at.get().is_none() {
             self.first_version_at.set(Some(Instant::now()));
@@ -346,6 +347,8 @@
         let now = Instant::now();
         self.update_subset(now);
         self.observe_versions(now);
+        // A cold endpoint receives nothing from this host before its share is known.
+        self.update_limit_shares(now);
         for change in changes {
             let mut state = self.state.borrow_mut();
             let Some(endpoint) = state.fleet.get_mut(change.endpoint()) else { continue };
@@ -353,9 +356,10 @@
                 "change" => %change, "service" => %endpoint.entry.service,
                 "software" => endpoint.entry.software.as_ref().map(ToString::to_string),
                 "zone" => %endpoint.entry.zone, "born" => %endpoint.entry.process_start,
+                "cold_ms" => endpoint.warm_at.saturating_duration_since(now).as_millis() as u64,
                 "runs" => endpoint.runs.len(), "source" => source);
             match change {
-                FleetChange::Joined(_) => {}
+                FleetChange::Joined(_) | FleetChange::Cold(_) => {}
                 FleetChange::Draining(_) => endpoint.clear_crash_suspects(),
                 FleetChange::Removed(ix) => {
                     drop(state);
--- a/crates/host/src/endpoint_directives.rs
+++ b/crates/host/src/endpoint_directives.rs
@@ -72,6 +72,11 @@
             Directive::Absent => self.record_own_limit(ix, None, now),
             Directive::Malformed => self.record_malformed_directive(ix, "request_limit", now),
         }
+        match directives.cold {
+            Directive::Stated(left) => self.record_cold(ix, left, now),
+            Directive::Absent => {}
+            Directive::Malformed => self.record_malformed_directive(ix, "cold", now),
+        }
         match directives.brittle {
             Directive::Stated(max_refusals) => self.record_brittle(ix, max_refusals, now),
             Directive::Absent => {}
@@ -202,6 +207,14 @@
         Some(endpoint.digest)
     }
 
+    /// Records for how long an endpoint stays cold, and tells all other hosts if that is news.
+    fn record_cold(&self, ix: EndpointIx, left: Duration, now: Instant) {
+        let mut changes = Vec::new();
+        self.state.borrow_mut().fleet.record_cold(ix, left, now, &mut changes);
+        self.handle_fleet_changes(&changes, "response");
+        self.distribute_endpoint_changes(UpdateScope::All, &changes, now);
+    }
+
     /// Records that an endpoint leaves, and tells all other hosts.
     fn record_leaving(&self, ix: EndpointIx, now: Instant) {
         let mut changes = Vec::new();
@@ -253,7 +266,7 @@
         let mut guard = self.state.borrow_mut();
         let State { fleet, peers, .. } = &mut *guard;
         let Some(endpoint) = fleet.get_mut(ix) else { return };
-        let before = endpoint.request_limit.rate(now);
+        let before = endpoint.request_limit.stated_rate(now);
         if !endpoint.request_limit.record(rate, as_of, now) {
             return;
         }
@@ -273,6 +286,8 @@
         let State { fleet, peers, .. } = &mut *guard;
         let is_limited = |(_, e): &(EndpointIx, &Endpoint)| e.request_limit.rate(now).is_some();
         let limited: Vec<EndpointIx> = fleet.iter().filter(is_limited).map(|(ix, _)| ix).collect();
+        let cold = fleet.iter().filter(|(_, endpoint)| endpoint.is_cold_limited(now)).count();
+        self.metrics.cold_endpoints.set(i64::try_from(cold).unwrap_or(i64::MAX));
         if limited.is_empty() {
             return;
         }
@@ -309,6 +324,10 @@
 
 fn update_position(endpoint: &mut Endpoint, locality: &Locality, peers: &Peers, now: Instant) {
     let region = locality.regions.get(&endpoint.entry.zone);
-    let (rank, hosts) = peers.sender_rank(&endpoint.entry.name, region);
+    let name = &endpoint.entry.name;
+    let (rank, hosts) = match endpoint.is_cold_limited(now) {
+        true => peers.cold_sender_rank(name, region, now),
+        false => peers.sender_rank(name, region),
+    };
     endpoint.request_limit.set_position(rank, hosts, now);
 }
--- a/crates/host/src/evacuations.rs
+++ b/crates/host/src/evacuations.rs
@@ -90,6 +90,7 @@
     pub(crate) fn record_tick(&self, now: Instant) {
         let paused = self.state.borrow_mut().pauses.record_tick(now);
         if let Some(duration) = paused {
+            self.state.borrow_mut().fleet.restart_shares(now);
             info!(self.log, "process was paused"; "for_ms" => duration.as_millis() as u64);
         }
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`settings`]: validated settings of a host.
 //! - [`context`]: shared state of the host.
 //! - [`listener`]: accepts client connections.
+//! - [`cold_endpoints`]: keeps to the rate of requests that cold endpoints tolerate.
 //! - [`connection`]: timeouts of a client connection.
 //! - [`intake`]: validates a client request and turns it into a call, or refuses it.
 //! - [`call`]: an accepted request.
@@ -49,6 +50,7 @@
 
 pub mod boundary;
 pub mod call;
+pub mod cold_endpoints;
 pub mod config_exchange;
 pub mod connecting;
 pub mod connection;
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -41,6 +41,8 @@
     pub residency_conflicts: IntGauge,
     /// Endpoints that accept new work.
     pub ready_endpoints: IntGauge,
+    /// Cold endpoints whose service limits the requests to them.
+    pub cold_endpoints: IntGauge,
     /// Evacuated zones.
     pub evacuated_zones: IntGauge,
     /// Active streams.
@@ -109,6 +111,10 @@
                 "Pairs of a route and an organisation without an allowed region in common",
             ),
             ready_endpoints: set.gauge("camphorloft_endpoints_ready", "Endpoints that take work"),
+            cold_endpoints: set.gauge(
+                "camphorloft_endpoints_cold",
+                "Cold endpoints that receive a limited rate of requests",
+            ),
             evacuated_zones: set.gauge("camphorloft_evacuated_zones", "Evacuated zones"),
             streams: set.gauge("camphorloft_streams", "Streams in progress"),
             set,
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -64,6 +64,7 @@
     .await;
     let known = retry_until_ok(&cx, "hosts", || cx.registry.announced_hosts()).await;
     cx.announced_hosts.set(known.len());
+    cx.state.borrow_mut().peers.set_announced(known.len());
     cx.set_registry_reached();
     let started_ms = started_ms(&cx, &known);
     let record = HostRecord { host: cx.settings.host.clone(), addr: cx.settings.peers, started_ms };
@@ -252,30 +253,36 @@
 {
     for ticks in 0_u64.. {
         sleep(TICK).await;
-        let now = Instant::now();
-        cx.record_tick(now);
-        let version = cx.serving().map(|serving| serving.version);
-        cx.with_link(|link, out| {
+        cx.tick(ticks, Instant::now());
+    }
+}
+
+impl<W, R> Host<W, R> {
+    /// Does what is due at a tick of the peer protocols. `ticks` is the number of earlier ones.
+    pub fn tick(&self, ticks: u64, now: Instant) {
+        self.record_tick(now);
+        let version = self.serving().map(|serving| serving.version);
+        self.with_link(|link, out| {
             link.set_config_version(version.unwrap_or_default());
             link.tick(now, out);
         });
-        cx.tick_relays(now);
-        cx.expire_evacuations(now);
-        cx.update_subset(now);
-        cx.update_limit_shares(now);
-        cx.send_refutations(now);
-        if ticks % TICKS_PER_CRASH_ANNOUNCEMENT == 0 {
-            cx.announce_crashes_again(now);
-        }
+        self.tick_relays(now);
+        self.expire_evacuations(now);
+        self.update_subset(now);
         {
-            let mut guard = cx.state.borrow_mut();
+            let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
             state.quota.set_hosts(state.peers.quota_hosts(now));
         }
-        if ticks % TICKS_PER_REGISTRY_STATE == 0
-            && let Some(scope) = cx.registry_read_scope(now)
+        self.update_limit_shares(now);
+        self.send_refutations(now);
+        if ticks.is_multiple_of(TICKS_PER_CRASH_ANNOUNCEMENT) {
+            self.announce_crashes_again(now);
+        }
+        if ticks.is_multiple_of(TICKS_PER_REGISTRY_STATE)
+            && let Some(scope) = self.registry_read_scope(now)
         {
-            cx.send_registry_state(scope, cx.list_read_at.get(), now);
+            self.send_registry_state(scope, self.list_read_at.get(), now);
         }
     }
 }
--- a/crates/host/src/peer_updates.rs
+++ b/crates/host/src/peer_updates.rs
@@ -192,9 +192,9 @@
             let mut guard = self.state.borrow_mut();
             let state = &mut *guard;
             let wire = changes.iter().filter_map(|change| {
-                let entry = &state.fleet.get(change.endpoint())?.entry;
+                let entry = state.fleet.get(change.endpoint())?.entry_now(now);
                 let listed = !matches!(change, FleetChange::Removed(_));
-                Some(change_to_wire(&entry.name, listed.then_some(entry)))
+                Some(change_to_wire(&entry.name, listed.then_some(&entry)))
             });
             state.peers.changes_to_send(wire.collect(), now)
         };
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -6,6 +6,7 @@
 
 use camphorloft_dispatch::assignment;
 use camphorloft_dispatch::prelude::Fleet;
+use camphorloft_membership::member::KnownMember;
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::distribution::Distribution;
 use camphorloft_peer::forward_scope::{ForwardScope, ForwardScopeError};
@@ -13,6 +14,7 @@
 use camphorloft_peer::updates::Updates;
 use camphorloft_peer::wire::{WireDatagram, WireEndpointChange, WireRegistryState};
 use camphorloft_types::prelude::*;
+use camphorloft_types::rendezvous;
 use tokio::net::UdpSocket;
 
 use crate::subset_table::SubsetTable;
@@ -44,12 +46,19 @@
 const READER_TIMEOUT: Duration = Duration::from_millis(1100);
 /// Time for which a change of the list is sent repeatedly, because datagrams may be lost.
 const CHANGE_RESEND_PERIOD: Duration = Duration::from_millis(1500);
+/// Time between two sendings of the changes of endpoints that stay cold for longer than that.
+const COLD_RESEND_INTERVAL: Duration = Duration::from_millis(1000);
 /// Maximum number of recent changes that are sent repeatedly. A host that misses some of more changes
 /// reads the list again.
 const MAX_CHANGES_RESENT: usize = 256;
 /// Time for which the largest observed number of hosts stays in effect, so that the two sides of a
 /// network partition do not each spend the whole quota.
 const PEAK_HOSTS_RETENTION: Duration = Duration::from_secs(60);
+/// Time for which a host that was lost keeps its share of the rate of cold endpoints. A partition may last
+/// longer than one of the other periods; the share of a host that is really gone is not used.
+const LOST_HOST_RETENTION: Duration = Duration::from_secs(600);
+/// The same for a host that left. It still accepts requests for 2.5 s and completes them.
+const LEFT_HOST_RETENTION: Duration = Duration::from_secs(10);
 /// Name of the task to read the registry for other hosts, as input to the assignment.
 const REGISTRY_READER_TASK: &str = "registry";
 
@@ -101,6 +110,10 @@
     version_known_at: Option<Instant>,
     /// Recent changes that this host sends, and when it received them.
     recent_changes: VecDeque<(Instant, WireEndpointChange)>,
+    /// When changes of endpoints that stay cold for long were last sent.
+    cold_sent_at: Option<Instant>,
+    /// Number of hosts that the registry listed when this one started.
+    announced: usize,
     /// Largest recent number of hosts, and when it was last observed.
     peak_hosts: (u32, Option<Instant>),
 }
@@ -122,6 +135,8 @@
             mismatch_since: None,
             version_known_at: None,
             recent_changes: VecDeque::new(),
+            cold_sent_at: None,
+            announced: 0,
             peak_hosts: (assumed.max(1), None),
         }
     }
@@ -182,6 +197,42 @@
         (others.count(), self.peak_hosts.0 as usize)
     }
 
+    /// Returns the same for an endpoint that crashes if hosts together exceed its rate, whether they are in
+    /// contact or not. Hosts that were lost lately keep their ranks, because they may be alive behind a
+    /// partition. A host that has not found any other takes a rank by its name among those that the
+    /// registry lists.
+    pub fn cold_sender_rank(
+        &self,
+        endpoint: &EndpointName,
+        region: Option<&Region>,
+        now: Instant,
+    ) -> (usize, usize) {
+        let peak = self.peak_hosts.0 as usize;
+        let own_is_near = Some(&self.region) == region;
+        let members = self.link.iter().flat_map(|(link, _)| link.membership().members());
+        let (mut rank, mut hosts) = (0, 1);
+        for known in members.filter(|known| is_sender(known, now)) {
+            let member = &known.member;
+            let is_near = Some(&member.region) == region;
+            let ranks_first = is_near && !own_is_near
+                || is_near == own_is_near
+                    && assignment::rank(endpoint.as_str(), &self.own, [&member.host]) == 1;
+            rank += usize::from(ranks_first);
+            hosts += 1;
+        }
+        if hosts == 1 {
+            let hosts = peak.max(self.announced);
+            let score = rendezvous::score(endpoint.as_str(), self.own.as_str());
+            return ((score % hosts.max(1) as u64) as usize, hosts);
+        }
+        (rank, peak.max(hosts))
+    }
+
+    /// Records the number of hosts that the registry listed when this one started.
+    pub fn set_announced(&mut self, hosts: usize) {
+        self.announced = hosts;
+    }
+
     /// Returns the number of hosts of the region that rank before this one for `task`.
     pub fn rank_in_region(&self, task: &str) -> usize {
         let region = self.live().filter(|member| member.region == self.region);
@@ -328,11 +379,15 @@
         new: Vec<WireEndpointChange>,
         now: Instant,
     ) -> Vec<WireEndpointChange> {
-        let is_old = |sent: &(Instant, WireEndpointChange)| {
-            now.saturating_duration_since(sent.0) > CHANGE_RESEND_PERIOD
-        };
-        while self.recent_changes.front().is_some_and(is_old) {
-            self.recent_changes.pop_front();
+        let age = |at: Instant| now.saturating_duration_since(at);
+        // A host that misses the last of them would not limit its requests while the endpoint is cold.
+        self.recent_changes.retain(|(at, change)| {
+            age(*at) <= CHANGE_RESEND_PERIOD || !cold_left(change, age(*at)).is_zero()
+        });
+        let is_due =
+            self.cold_sent_at.is_none_or(|at| age(at) >= COLD_RESEND_INTERVAL) || !new.is_empty();
+        if is_due {
+            self.cold_sent_at = Some(now);
         }
         for change in new.iter().cloned() {
             self.recent_changes.retain(|(_, sent)| sent.name != change.name);
@@ -341,7 +396,9 @@
         if self.recent_changes.len() > MAX_CHANGES_RESENT {
             return new;
         }
-        self.recent_changes.iter().map(|(_, change)| change.clone()).collect()
+        let resent = self.recent_changes.iter();
+        let resent = resent.filter(|(at, _)| is_due || age(*at) <= CHANGE_RESEND_PERIOD);
+        resent.map(|(at, change)| aged(change, age(*at))).collect()
     }
 
     /// Derives the endpoints that this host sends work to from the endpoint list and the live hosts.
@@ -452,6 +509,30 @@
     }
 }
 
+/// Returns how long the endpoint of a change that was received `age` ago stays cold.
+fn cold_left(change: &WireEndpointChange, age: Duration) -> Duration {
+    let cold_left_ms = change.entry.as_ref().map_or(0, |entry| entry.cold_left_ms);
+    Duration::from_millis(u64::from(cold_left_ms)).saturating_sub(age)
+}
+
+/// Returns a change that was received `age` ago as it is now.
+fn aged(change: &WireEndpointChange, age: Duration) -> WireEndpointChange {
+    let mut aged = change.clone();
+    aged.add_age(age);
+    aged
+}
+
+/// Returns true if a host may send requests: it is alive or may be behind a partition, or it left and
+/// completes what it accepted.
+fn is_sender(known: &KnownMember, now: Instant) -> bool {
+    let since = now.saturating_duration_since(known.changed_at);
+    match known.member.state {
+        MemberState::Alive | MemberState::Suspect => true,
+        MemberState::Dead => since < LOST_HOST_RETENTION,
+        MemberState::Left => since < LEFT_HOST_RETENTION,
+    }
+}
+
 fn is_fresh(known_at: Option<Instant>, max_age: Duration, now: Instant) -> bool {
     known_at.is_some_and(|at| now.saturating_duration_since(at) < max_age)
 }
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -99,6 +99,9 @@
         let of_interest = endpoint.is_ready() || !endpoint.runs.is_empty();
         // The list tells when an engine of an evacuated zone drains.
         let is_closed = endpoint.is_evacuated || endpoint.is_held_off(now);
+        // A cold engine counts polls among the requests that it tolerates.
+        let is_closed = is_closed
+            || endpoint.is_cold_limited(now) && endpoint.request_limit.send_at(now) != Some(now);
         if !of_interest || is_closed || !generates(&endpoint.entry.service) {
             return false;
         }
@@ -122,6 +125,7 @@
     W: Wire,
     R: Registry,
 {
+    cx.count_own_call(ix);
     let req = cx.wire.report_request(&entry);
     let call = async {
         let mut connected = connect(cx.settings.endpoint_addr(entry.addr), REPORT_TIMEOUT).await?;
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -19,16 +19,21 @@
 pub struct SendReservation<W, R> {
     cx: Rc<Host<W, R>>,
     endpoint: EndpointIx,
+    /// When the request was placed.
+    placed_at: Instant,
+    /// Whether it counts against this host's share of a limit.
+    is_counted: bool,
 }
 
 impl<W, R> SendReservation<W, R> {
     /// Records that a request is placed on an endpoint.
     pub fn new(cx: &Rc<Host<W, R>>, endpoint: EndpointIx) -> Self {
+        let placed_at = Instant::now();
         let mut state = cx.state.borrow_mut();
-        state.fleet.reserve_send(endpoint, Instant::now());
+        let is_counted = state.fleet.reserve_send(endpoint, placed_at);
         state.fleet.begin_reservation(endpoint);
         drop(state);
-        Self { cx: cx.clone(), endpoint }
+        Self { cx: cx.clone(), endpoint, placed_at, is_counted }
     }
 }
 
@@ -136,7 +141,10 @@
         info!(cx.log, "request sent through host"; "call" => %call.id, "endpoint" => %name,
             "via" => %via);
     }
-    drop(plan.reservation.take());
+    if let Some(reservation) = plan.reservation.take() {
+        let check = cx.check_share(ix, reservation.placed_at, reservation.is_counted);
+        check.inspect_err(|err| log_failure(cx, call, ix, err))?;
+    }
     let guard = RunGuard::start(cx, ix, call, plan.work);
     let sent_at = Instant::now();
     let req = build_request(cx, call, &plan, &name, sent_at);
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -249,6 +249,7 @@
         let addr = self.cx.settings.endpoint_addr(self.from.addr);
         let connection = connect(addr, CONNECT_TIMEOUT).await;
         let mut connection = connection.map_err(|err| failed(err.to_string()))?;
+        self.cx.count_own_call(self.from_ix);
         let req = self.cx.wire.copy_request(self.from, &self.call.id, self.to.addr, is_final);
         let response = timeout(request_timeout, connection.fetch(req, MAX_REPLY_BYTES)).await;
         let (head, body) =
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -32,7 +32,7 @@
 pub const FLEET: [(&str, &str); 4] =
     [("n1", "north"), ("n2", "north"), ("s1", "south"), ("s2", "south")];
 
-fn member(host: &str, region: &str) -> Member {
+pub fn member(host: &str, region: &str) -> Member {
     let addr = "127.0.0.1:9".parse().unwrap();
     Member {
         host: host.parse().unwrap(),
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -135,6 +135,9 @@
         for report in &mut self.reports {
             report.age_ms = report.age_ms.saturating_add(held_ms);
         }
+        for change in &mut self.endpoint_changes {
+            change.add_age(held);
+        }
         for limit in &mut self.request_limits {
             limit.age_ms = limit.age_ms.saturating_add(held_ms);
         }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -1,5 +1,7 @@
 //! Messages between hosts, as protocol buffers.
 
+use std::time::Duration;
+
 /// Membership record of a host.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireMember {
@@ -246,6 +248,25 @@
     pub entry: Option<WireEndpoint>,
 }
 
+impl WireEndpointChange {
+    /// Takes the time that the change was held off the remaining time for which its endpoint is cold.
+    ///
+    /// ```
+    /// use camphorloft_peer::wire::{WireEndpoint, WireEndpointChange};
+    /// use std::time::Duration;
+    /// let entry = Some(WireEndpoint { cold_left_ms: 700, ..WireEndpoint::default() });
+    /// let mut change = WireEndpointChange { name: "i-1".to_owned(), entry };
+    /// change.add_age(Duration::from_millis(200));
+    /// assert_eq!(change.entry.unwrap().cold_left_ms, 500);
+    /// ```
+    pub fn add_age(&mut self, held: Duration) {
+        if let Some(entry) = &mut self.entry {
+            let held_ms = u32::try_from(held.as_millis()).unwrap_or(u32::MAX);
+            entry.cold_left_ms = entry.cold_left_ms.saturating_sub(held_ms);
+        }
+    }
+}
+
 /// The evacuated zones, complete.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireEvacuations {
