Wait after a pause only where something can have changed meanwhile

Cause: requests of every deployment waited up to 0.5 s after a pause of the process, also where no zone is evacuated and no endpoint is limited while cold. Deployments without these have to be served as before.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -255,6 +255,11 @@
         self.cold_rates = rates;
     }
 
+    /// Returns true if a service limits the requests to its cold endpoints.
+    pub fn limits_cold_endpoints(&self) -> bool {
+        !self.cold_rates.is_empty()
+    }
+
     /// Lets this host's shares of all limits begin anew after a pause of the process.
     pub fn restart_shares(&mut self, now: Instant) {
         for endpoint in self.slots.values_mut().flatten() {
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -107,6 +107,9 @@
     pub version_read_at: Cell<Option<Instant>>,
     /// Notified when updates of other hosts are to be forwarded.
     pub updates_buffered: Notify,
+    /// Whether requests wait after a pause of the process until this host knows what has changed. Otherwise
+    /// they wait only while the version in force limits cold endpoints.
+    pub waits_after_pause: Cell<bool>,
     /// Time of the first configuration version.
     pub first_version_at: Cell<Option<Instant>>,
     /// Time of the last log line about a statement of an endpoint that is not valid.
@@ -157,6 +160,7 @@
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
+            waits_after_pause: Cell::new(false),
             first_version_at: Cell::new(None),
             malformed_logged_at: Cell::new(None),
             last_fetch_at: Cell::new(None),
--- a/crates/host/src/evacuations.rs
+++ b/crates/host/src/evacuations.rs
@@ -97,8 +97,16 @@
 
     /// Waits, after a pause of the process, until this host knows what has changed, but not for long.
     pub(crate) async fn wait_until_informed(&self) {
-        while self.state.borrow().pauses.must_wait(Instant::now()) {
+        while self.must_wait(Instant::now()) {
             sleep(CHECK_INTERVAL).await;
         }
     }
+
+    /// Returns true if the process was paused, and zones may have been evacuated or endpoints turned cold
+    /// meanwhile.
+    pub fn must_wait(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        let is_affected = self.waits_after_pause.get() || state.fleet.limits_cold_endpoints();
+        is_affected && state.pauses.must_wait(now)
+    }
 }
--- a/crates/host/tests/cold_endpoints.rs
+++ b/crates/host/tests/cold_endpoints.rs
@@ -170,7 +170,8 @@
     let state = host.state.borrow();
     let (_, endpoint) = state.fleet.iter().next().unwrap();
     assert!(endpoint.send_at(woke_at).is_some_and(|at| at > woke_at));
-    assert!(state.pauses.must_wait(woke_at));
+    drop(state);
+    assert!(host.must_wait(woke_at));
 }
 
 fn cold_change(name: &str, cold_left_ms: u32) -> WireEndpointChange {
--- a/crates/host/tests/evacuations.rs
+++ b/crates/host/tests/evacuations.rs
@@ -58,6 +58,19 @@
     assert!(host.is_ready());
 }
 
+/// Deployments without evacuations and limits of cold endpoints are served as before.
+#[test]
+fn paused_host_waits_although_nothing_can_have_changed() {
+    let (now, secs) = (Instant::now(), Duration::from_secs);
+    let host = host_with_an_endpoint(now);
+    host.tick(0, now);
+    host.tick(1, now + secs(4));
+    assert!(!host.must_wait(now + secs(4)));
+    host.waits_after_pause.set(true);
+    assert!(host.must_wait(now + secs(4)));
+    assert!(!host.must_wait(now + Duration::from_millis(4_600)));
+}
+
 /// Every host receives the state five times a second.
 #[test]
 fn state_of_the_evacuations_is_large() {
