--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -35,6 +35,8 @@
     Joined(EndpointIx),
     /// The endpoint started draining.
     Draining(EndpointIx),
+    /// The endpoint turned cold, or stays cold for longer than was known.
+    Cold(EndpointIx),
     /// The endpoint is no longer listed.
     Removed(EndpointIx),
 }
@@ -43,7 +45,10 @@
     /// Returns the endpoint.
     pub fn endpoint(self) -> EndpointIx {
         match self {
-            FleetChange::Joined(ix) | FleetChange::Draining(ix) | FleetChange::Removed(ix) => ix,
+            FleetChange::Joined(ix)
+            | FleetChange::Draining(ix)
+            | FleetChange::Cold(ix)
+            | FleetChange::Removed(ix) => ix,
         }
     }
 }
@@ -53,6 +58,7 @@
         f.write_str(match self {
             FleetChange::Joined(_) => "joined",
             FleetChange::Draining(_) => "leaving",
+            FleetChange::Cold(_) => "cold",
             FleetChange::Removed(_) => "gone",
         })
     }
@@ -74,6 +80,8 @@
     list_revision: u64,
     /// Services whose endpoints crash when they have to refuse many requests.
     brittle: HashMap<ServiceName, Brittleness>,
+    /// Rates of requests that cold endpoints tolerate, by service.
+    cold_rates: HashMap<ServiceName, RequestRate>,
     evacuations: KnownEvacuations,
     /// Speed of the endpoints of each service.
     speeds: HashMap<ServiceName, ServiceSpeed>,
@@ -93,6 +101,7 @@
             by_digest: HashMap::new(),
             list_revision: 0,
             brittle: HashMap::new(),
+            cold_rates: HashMap::new(),
             evacuations: KnownEvacuations::default(),
             speeds: HashMap::new(),
             migrations: MigrationPlans::default(),
@@ -248,6 +257,43 @@
         }
     }
 
+    /// Records that an endpoint states how long it stays cold. Appends to `changes` if that is new.
+    pub fn record_cold(
+        &mut self,
+        ix: EndpointIx,
+        left: Duration,
+        now: Instant,
+        changes: &mut Vec<FleetChange>,
+    ) {
+        if self.get_mut(ix).is_some_and(|endpoint| endpoint.record_cold(left, now)) {
+            changes.push(FleetChange::Cold(ix));
+        }
+    }
+
+    /// Sets the rates of requests that cold endpoints tolerate, by service. Other services do not limit
+    /// them.
+    pub fn set_cold_rates(&mut self, rates: HashMap<ServiceName, RequestRate>, now: Instant) {
+        if self.cold_rates == rates {
+            return;
+        }
+        for endpoint in self.slots.values_mut().flatten() {
+            endpoint.set_cold_rate(rates.get(&endpoint.entry.service).copied(), now);
+        }
+        self.cold_rates = rates;
+    }
+
+    /// Returns true if a service limits the requests to its cold endpoints.
+    pub fn limits_cold_endpoints(&self) -> bool {
+        !self.cold_rates.is_empty()
+    }
+
+    /// Lets this host's shares of all limits begin anew after a pause of the process.
+    pub fn restart_shares(&mut self, now: Instant) {
+        for endpoint in self.slots.values_mut().flatten() {
+            endpoint.request_limit.restart_share(now);
+        }
+    }
+
     /// Records that an endpoint states that it is draining. Appends to `changes` if that is new.
     pub fn mark_draining(&mut self, ix: EndpointIx, now: Instant, changes: &mut Vec<FleetChange>) {
         if let Some(endpoint) = self.get_mut(ix)
@@ -271,6 +317,7 @@
         let is_evacuated = self.evacuations.includes(&entry.zone);
         let mut endpoint = Endpoint::new(entry, distance, region, now);
         endpoint.is_evacuated = is_evacuated;
+        endpoint.set_cold_rate(self.cold_rates.get(&endpoint.entry.service).copied(), now);
         let endpoint = Some(endpoint);
         match self.free.pop() {
             Some(ix) => {
@@ -297,11 +344,14 @@
             endpoint.state = EndpointState::Draining { since: now };
             changes.push(FleetChange::Draining(ix));
         }
-        endpoint.warm_at = now + entry.warmup_remaining;
+        let left = entry.warmup_remaining;
         let draining = endpoint.entry.draining;
         endpoint.entry = entry;
         endpoint.region = region;
         endpoint.entry.draining |= draining;
+        if endpoint.record_cold(left, now) {
+            changes.push(FleetChange::Cold(ix));
+        }
     }
 
     /// Removes an endpoint that is no longer listed. Like a draining one, it accepts no new work.
@@ -422,11 +472,10 @@
         }
     }
 
-    /// Counts a request against the limit of an endpoint, when it is placed there.
-    pub fn reserve_send(&mut self, ix: EndpointIx, now: Instant) {
-        if let Some(endpoint) = self.get_mut(ix) {
-            endpoint.request_limit.reserve(now);
-        }
+    /// Counts a request against the limit of an endpoint, when it is placed there. Returns true if it has
+    /// one, and this host a share of it.
+    pub fn reserve_send(&mut self, ix: EndpointIx, now: Instant) -> bool {
+        self.get_mut(ix).is_some_and(|endpoint| endpoint.request_limit.reserve(now))
     }
 
     /// Records that a request is placed on an endpoint, until it is sent or abandoned.
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -110,6 +110,9 @@
     pub version_read_at: Cell<Option<Instant>>,
     /// Notified when updates of other hosts are to be forwarded.
     pub updates_buffered: Notify,
+    /// Whether requests wait after a pause of the process until this host knows what has changed. Otherwise
+    /// they wait only while the version in force limits cold endpoints.
+    pub waits_after_pause: Cell<bool>,
     /// Time of the first configuration version.
     pub first_version_at: Cell<Option<Instant>>,
     /// Time of the last log line about a statement of an endpoint that is not valid.
@@ -163,6 +166,7 @@
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
+            waits_after_pause: Cell::new(false),
             first_version_at: Cell::new(None),
             malformed_logged_at: Cell::new(None),
             doubts_secret: Cell::new(false),
@@ -329,6 +333,7 @@
             "organisations" => set.organisations.len());
         self.warn_of_restrictions(&set);
         self.metrics.serving_version.set(i64::try_from(version.0).unwrap_or(i64::MAX));
+        self.apply_cold_limits(&set, Instant::now());
         let mut state = self.state.borrow_mut();
         for (ix, service) in &set.services {
             state.fleet.set_gap_target(&service.name, set.gap_target(ix));
@@ -358,6 +363,8 @@
         let now = Instant::now();
         self.update_subset(now);
         self.observe_versions(now);
+        // A cold endpoint receives nothing from this host before its share is known.
+        self.update_limit_shares(now);
         for change in changes {
             let mut state = self.state.borrow_mut();
             let Some(endpoint) = state.fleet.get_mut(change.endpoint()) else { continue };
@@ -365,9 +372,10 @@
                 "change" => %change, "service" => %endpoint.entry.service,
                 "software" => endpoint.entry.software.as_ref().map(ToString::to_string),
                 "zone" => %endpoint.entry.zone, "born" => %endpoint.entry.process_start,
+                "cold_ms" => endpoint.warm_at.saturating_duration_since(now).as_millis() as u64,
                 "runs" => endpoint.runs.len(), "source" => source);
             match change {
-                FleetChange::Joined(_) => {}
+                FleetChange::Joined(_) | FleetChange::Cold(_) => {}
                 FleetChange::Draining(_) => endpoint.clear_crash_suspects(),
                 FleetChange::Removed(ix) => {
                     drop(state);
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -137,6 +137,9 @@
             report.stated_age_ms = report.stated_age_ms.map(|age| age.saturating_add(held_ms));
             report.pace_age_ms = report.pace_age_ms.saturating_add(held_ms);
         }
+        for change in &mut self.endpoint_changes {
+            change.add_age(held);
+        }
         for limit in &mut self.request_limits {
             limit.age_ms = limit.age_ms.saturating_add(held_ms);
         }
