Queue generations by priority before engines

Cause: each waiting generation asked for admission every 40 ms on its own, so that whichever asked at the right moment got the memory that became free. Priorities played no part, engines received several times the prompts that they could prefill in time, and hosts that learned together that an engine had room all sent work to it.

A part of each engine's memory and prefill is kept for those that come first. A generation is refused at once if it cannot be completed given what is ahead of it, with a delay from the rate at which memory becomes free. Passes over the queue follow reports, ends of runs and changes of the fleet. A placement tells other hosts its expected output.

--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -261,6 +261,7 @@
             endpoint: digest,
             kv: placed.kv,
             unread: placed.kv,
+            ..WirePlacement::default()
         });
         let placement = Placement {
             endpoint: endpoint.name.clone(),
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::distance::Locality;
 use crate::endpoint::{Endpoint, EndpointState};
 use crate::entry::EndpointEntry;
+use crate::generation::TokenDemand;
 use crate::load::LoadReport;
 use crate::migration::{MigrationPlans, PlannedMigration};
 use crate::run::{CallId, Run, RunId, RunWork};
@@ -315,6 +316,32 @@
         id
     }
 
+    /// Records that a generation is placed on an engine, until [`Self::release_run`].
+    pub fn reserve_run(
+        &mut self,
+        ix: EndpointIx,
+        call: &CallId,
+        demand: &TokenDemand,
+        now: Instant,
+    ) -> RunId {
+        self.reserve_send(ix, now);
+        let TokenDemand { kv_tokens, prefill_tokens, expected } = *demand;
+        let work = RunWork::Generation { kv_tokens, prefill_tokens, expected, generated: 0 };
+        self.start_run(ix, call, work, now)
+    }
+
+    /// Records that a placed generation is sent or abandoned.
+    pub fn release_run(&mut self, ix: EndpointIx, id: RunId, now: Instant) {
+        let Some(run) = self.run_mut(ix, id) else { return };
+        let work = run.work;
+        self.end_run(ix, id);
+        if let (RunWork::Generation { prefill_tokens, .. }, Some(endpoint)) =
+            (work, self.get_mut(ix))
+        {
+            endpoint.load.cancel_placement(prefill_tokens, now);
+        }
+    }
+
     /// Returns a mutable reference to a run.
     pub fn run_mut(&mut self, ix: EndpointIx, id: RunId) -> Option<&mut Run> {
         self.get_mut(ix)?.runs.iter_mut().find(|run| run.id == id)
--- a/crates/dispatch/src/generation.rs
+++ b/crates/dispatch/src/generation.rs
@@ -52,6 +52,10 @@
 /// all select the same engine.
 const JITTER_MS: f64 = 250.0;
 
+/// Tokens that a generation is expected to get in a second on a busy engine. Steps of a full engine
+/// take 10 to 18 ms in current deployments.
+const BUSY_TOKENS_PER_SECOND: f64 = 70.0;
+
 /// Token requirements of a generation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenDemand {
@@ -63,6 +67,25 @@
     pub expected: u32,
 }
 
+impl TokenDemand {
+    /// Returns the time that its prefill takes on an otherwise idle engine.
+    pub fn prefill_time(&self) -> Duration {
+        let prefill_tokens = f64::from(self.prefill_tokens);
+        Duration::from_secs_f64(prefill_tokens / PREFILL_TOKENS_PER_SECOND)
+    }
+
+    /// Returns the time that its prefill takes on an engine that is prefilling another prompt too.
+    pub fn busy_prefill_time(&self) -> Duration {
+        self.prefill_time() * 2
+    }
+
+    /// Returns its expected duration on a busy engine.
+    pub fn busy_duration(&self) -> Duration {
+        let output = f64::from(self.expected) / BUSY_TOKENS_PER_SECOND;
+        self.busy_prefill_time() + Duration::from_secs_f64(output)
+    }
+}
+
 /// Returns the expected peak memory use of an engine with a generation added, as a fraction.
 pub fn expected_fill(load: &EngineLoad, demand: &TokenDemand, spec: &EngineSpec) -> f64 {
     // Sequences do not all peak at once: on average half of the growth coincides.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,16 +23,23 @@
 //! - [`plain`]: selects an endpoint for a call of a plain service.
 //! - [`generation`]: selects an engine for a generation.
 //! - [`admission`]: starts, delays or refuses a generation.
+//! - [`admission_queue`]: the generations of one service that wait at a host for an engine.
+//! - [`queued_work`]: a generation that waits, with what determines its place in the queue.
+//! - [`peer_queues`]: what other hosts state about the generations that wait there.
+//! - [`completions`]: how fast the engines of a service free memory.
+//! - [`return_schedule`]: when refused clients are told to come back.
 //! - [`retry_quota`]: limits retries across all hosts.
 //! - [`pool`]: the engines of one service.
 //! - [`reachability`]: whether this host reaches the endpoints over its own links.
 //! - [`reclaim`]: migrates running generations off a draining engine.
 
 pub mod admission;
+pub mod admission_queue;
 pub mod assignment;
 pub mod brittleness;
 pub mod candidates;
 pub mod choice;
+pub mod completions;
 pub mod crash_suspects;
 pub mod directives;
 pub mod distance;
@@ -43,14 +50,17 @@
 pub mod health;
 pub mod load;
 pub mod migration;
+pub mod peer_queues;
 pub mod plain;
 pub mod pool;
 pub mod prelude;
+pub mod queued_work;
 pub mod reachability;
 pub mod reclaim;
 pub mod request_limit;
 pub mod request_window;
 pub mod retry_quota;
+pub mod return_schedule;
 pub mod run;
 pub mod stream_origins;
 pub mod subset;
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use crate::generation::TokenDemand;
 use crate::run::Run;
 
 /// Age at which a report expires; several reports normally arrive in this time.
@@ -18,6 +19,9 @@
 /// current deployments.
 const PEER_REMAINING_TOKENS: u32 = 500;
 
+/// Maximum number of placements of other hosts that are known for one endpoint.
+const MAX_PEER_PLACEMENTS: usize = 256;
+
 /// Time for which no further copy is sent to an engine that refused one: a few sequences end there
 /// in this time.
 const REFUSED_COPY_BACKOFF: Duration = Duration::from_millis(500);
@@ -58,6 +62,18 @@
     as_of: Instant,
 }
 
+/// A placement announced by another host.
+#[derive(Clone, Copy, Debug)]
+struct PeerPlacement {
+    /// When the announcement was received.
+    at: Instant,
+    kv_tokens: u32,
+    /// Tokens that it is expected to generate.
+    expected: u32,
+    /// When it is expected to have ended, if its output is known. Short ones end before the next report.
+    ends_at: Option<Instant>,
+}
+
 /// Load of an endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -67,7 +83,7 @@
     own_at_hint: u32,
     /// Placements announced by other hosts and not yet covered by a report: time of receipt and
     /// tokens.
-    peer_placements: Vec<(Instant, u32)>,
+    peer_placements: Vec<PeerPlacement>,
     /// Prompt tokens pending prefill.
     pending_prefill: Option<Observed<f64>>,
     /// When the engine last refused a copy for lack of capacity.
@@ -100,7 +116,7 @@
         if self.report.as_ref().is_some_and(|known| known.as_of > as_of) {
             return;
         }
-        self.peer_placements.retain(|(at, _)| *at > as_of);
+        self.peer_placements.retain(|placement| placement.at > as_of);
         self.report = Some(Observed { item: report, as_of });
     }
 
@@ -117,12 +133,37 @@
         self.pending_prefill = Some(Observed { item, as_of: now });
     }
 
+    /// Records that a placement with `prefill_tokens` tokens to prefill was not sent.
+    pub fn cancel_placement(&mut self, prefill_tokens: u32, now: Instant) {
+        let item = (self.pending_prefill(now) - f64::from(prefill_tokens)).max(0.0);
+        self.pending_prefill = Some(Observed { item, as_of: now });
+    }
+
     /// Records a placement of `kv_tokens` tokens announced by another host.
     pub fn record_peer_placement(&mut self, kv_tokens: u32, prefill_tokens: u32, now: Instant) {
-        const MAX_PEER_PLACEMENTS: usize = 256;
         self.record_placement(prefill_tokens, now);
         if self.peer_placements.len() < MAX_PEER_PLACEMENTS {
-            self.peer_placements.push((now, kv_tokens));
+            let expected = PEER_REMAINING_TOKENS;
+            self.peer_placements.push(PeerPlacement {
+                at: now,
+                kv_tokens,
+                expected,
+                ends_at: None,
+            });
+        }
+    }
+
+    /// Records a placement announced by another host, with its expected output.
+    pub fn record_peer_generation(&mut self, demand: &TokenDemand, now: Instant) {
+        self.record_placement(demand.prefill_tokens, now);
+        self.peer_placements.retain(|placement| placement.ends_at.is_none_or(|at| now < at));
+        if self.peer_placements.len() < MAX_PEER_PLACEMENTS {
+            self.peer_placements.push(PeerPlacement {
+                at: now,
+                kv_tokens: demand.kv_tokens,
+                expected: demand.expected,
+                ends_at: Some(now + demand.busy_duration()),
+            });
         }
     }
 
@@ -194,9 +235,10 @@
             }
             load.growth = load.growth.saturating_add(run.expected_remaining());
         }
-        for (_, kv_tokens) in &self.peer_placements {
-            load.add_sequence(*kv_tokens);
-            load.growth = load.growth.saturating_add(PEER_REMAINING_TOKENS);
+        let open = |placement: &&PeerPlacement| placement.ends_at.is_none_or(|at| now < at);
+        for placement in self.peer_placements.iter().filter(open) {
+            load.add_sequence(placement.kv_tokens);
+            load.growth = load.growth.saturating_add(placement.expected);
         }
         load
     }
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -1,9 +1,11 @@
 //! Common imports.
 
 pub use crate::admission::{Admission, RefuseReason};
+pub use crate::admission_queue::{AdmissionQueue, AdmissionTerms, Engines, Ticket};
 pub use crate::brittleness::Brittleness;
 pub use crate::candidates::Candidates;
 pub use crate::choice::Choice;
+pub use crate::completions::Completions;
 pub use crate::crash_suspects::{CrashRecord, CrashSuspects, FeatureCrash};
 pub use crate::directives::{Directive, Directives};
 pub use crate::distance::{Distance, Locality};
@@ -14,7 +16,9 @@
 pub use crate::health::Health;
 pub use crate::load::{LoadHint, LoadReport};
 pub use crate::migration::{MigrationPlans, PlannedMigration};
+pub use crate::peer_queues::{PeerQueues, QueueState};
 pub use crate::pool::Pool;
+pub use crate::queued_work::QueuedWork;
 pub use crate::reachability::Reachability;
 pub use crate::reclaim::{NoDestination, ReclaimDecision};
 pub use crate::request_limit::RequestLimit;
--- a/crates/dispatch/tests/worst_load.rs
+++ b/crates/dispatch/tests/worst_load.rs
@@ -3,6 +3,8 @@
 
 #[expect(dead_code, reason = "the other tests use the rest")]
 mod common;
+#[path = "common/engine_model.rs"]
+mod engine_model;
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -10,11 +12,10 @@
 use camphorloft_dispatch::admission;
 use camphorloft_dispatch::prelude::*;
 use common::{call, engine, entry, service};
+use engine_model::{Engine, STEP, Sequence, Workload};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-/// Duration of a simulation step.
-const STEP: Duration = Duration::from_millis(20);
 /// Duration of the simulation.
 const LENGTH: Duration = Duration::from_secs(60);
 /// Engines of one region in current deployments.
@@ -31,20 +32,9 @@
 const REPLACED_AFTER: Duration = Duration::from_secs(4);
 /// Interval between reports, and their age on arrival.
 const REPORTS: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(400));
-/// Prefill speed of an engine and generation speed for one sequence, in tokens per second.
-const PREFILL_SPEED: f64 = 7_000.0;
-const GENERATION_SPEED: f64 = 95.0;
 /// Required fraction of first events that are on time.
 const ON_TIME: f64 = 0.95;
 
-#[derive(Clone, Copy)]
-struct Workload {
-    rate: f64,
-    prompt: u32,
-    tokens: u32,
-    due: Duration,
-}
-
 /// A generation waiting at the host.
 struct Waiting {
     workload: Workload,
@@ -52,46 +42,6 @@
     arrived: Instant,
 }
 
-/// A generation at an engine.
-struct Sequence {
-    run: RunId,
-    workload: Workload,
-    arrived: Instant,
-    prefill_tokens: f64,
-    generated: f64,
-    tokens: u32,
-}
-
-/// An engine that prefills one prompt after the other and generates for all that are complete.
-#[derive(Default)]
-struct Engine {
-    sequences: Vec<Sequence>,
-}
-
-impl Engine {
-    fn used(&self) -> u32 {
-        let kv_tokens = |s: &Sequence| s.workload.prompt + s.generated as u32;
-        self.sequences.iter().map(kv_tokens).sum()
-    }
-
-    /// Advances by a step. Calls `first` with the latency of each first event.
-    fn step(&mut self, now: Instant, mut first: impl FnMut(Workload, Duration)) {
-        let mut budget = PREFILL_SPEED * STEP.as_secs_f64();
-        for s in &mut self.sequences {
-            if s.prefill_tokens > 0.0 {
-                let prefilled = budget.min(s.prefill_tokens);
-                s.prefill_tokens -= prefilled;
-                budget -= prefilled;
-                if s.prefill_tokens <= 0.0 {
-                    first(s.workload, now - s.arrived);
-                }
-            } else {
-                s.generated += GENERATION_SPEED * STEP.as_secs_f64();
-            }
-        }
-    }
-}
-
 #[derive(Default)]
 struct Simulation {
     engines: BTreeMap<String, Engine>,
@@ -126,21 +76,7 @@
 
     fn report_all(&mut self, now: Instant) {
         for (name, engine) in &self.engines {
-            let prefill_not_started =
-                |s: &&Sequence| s.prefill_tokens >= f64::from(s.workload.prompt);
-            let waiting = engine.sequences.iter().filter(prefill_not_started).count() as u32;
-            let report = LoadReport {
-                used_tokens: engine.used(),
-                running: engine.sequences.len() as u32 - waiting,
-                waiting,
-                next_tokens: engine
-                    .sequences
-                    .iter()
-                    .find(prefill_not_started)
-                    .map_or(0, |s| s.workload.prompt),
-                ..LoadReport::default()
-            };
-            self.reports.push((now + REPORTS.1, now, name.clone(), report));
+            self.reports.push((now + REPORTS.1, now, name.clone(), engine.report()));
         }
     }
 
@@ -187,14 +123,12 @@
                 let work = common::work(workload.prompt, workload.tokens);
                 self.calls += 1;
                 let run = fleet.start_run(choice.endpoint, &call(self.calls), work, now);
-                self.engines.get_mut(&name).unwrap().sequences.push(Sequence {
+                self.engines.get_mut(&name).unwrap().sequences.push(Sequence::new(
                     run,
                     workload,
-                    arrived: waiting.arrived,
-                    prefill_tokens: f64::from(workload.prompt),
-                    generated: 0.0,
-                    tokens: waiting.tokens,
-                });
+                    waiting.arrived,
+                    waiting.tokens,
+                ));
             }
         }
         false
@@ -203,18 +137,17 @@
     fn step(&mut self, fleet: &mut Fleet, now: Instant) {
         let (mut on_time, mut late) = (0, 0);
         for (name, engine) in &mut self.engines {
-            engine.step(now, |workload, latency| match latency <= workload.due {
+            engine.step(|s| match now - s.arrived <= s.workload.due {
                 true => on_time += 1,
                 false => late += 1,
             });
             let ix = fleet.find(&name.parse().unwrap()).unwrap();
             engine.sequences.retain(|s| {
                 fleet.record_progress(ix, s.run, s.generated as u32);
-                let continues = s.generated < f64::from(s.tokens);
-                if !continues {
+                if s.is_complete() {
                     fleet.end_run(ix, s.run);
                 }
-                continues
+                !s.is_complete()
             });
         }
         self.on_time += on_time;
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -61,6 +61,12 @@
         self.organisation.map(|ix| &self.serving.organisations[ix].name)
     }
 
+    /// Returns its priority; 0 is the highest.
+    pub fn priority(&self) -> u8 {
+        let organisation = self.organisation.map(|ix| &self.serving.organisations[ix]);
+        organisation.and_then(|organisation| organisation.priority).unwrap_or(self.route().priority)
+    }
+
     /// Returns the feature of its whole content.
     pub fn content(&self) -> RequestFeature {
         self.features[0]
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -18,6 +18,7 @@
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, UpdateScope};
+use crate::queued_generation::Queues;
 use crate::settings::HostSettings;
 use crate::subset_table::SubsetTable;
 use crate::tunnel::ExcludedHosts;
@@ -56,6 +57,8 @@
     pub subset: SubsetTable,
     /// Software versions that began streams.
     pub origins: StreamOrigins,
+    /// Generations that wait for an engine, by service.
+    pub queues: Queues,
     /// Quota of retries.
     pub quota: RetryQuota,
     /// Features of requests that were interrupted by crashes.
@@ -105,6 +108,8 @@
     pub version_read_at: Cell<Option<Instant>>,
     /// Notified when updates of other hosts are to be forwarded.
     pub updates_buffered: Notify,
+    /// Notified when generations that wait may have room.
+    pub queues_changed: Notify,
     /// Time of the last log line about a statement of an endpoint that is not valid.
     pub malformed_logged_at: Cell<Option<Instant>>,
     /// Time of the last fetch of a version from another host.
@@ -126,6 +131,7 @@
             peers: Peers::new(settings.host.clone(), settings.locality.region.clone(), hosts),
             subset: SubsetTable::default(),
             origins: StreamOrigins::default(),
+            queues: Queues::new(),
             quota: RetryQuota::new(settings.quota, hosts),
             crash_suspects: CrashSuspects::default(),
             reachability: Reachability::default(),
@@ -152,6 +158,7 @@
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
+            queues_changed: Notify::new(),
             malformed_logged_at: Cell::new(None),
             last_fetch_at: Cell::new(None),
             fleet_revision: watch::Sender::new(0),
@@ -229,6 +236,8 @@
         let ready = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
         self.metrics.ready_endpoints.set(ready as i64);
         self.fleet_revision.send_modify(|count| *count += 1);
+        drop(state);
+        self.wake_queues();
     }
 
     /// Returns the scope of hosts for which this host is the assigned reader of the registry.
@@ -360,6 +369,8 @@
         let name = {
             let mut state = self.state.borrow_mut();
             if !state.fleet.record_report(ix, report, as_of) {
+                drop(state);
+                self.wake_queues();
                 return;
             }
             state.fleet.get(ix).map(|endpoint| endpoint.entry.name.clone())
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -15,6 +15,7 @@
 use crate::call::Call;
 use crate::context::Host;
 use crate::local_response::local_response;
+use crate::queued_generation::QueuedGeneration;
 use crate::response_body::ResponseBody;
 use crate::sending::{SendPlan, SendReservation, UpstreamResponse, send};
 use crate::stream_continuation::ContinuationError;
@@ -198,9 +199,16 @@
             if self.tried.len() >= MAX_ENDPOINTS_TRIED {
                 return Err(self.failure("no_endpoint", RETRY_AFTER_REFUSAL));
             }
-            match self.admit(resume, now) {
+            let (admission, reservation) = match self.call.service().engine {
+                Some(_) if self.cx.settings.prioritised => {
+                    self.admit_from_queue(resume, now).await?
+                }
+                _ => (self.admit(resume, now), None),
+            };
+            match admission {
                 Admission::Start(choice) => {
-                    let reservation = SendReservation::new(&self.cx, choice.endpoint);
+                    let reservation = reservation
+                        .unwrap_or_else(|| SendReservation::new(&self.cx, choice.endpoint));
                     self.log_placement(&choice);
                     sleep_until((now + choice.delay).into()).await;
                     return Ok((choice, reservation));
@@ -209,11 +217,7 @@
                     return Err(self.failure(reason.as_str(), retry_after));
                 }
                 Admission::Wait => {
-                    if !self.wait_logged {
-                        self.wait_logged = true;
-                        info!(self.cx.log, "generation waiting for capacity";
-                            "call" => %self.call.id, "route" => %self.call.route().name);
-                    }
+                    self.log_wait();
                     sleep(ADMISSION_INTERVAL.min(self.call.time_left(now))).await;
                 }
             }
@@ -223,6 +227,47 @@
         }
     }
 
+    /// Waits in the queue of the service until the generation is admitted or refused.
+    async fn admit_from_queue(
+        &mut self,
+        resume: Option<&Resume>,
+        now: Instant,
+    ) -> Result<(Admission, Option<SendReservation<W, R>>), PlacementFailure> {
+        let tokens_per_event =
+            self.call.service().engine.as_ref().map_or(1, |engine| engine.tokens_per_event);
+        let work = QueuedWork {
+            resumes: resume.is_some(),
+            priority: self.call.priority(),
+            organisation: self.call.organisation_name().cloned(),
+            arrived_at: self.since,
+            objective: self.call.route().latency_objective,
+            deadline: self.call.deadline,
+            demand: self.token_demand(resume, tokens_per_event),
+            body_bytes: self.call.body.len() as u64,
+            is_restricted: !self.tried.is_empty() || self.software.is_some(),
+        };
+        let software = self.software.as_ref();
+        let queued = QueuedGeneration::enter(&self.cx, &self.call, work, &self.tried, software);
+        if !queued.is_decided() {
+            self.log_wait();
+        }
+        let (admission, reservation) = queued.decision().await.ok_or_else(|| self.timed_out())?;
+        // The request may have been found to crash endpoints meanwhile.
+        if now.elapsed() > ADMISSION_INTERVAL && self.cx.crashes_endpoints(&self.call) {
+            let failure = self.failure("crashes_endpoints", Duration::ZERO);
+            return Err(PlacementFailure { retry_after: None, ..failure });
+        }
+        Ok((admission, reservation))
+    }
+
+    fn log_wait(&mut self) {
+        if !self.wait_logged {
+            self.wait_logged = true;
+            info!(self.cx.log, "generation waiting for capacity";
+                "call" => %self.call.id, "route" => %self.call.route().name);
+        }
+    }
+
     fn admit(&self, resume: Option<&Resume>, now: Instant) -> Admission {
         let call = &self.call;
         let service = call.service();
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -23,6 +23,7 @@
 //! - [`crash_check`]: finds out whether an endpoint crashed, and which requests may have caused it.
 //! - [`plain_call`]: serves a call to a plain service.
 //! - [`generation_call`]: places a generation on an engine and starts the relay of its event stream.
+//! - [`queued_generation`]: generations that wait for an engine in the order of their priority.
 //! - [`stream_relay`]: relays the events of a generation to its client.
 //! - [`stream_migration`]: migrates a relayed generation when its engine is draining.
 //! - [`stream_continuation`]: which software version may continue a stream.
@@ -70,6 +71,7 @@
 pub mod peers;
 pub mod plain_call;
 pub mod probes;
+pub mod queued_generation;
 pub mod registry_outage;
 pub mod report_poll;
 pub mod response_body;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -15,6 +15,7 @@
 use crate::context::{Host, Stage};
 use crate::listener::{accept_loop, bind, serve_client};
 use crate::probes::{Probe, serve_probe};
+use crate::queued_generation::pass_queues;
 use crate::settings::HostSettings;
 use crate::{endpoint_watch, peer_link, report_poll, serving_watch};
 
@@ -133,6 +134,9 @@
     spawn_local(report_poll::poll_all(cx.clone()));
     spawn_local(peer_link::run(cx.clone()));
     spawn_local(sweep(cx.clone()));
+    if cx.settings.prioritised {
+        spawn_local(pass_queues(cx.clone()));
+    }
     Ok(clients)
 }
 
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use camphorloft_dispatch::prelude::TokenDemand;
 use camphorloft_membership::settings::MembershipSettings;
 use camphorloft_membership::{Member, MemberState};
 use camphorloft_peer::link::{Link, LinkConfig, Received};
@@ -330,7 +331,14 @@
         if let Some(ix) = state.fleet.find_digest(placement.endpoint)
             && let Some(endpoint) = state.fleet.get_mut(ix)
         {
-            endpoint.load.record_peer_placement(placement.kv, placement.unread, now);
+            let (kv_tokens, prefill_tokens) = (placement.kv, placement.unread);
+            match placement.expected.filter(|_| cx.settings.prioritised) {
+                Some(expected) => {
+                    let demand = TokenDemand { kv_tokens, prefill_tokens, expected };
+                    endpoint.load.record_peer_generation(&demand, now);
+                }
+                None => endpoint.load.record_peer_placement(kv_tokens, prefill_tokens, now),
+            }
         }
     }
     for wire in &datagram.moves {
--- a/crates/host/src/peer_updates.rs
+++ b/crates/host/src/peer_updates.rs
@@ -120,11 +120,15 @@
         self.send_datagrams(&datagrams);
     }
 
-    /// Sends the placement of a generation of `kv_tokens` tokens, with `prefill_tokens` tokens to
-    /// prefill, to other hosts.
-    pub fn send_placement(&self, endpoint: EndpointIx, kv_tokens: u32, prefill_tokens: u32) {
+    /// Sends the placement of a generation to other hosts.
+    pub fn send_placement(&self, endpoint: EndpointIx, demand: &TokenDemand) {
         let Some(digest) = self.endpoint_digest(endpoint) else { return };
-        let placement = WirePlacement { endpoint: digest, kv: kv_tokens, unread: prefill_tokens };
+        let placement = WirePlacement {
+            endpoint: digest,
+            kv: demand.kv_tokens,
+            unread: demand.prefill_tokens,
+            expected: self.settings.prioritised.then_some(demand.expected),
+        };
         let updates = Updates { placements: vec![placement], ..Updates::default() };
         self.send_about(&[endpoint], updates, false);
     }
--- /dev/null
+++ b/crates/host/src/queued_generation.rs
@@ -0,0 +1,252 @@
+//! Generations that wait for an engine in the order of their priority.
+
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use camphorloft_dispatch::admission_queue;
+use camphorloft_dispatch::prelude::*;
+use camphorloft_serving::prelude::EngineSpec;
+use camphorloft_types::prelude::*;
+use rand::Rng;
+use rand::rngs::SmallRng;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+
+use crate::call::Call;
+use crate::context::{Host, State};
+use crate::sending::SendReservation;
+
+/// Minimum time between two passes over the queues. Several reports and ends of runs arrive within
+/// it on a busy host.
+const MIN_PASS_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum time between two passes while generations wait: estimates of loads and the times left
+/// change without any event.
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Decision on a queued generation.
+#[derive(Debug)]
+struct Decision {
+    admission: Admission,
+    /// The reserved run, if the generation starts.
+    run: Option<RunId>,
+}
+
+/// A generation in the queue of its service.
+#[derive(Debug)]
+pub struct Waiter {
+    call: Rc<Call>,
+    tried: Vec<EndpointIx>,
+    software: Option<SoftwareVersion>,
+    /// The reserved run, once the generation is admitted.
+    run: Cell<Option<RunId>>,
+    tx: oneshot::Sender<Decision>,
+}
+
+/// The queue of each service.
+pub type Queues = BTreeMap<ServiceName, AdmissionQueue<Waiter>>;
+
+/// The engines of a service as seen by this host.
+struct HostEngines<'a> {
+    fleet: &'a mut Fleet,
+    rng: &'a mut SmallRng,
+    service: &'a ServiceName,
+    spec: &'a EngineSpec,
+    /// Engines that are left to other hosts for the moment.
+    excluded: Vec<EndpointIx>,
+    completions: Completions,
+    now: Instant,
+}
+
+impl Engines<Waiter> for HostEngines<'_> {
+    fn admit(&mut self, work: &QueuedWork, waiter: &Waiter, terms: &AdmissionTerms) -> Admission {
+        let candidates = Candidates {
+            tried: &waiter.tried,
+            software: waiter.software.as_ref(),
+            max_delay: Duration::ZERO,
+        };
+        let pool = Pool { fleet: self.fleet, service: self.service, spec: self.spec };
+        let admission = admission_queue::admit(
+            &pool,
+            work,
+            &candidates,
+            &self.excluded,
+            terms,
+            self.now,
+            self.rng,
+        );
+        if let Admission::Start(choice) = &admission {
+            let call = &waiter.call.id;
+            let run = self.fleet.reserve_run(choice.endpoint, call, &work.demand, self.now);
+            waiter.run.set(Some(run));
+        }
+        admission
+    }
+
+    fn freed_per_second(&mut self) -> f64 {
+        let pool = Pool { fleet: self.fleet, service: self.service, spec: self.spec };
+        self.completions.freed_per_second(&pool, self.now)
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.rng.random()
+    }
+}
+
+/// A generation in the queue, until dropped.
+#[derive(Debug)]
+pub struct QueuedGeneration<W, R> {
+    cx: Rc<Host<W, R>>,
+    call: Rc<Call>,
+    ticket: Ticket,
+    rx: oneshot::Receiver<Decision>,
+}
+
+impl<W, R> QueuedGeneration<W, R> {
+    /// Adds a generation to the queue of its service. `tried` and `software` restrict the engines that
+    /// it may be sent to. If nothing else waits, the decision follows at once.
+    pub fn enter(
+        cx: &Rc<Host<W, R>>,
+        call: &Rc<Call>,
+        work: QueuedWork,
+        tried: &[EndpointIx],
+        software: Option<&SoftwareVersion>,
+    ) -> Self {
+        let (tx, rx) = oneshot::channel();
+        let waiter = Waiter {
+            call: call.clone(),
+            tried: tried.to_vec(),
+            software: software.cloned(),
+            run: Cell::new(None),
+            tx,
+        };
+        let service = &call.service().name;
+        let (ticket, is_first) = {
+            let mut state = cx.state.borrow_mut();
+            let queue = state.queues.entry(service.clone()).or_default();
+            (queue.push(work, waiter), queue.len() == 1)
+        };
+        match is_first {
+            true => drop(cx.pass_queue(service, Instant::now())),
+            false => cx.queues_changed.notify_one(),
+        }
+        Self { cx: cx.clone(), call: call.clone(), ticket, rx }
+    }
+
+    /// Returns true if the decision is made, so that [`Self::decision`] returns at once.
+    pub fn is_decided(&self) -> bool {
+        !self.rx.is_empty()
+    }
+
+    /// Waits for the decision. Returns it with the reservation of the engine if the generation starts,
+    /// or `None` at the deadline.
+    pub async fn decision(mut self) -> Option<(Admission, Option<SendReservation<W, R>>)> {
+        let time_left = self.call.time_left(Instant::now());
+        let decision = timeout(time_left, &mut self.rx).await.ok()?.ok()?;
+        Some(self.accept(decision))
+    }
+
+    fn accept(&self, decision: Decision) -> (Admission, Option<SendReservation<W, R>>) {
+        let Decision { admission, run } = decision;
+        let reservation = match (&admission, run) {
+            (Admission::Start(choice), Some(run)) => {
+                Some(SendReservation::of_run(&self.cx, choice.endpoint, run))
+            }
+            _ => None,
+        };
+        (admission, reservation)
+    }
+}
+
+impl<W, R> Drop for QueuedGeneration<W, R> {
+    fn drop(&mut self) {
+        let waiter = {
+            let mut state = self.cx.state.borrow_mut();
+            let queue = state.queues.get_mut(&self.call.service().name);
+            queue.and_then(|queue| queue.remove(self.ticket))
+        };
+        if waiter.is_some() {
+            // Others may have waited behind it.
+            self.cx.queues_changed.notify_one();
+        }
+        // The decision may have been made after the client left.
+        if let Ok(decision) = self.rx.try_recv() {
+            drop(self.accept(decision));
+        }
+    }
+}
+
+impl<W, R> Host<W, R> {
+    /// Admits or refuses generations that wait for engines of a service. Returns true if any decision
+    /// was made.
+    pub(crate) fn pass_queue(&self, service: &ServiceName, now: Instant) -> bool {
+        let decided = {
+            let mut guard = self.state.borrow_mut();
+            let State { fleet, queues, rng, .. } = &mut *guard;
+            let Some(queue) = queues.get_mut(service) else { return false };
+            let Some(waiter) = queue.first() else { return false };
+            // The specification may differ between versions of the configuration for a moment.
+            let call = waiter.call.clone();
+            let Some(spec) = &call.service().engine else { return false };
+            let completions = queue.completions;
+            let pool = Pool { fleet, service, spec };
+            let hosts = queue.peers.hosts(now);
+            let excluded = admission_queue::engines_left_to_others(&pool, hosts, rng);
+            let mut engines = HostEngines { fleet, rng, service, spec, excluded, completions, now };
+            queue.pass(&mut engines, now)
+        };
+        let is_any = !decided.is_empty();
+        for (waiter, admission) in decided {
+            // The receiver exists while the generation is in the queue.
+            let _ = waiter.tx.send(Decision { admission, run: waiter.run.get() });
+        }
+        is_any
+    }
+
+    /// Requests a pass over the queues, because an engine may have room.
+    pub(crate) fn wake_queues(&self) {
+        if self.settings.prioritised && self.has_queued() {
+            self.queues_changed.notify_one();
+        }
+    }
+
+    /// Records that a run has ended, and what that says about the time for which memory is held.
+    pub(crate) fn end_run(&self, endpoint: EndpointIx, run: RunId) {
+        let now = Instant::now();
+        {
+            let mut guard = self.state.borrow_mut();
+            let State { fleet, queues, .. } = &mut *guard;
+            let service = fleet.get(endpoint).map(|endpoint| &endpoint.entry.service);
+            let queue = service.and_then(|service| queues.get_mut(service));
+            if let (Some(queue), Some(ended)) = (queue, fleet.run_mut(endpoint, run)) {
+                let duration = now.saturating_duration_since(ended.sent_at);
+                queue.completions.record(ended.kv_tokens(), duration, now);
+            }
+            fleet.end_run(endpoint, run);
+        }
+        self.wake_queues();
+    }
+
+    fn has_queued(&self) -> bool {
+        self.state.borrow().queues.values().any(|queue| !queue.is_empty())
+    }
+}
+
+/// Passes over the queues whenever an engine may have room.
+pub async fn pass_queues<W, R>(cx: Rc<Host<W, R>>) {
+    loop {
+        match cx.has_queued() {
+            true => drop(timeout(MAX_PASS_INTERVAL, cx.queues_changed.notified()).await),
+            false => cx.queues_changed.notified().await,
+        }
+        let services: Vec<ServiceName> = cx.state.borrow().queues.keys().cloned().collect();
+        for service in services {
+            if cx.pass_queue(&service, Instant::now()) {
+                // What starts may leave room for more that were skipped in this pass.
+                cx.wake_queues();
+            }
+        }
+        sleep(MIN_PASS_INTERVAL).await;
+    }
+}
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -19,6 +19,8 @@
 pub struct SendReservation<W, R> {
     cx: Rc<Host<W, R>>,
     endpoint: EndpointIx,
+    /// The run that stands for it, if it was admitted from a queue.
+    run: Option<RunId>,
 }
 
 impl<W, R> SendReservation<W, R> {
@@ -28,13 +30,22 @@
         state.fleet.reserve_send(endpoint, Instant::now());
         state.fleet.begin_reservation(endpoint);
         drop(state);
-        Self { cx: cx.clone(), endpoint }
+        Self { cx: cx.clone(), endpoint, run: None }
+    }
+
+    /// Takes over the run with which a generation was placed on an engine.
+    pub fn of_run(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, run: RunId) -> Self {
+        Self { cx: cx.clone(), endpoint, run: Some(run) }
     }
 }
 
 impl<W, R> Drop for SendReservation<W, R> {
     fn drop(&mut self) {
-        self.cx.state.borrow_mut().fleet.end_reservation(self.endpoint);
+        let fleet = &mut self.cx.state.borrow_mut().fleet;
+        match self.run {
+            Some(run) => fleet.release_run(self.endpoint, run, Instant::now()),
+            None => fleet.end_reservation(self.endpoint),
+        }
     }
 }
 
@@ -53,8 +64,8 @@
     pub fn start(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, call: &Call, work: RunWork) -> Self {
         let now = Instant::now();
         let run = cx.state.borrow_mut().fleet.start_run(endpoint, &call.id, work, now);
-        if let RunWork::Generation { kv_tokens, prefill_tokens, .. } = work {
-            cx.send_placement(endpoint, kv_tokens, prefill_tokens);
+        if let RunWork::Generation { kv_tokens, prefill_tokens, expected, .. } = work {
+            cx.send_placement(endpoint, &TokenDemand { kv_tokens, prefill_tokens, expected });
         }
         Self { cx: cx.clone(), endpoint, run }
     }
@@ -62,7 +73,7 @@
 
 impl<W, R> Drop for RunGuard<W, R> {
     fn drop(&mut self) {
-        self.cx.state.borrow_mut().fleet.end_run(self.endpoint, self.run);
+        self.cx.end_run(self.endpoint, self.run);
     }
 }
 
--- a/crates/host/src/settings.rs
+++ b/crates/host/src/settings.rs
@@ -38,6 +38,8 @@
     pub bandwidth: Option<ByteRate>,
     /// Grace period from the termination signal to the end of the process.
     pub grace: Duration,
+    /// Whether requests wait in the order of their priority.
+    pub prioritised: bool,
     /// Quota of retries across all hosts.
     pub quota: QuotaSettings,
 }
--- a/crates/host/tests/settings.rs
+++ b/crates/host/tests/settings.rs
@@ -28,6 +28,7 @@
         max_connections: 10,
         bandwidth: Some(ByteRate(1_250_000)),
         grace: Duration::from_secs(8),
+        prioritised: false,
         quota: QuotaSettings { window: Duration::from_secs(10), ratio: 0.2, extra: 54.0 },
     }
 }
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -152,6 +152,9 @@
     /// Number of those tokens that the engine still has to prefill.
     #[prost(uint32, tag = "3")]
     pub unread: u32,
+    /// Expected output, in tokens; absent if the sender does not queue by priority.
+    #[prost(uint32, optional, tag = "40")]
+    pub expected: Option<u32>,
 }
 
 /// A planned migration of a generation.
--- a/crates/peer/tests/distribution.rs
+++ b/crates/peer/tests/distribution.rs
@@ -120,7 +120,7 @@
     }
 
     fn place(&mut self, from: usize, endpoint: u64) {
-        let placement = WirePlacement { endpoint, kv: 3_000, unread: 3_000 };
+        let placement = WirePlacement { endpoint, kv: 3_000, unread: 3_000, expected: None };
         let updates = Updates { placements: vec![placement], ..Updates::default() };
         self.submit(from, ForwardScope::Fleet, updates);
     }
