Share the queue between organisations, kinds and hosts, and bound it

Cause: the queue knew only what waits at its own host, one organisation with most of the traffic took all the room of its priority, less urgent kinds could wait until they were refused, and nothing bounded the memory of waiting requests.

An organisation that had more than its share of the admitted work comes after others of its priority. One generation in three comes first once half of its time is over. The queue holds at most 1,000 generations and half of the memory of request bodies, and refuses first what costs clients least. Refused clients that cannot wait for long enough are spread over the second half of the time that they have. No generation is admitted beyond the expected memory of an engine any more, even at its last moment.

--- a/crates/dispatch/src/admission_queue.rs
+++ b/crates/dispatch/src/admission_queue.rs
@@ -5,10 +5,15 @@
 //! generations, so generations wait at the host; the queue decides which of them gets the memory that
 //! becomes free, and which are refused because they cannot be completed in time.
 //!
-//! Order: interrupted streams first, then by priority. Within a priority, those that can still be in
-//! time come first, by the time that is left for them, and then the others by arrival. While nothing
-//! waits, a generation is admitted on the same conditions as by [`crate::admission`].
+//! Order: interrupted streams first, then by priority. Within a priority, organisations that had more
+//! than their share come last. Those generations that can still be in time come first, by the time that
+//! is left for them, and then the others by arrival. While nothing waits, a generation is admitted on
+//! the same conditions as by [`crate::admission`].
+//!
+//! So that no kind of request starves, one generation in three of each priority comes first once it has
+//! waited for half of the time for which it can wait at all.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use camphorloft_types::prelude::*;
@@ -18,17 +23,18 @@
 use crate::candidates::Candidates;
 use crate::completions::Completions;
 use crate::generation;
+use crate::organisation_usage::OrganisationUsage;
 use crate::peer_queues::{PeerQueues, QueueState};
 use crate::pool::Pool;
 use crate::queued_work::QueuedWork;
 use crate::return_schedule::ReturnSchedule;
 
-/// Expected memory use of an engine, as a fraction, up to which a generation is admitted.
+/// Expected memory use of an engine, as a fraction, up to which a generation is admitted, even if it
+/// has waited for long: beyond it, engines preempt generations, and in the replay of bursts as many are
+/// late for that reason as are in time because they start.
 const MAX_FILL: f64 = 1.0;
 /// The same for an engine that crashes when it has to refuse many requests.
 const MAX_FILL_IF_BRITTLE: f64 = 0.9;
-/// The same for a generation that has to start now to be in time, while nothing more urgent waits.
-const MAX_FILL_AFTER_WAIT: f64 = 1.15;
 /// The same for a generation while another one waits that comes before it. The rest is kept for that
 /// one: a tenth of an engine's memory is most of a prompt in current deployments.
 const MAX_FILL_BEHIND: f64 = 0.9;
@@ -45,6 +51,11 @@
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(700);
 /// Largest fraction of the time that a client has left for which it honours a retry delay.
 const MAX_RETRY_FRACTION: u32 = 3;
+/// One generation in this number is protected from starving. It is a share of a priority's requests, not
+/// of the work, so that it also holds at hosts with few requests.
+const PROTECTED_INTERVAL: u32 = 3;
+/// Largest number of generations that wait.
+const MAX_ENTRIES: usize = 1_000;
 /// Largest number of priorities that are told apart.
 const PRIORITIES: usize = 16;
 
@@ -82,9 +93,17 @@
 struct Entry<Item> {
     ticket: Ticket,
     work: QueuedWork,
+    /// Whether it comes first once it has waited for long.
+    is_protected: bool,
     item: Item,
 }
 
+impl<Item> Entry<Item> {
+    fn comes_first(&self, now: Instant) -> bool {
+        self.is_protected && self.work.has_waited_long(now)
+    }
+}
+
 /// Queue of the generations of one service.
 #[derive(Debug)]
 pub struct AdmissionQueue<Item> {
@@ -96,6 +115,12 @@
     /// When generations of each priority last waited.
     waited_at: [Option<Instant>; PRIORITIES],
     returns: ReturnSchedule,
+    usage: OrganisationUsage,
+    /// Number of generations of each priority that arrived.
+    arrived: [u32; PRIORITIES],
+    /// Size of the bodies of all generations that wait, in bytes, and its limit.
+    body_bytes: u64,
+    max_body_bytes: u64,
     next: u64,
 }
 
@@ -107,6 +132,10 @@
             completions: Completions::default(),
             waited_at: [None; PRIORITIES],
             returns: ReturnSchedule::default(),
+            usage: OrganisationUsage::default(),
+            arrived: [0; PRIORITIES],
+            body_bytes: 0,
+            max_body_bytes: u64::MAX,
             next: 0,
         }
     }
@@ -117,14 +146,25 @@
     pub fn push(&mut self, work: QueuedWork, item: Item) -> Ticket {
         let ticket = Ticket(self.next);
         self.next += 1;
-        self.entries.push(Entry { ticket, work, item });
+        let arrived = &mut self.arrived[priority_ix(work.priority)];
+        let is_protected = arrived.is_multiple_of(PROTECTED_INTERVAL);
+        *arrived = arrived.wrapping_add(1);
+        self.body_bytes += work.body_bytes;
+        self.entries.push(Entry { ticket, work, is_protected, item });
         ticket
     }
 
+    /// Limits the size of the bodies of all generations that wait, in bytes.
+    pub fn set_max_body_bytes(&mut self, max: u64) {
+        self.max_body_bytes = max;
+    }
+
     /// Removes a generation whose client has left.
     pub fn remove(&mut self, ticket: Ticket) -> Option<Item> {
         let at = self.entries.iter().position(|entry| entry.ticket == ticket)?;
-        Some(self.entries.swap_remove(at).item)
+        let entry = self.entries.swap_remove(at);
+        self.body_bytes -= entry.work.body_bytes;
+        Some(entry.item)
     }
 
     /// Returns the number of generations that wait.
@@ -158,35 +198,34 @@
         Service: Engines<Item>,
     {
         let mut decided = Vec::new();
-        self.entries.sort_by_cached_key(|entry| order(&entry.work, now));
+        self.shed(engines, now, &mut decided);
+        let usage = &self.usage;
+        self.entries.sort_by_cached_key(|entry| Place::new(entry, usage, now));
         let mut ahead = Ahead::default();
         let mut freed_per_second = None;
         let mut kept = Vec::with_capacity(self.entries.len());
         for entry in std::mem::take(&mut self.entries) {
             let work = &entry.work;
-            let terms = self.terms(work, &ahead, now);
+            let terms = self.terms(&entry, &ahead, now);
             let admission = match ahead.blocks(work, &terms) {
                 true => Admission::Wait,
                 false => engines.admit(work, &entry.item, &terms),
             };
             if admission != Admission::Wait {
+                self.body_bytes -= work.body_bytes;
+                if let Admission::Start(_) = admission {
+                    self.usage.record(work.organisation.as_ref(), work.tokens(), now);
+                }
                 decided.push((entry.item, admission));
                 continue;
             }
             let freed = *freed_per_second.get_or_insert_with(|| engines.freed_per_second());
-            let tokens_ahead = ahead.tokens + self.peers.tokens(work.priority, now);
+            let tokens_ahead = match entry.is_protected {
+                true => 0,
+                false => ahead.tokens + self.peers.tokens(work.priority, now),
+            };
             if is_hopeless(work, tokens_ahead, freed, now) {
-                let max_delay = work.deadline.saturating_duration_since(now) / MAX_RETRY_FRACTION;
-                let retry_after = self.returns.schedule(
-                    (work.priority, work.tokens()),
-                    tokens_ahead,
-                    freed,
-                    max_delay,
-                    engines.draw(),
-                    now,
-                );
-                let reason = RefuseReason::NoCapacity;
-                decided.push((entry.item, Admission::Refuse { reason, retry_after }));
+                decided.push(self.refuse(entry, tokens_ahead, freed, engines.draw(), now));
                 continue;
             }
             ahead.add(work, &terms);
@@ -199,16 +238,53 @@
         decided
     }
 
-    fn terms(&self, work: &QueuedWork, ahead: &Ahead, now: Instant) -> AdmissionTerms {
-        let is_behind = self.is_behind(work, ahead, now);
+    /// Refuses generations beyond the bounds of the queue, first those that cost clients least.
+    fn shed<Service>(
+        &mut self,
+        engines: &mut Service,
+        now: Instant,
+        decided: &mut Vec<(Item, Admission)>,
+    ) where
+        Service: Engines<Item>,
+    {
+        while self.entries.len() > MAX_ENTRIES || self.body_bytes > self.max_body_bytes {
+            let usage = &self.usage;
+            let costs = self.entries.iter().map(|entry| cost_of_refusal(entry, usage, now));
+            let Some((at, _)) = costs.enumerate().min_by_key(|(_, cost)| *cost) else { return };
+            let entry = self.entries.swap_remove(at);
+            let priority = entry.work.priority;
+            let ahead = self.entries.iter().filter(|other| other.work.priority <= priority);
+            let ahead = ahead.map(|other| other.work.tokens()).sum::<u64>();
+            let tokens_ahead = ahead + self.peers.tokens(priority, now);
+            let (freed, draw) = (engines.freed_per_second(), engines.draw());
+            decided.push(self.refuse(entry, tokens_ahead, freed, draw, now));
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        entry: Entry<Item>,
+        tokens_ahead: u64,
+        freed_per_second: f64,
+        draw: f64,
+        now: Instant,
+    ) -> (Item, Admission) {
+        let work = &entry.work;
+        self.body_bytes -= work.body_bytes;
+        let max_delay = work.deadline.saturating_duration_since(now) / MAX_RETRY_FRACTION;
+        let request = (work.priority, work.tokens());
+        let retry_after =
+            self.returns.schedule(request, tokens_ahead, freed_per_second, max_delay, draw, now);
+        (entry.item, Admission::Refuse { reason: RefuseReason::NoCapacity, retry_after })
+    }
+
+    fn terms(&self, entry: &Entry<Item>, ahead: &Ahead, now: Instant) -> AdmissionTerms {
+        let work = &entry.work;
+        let has_turn =
+            entry.comes_first(now) && !self.usage.exceeds_share(work.organisation.as_ref());
+        let is_behind = !has_turn && self.is_behind(work, ahead, now);
         let max_prefill = if is_behind { MAX_PREFILL_BEHIND } else { MAX_PREFILL };
-        let max_fill = if is_behind {
-            MAX_FILL_BEHIND
-        } else if work.time_to_start(now).is_zero() && !work.is_late(now) {
-            MAX_FILL_AFTER_WAIT
-        } else {
-            MAX_FILL
-        };
+        let max_fill = if is_behind { MAX_FILL_BEHIND } else { MAX_FILL };
         AdmissionTerms {
             max_fill,
             max_prefill,
@@ -262,14 +338,59 @@
     }
 }
 
-/// Sort key of a generation: the smallest is admitted first.
-fn order(work: &QueuedWork, now: Instant) -> (bool, u8, bool, Duration, Instant, u64) {
-    let slack = work.slack(now);
-    let is_late = slack.is_none();
-    // Those that are late have no slack and keep the order of arrival.
-    let slack = slack.unwrap_or_default();
-    let arrived_at = if is_late { work.arrived_at } else { now };
-    (!work.resumes, work.priority, is_late, slack, arrived_at, work.work())
+/// Place of a generation in the queue: the smallest is admitted first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    is_new: bool,
+    /// False once the generation comes first so that its kind does not starve.
+    has_no_turn: bool,
+    priority: u8,
+    exceeds_share: bool,
+    /// False once the generation comes first among those of its organisation, which had more than its
+    /// share.
+    has_no_turn_in_share: bool,
+    is_late: bool,
+    /// Those that are late have none and keep the order of arrival.
+    slack: Duration,
+    arrived_at: Instant,
+    work: u64,
+}
+
+impl Place {
+    fn new<Item>(entry: &Entry<Item>, usage: &OrganisationUsage, now: Instant) -> Self {
+        let work = &entry.work;
+        let slack = work.slack(now);
+        let comes_first = entry.comes_first(now);
+        let exceeds_share = usage.exceeds_share(work.organisation.as_ref());
+        Self {
+            is_new: !work.resumes,
+            has_no_turn: !comes_first || exceeds_share,
+            priority: if comes_first { 0 } else { work.priority },
+            exceeds_share,
+            has_no_turn_in_share: !comes_first,
+            is_late: slack.is_none(),
+            slack: slack.unwrap_or_default(),
+            arrived_at: if slack.is_none() { work.arrived_at } else { now },
+            work: work.work(),
+        }
+    }
+}
+
+/// Cost of the refusal of a generation to the clients; the smallest is refused first.
+fn cost_of_refusal<Item>(
+    entry: &Entry<Item>,
+    usage: &OrganisationUsage,
+    now: Instant,
+) -> (bool, Reverse<u8>, bool, bool, bool, Reverse<u64>) {
+    let work = &entry.work;
+    (
+        work.resumes,
+        Reverse(work.priority),
+        entry.is_protected,
+        !usage.exceeds_share(work.organisation.as_ref()),
+        !work.is_late(now),
+        Reverse(work.work()),
+    )
 }
 
 /// Returns true if a generation cannot be completed before its deadline, given what is ahead of it.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 //! - [`admission_queue`]: the generations of one service that wait at a host for an engine.
 //! - [`queued_work`]: a generation that waits, with what determines its place in the queue.
 //! - [`peer_queues`]: what other hosts state about the generations that wait there.
+//! - [`organisation_usage`]: how much of the admitted work each organisation had recently.
 //! - [`completions`]: how fast the engines of a service free memory.
 //! - [`return_schedule`]: when refused clients are told to come back.
 //! - [`retry_quota`]: limits retries across all hosts.
@@ -50,6 +51,7 @@
 pub mod health;
 pub mod load;
 pub mod migration;
+pub mod organisation_usage;
 pub mod peer_queues;
 pub mod plain;
 pub mod pool;
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -16,7 +16,7 @@
 pub use crate::health::Health;
 pub use crate::load::{LoadHint, LoadReport};
 pub use crate::migration::{MigrationPlans, PlannedMigration};
-pub use crate::peer_queues::{PeerQueues, QueueState};
+pub use crate::peer_queues::{HostDigest, PeerQueues, QueueState};
 pub use crate::pool::Pool;
 pub use crate::queued_work::QueuedWork;
 pub use crate::reachability::Reachability;
--- a/crates/dispatch/src/queued_work.rs
+++ b/crates/dispatch/src/queued_work.rs
@@ -66,6 +66,12 @@
         self.deadline.saturating_duration_since(now).saturating_sub(self.demand.busy_duration())
     }
 
+    /// Returns true when half of the time has passed for which the generation can wait at all.
+    pub fn has_waited_long(&self, now: Instant) -> bool {
+        let waited = now.saturating_duration_since(self.arrived_at);
+        waited >= self.time_to_complete(now)
+    }
+
     /// Returns its expected peak memory use, in tokens.
     pub fn tokens(&self) -> u64 {
         u64::from(self.demand.kv_tokens) + u64::from(self.demand.expected)
--- a/crates/dispatch/src/return_schedule.rs
+++ b/crates/dispatch/src/return_schedule.rs
@@ -43,8 +43,12 @@
         let before = self.returns.iter().filter(|other| other.priority <= priority);
         let before = before.map(|other| other.tokens).sum::<u64>();
         let wait = (ahead + before + tokens) as f64 / freed_per_second.max(1.0);
-        let wait = Duration::from_secs_f64(wait.min(max_delay.as_secs_f64()));
-        let delay = (wait.max(MIN_DELAY)).mul_f64(1.0 + JITTER * draw).min(max_delay);
+        let wait = wait.max(MIN_DELAY.as_secs_f64()) * (1.0 + JITTER * draw);
+        let delay = match wait < max_delay.as_secs_f64() {
+            true => Duration::from_secs_f64(wait),
+            // Clients that cannot wait for long enough are spread over the second half of the time.
+            false => max_delay.mul_f64(1.0 - 0.5 * draw),
+        };
         if self.returns.len() < MAX_RETURNS {
             self.returns.push(Return { at: now + delay, priority, tokens });
         }
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -108,6 +108,8 @@
     pub version_read_at: Cell<Option<Instant>>,
     /// Notified when updates of other hosts are to be forwarded.
     pub updates_buffered: Notify,
+    /// When this host last told others what waits here.
+    pub queues_stated_at: Cell<Option<Instant>>,
     /// Notified when generations that wait may have room.
     pub queues_changed: Notify,
     /// Time of the last log line about a statement of an endpoint that is not valid.
@@ -158,6 +160,7 @@
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
+            queues_stated_at: Cell::new(None),
             queues_changed: Notify::new(),
             malformed_logged_at: Cell::new(None),
             last_fetch_at: Cell::new(None),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`plain_call`]: serves a call to a plain service.
 //! - [`generation_call`]: places a generation on an engine and starts the relay of its event stream.
 //! - [`queued_generation`]: generations that wait for an engine in the order of their priority.
+//! - [`queue_states`]: tells other hosts what waits here for engines.
 //! - [`stream_relay`]: relays the events of a generation to its client.
 //! - [`stream_migration`]: migrates a relayed generation when its engine is draining.
 //! - [`stream_continuation`]: which software version may continue a stream.
@@ -71,6 +72,7 @@
 pub mod peers;
 pub mod plain_call;
 pub mod probes;
+pub mod queue_states;
 pub mod queued_generation;
 pub mod registry_outage;
 pub mod report_poll;
--- a/crates/host/src/memory_budget.rs
+++ b/crates/host/src/memory_budget.rs
@@ -15,6 +15,11 @@
         Self { limit, used: Cell::new(0) }
     }
 
+    /// Returns the limit, in bytes.
+    pub fn limit(&self) -> u64 {
+        self.limit
+    }
+
     /// Returns the number of bytes in use.
     pub fn used(&self) -> u64 {
         self.used.get()
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -261,6 +261,7 @@
         cx.update_subset(now);
         cx.update_limit_shares(now);
         cx.send_refutations(now);
+        cx.send_queue_states(now);
         if ticks % TICKS_PER_CRASH_ANNOUNCEMENT == 0 {
             cx.announce_crashes_again(now);
         }
@@ -361,6 +362,9 @@
     for origin in &datagram.stream_origins {
         cx.receive_stream_origin(origin, now);
     }
+    for queue in &datagram.queues {
+        cx.receive_queue_state(queue, now);
+    }
     for limit in &datagram.request_limits {
         cx.receive_request_limit(limit, now);
     }
--- a/crates/host/src/queued_generation.rs
+++ b/crates/host/src/queued_generation.rs
@@ -125,6 +125,7 @@
         let (ticket, is_first) = {
             let mut state = cx.state.borrow_mut();
             let queue = state.queues.entry(service.clone()).or_default();
+            queue.set_max_body_bytes(cx.request_bodies.limit() / 2);
             (queue.push(work, waiter), queue.len() == 1)
         };
         match is_first {
@@ -191,7 +192,7 @@
             let Some(spec) = &call.service().engine else { return false };
             let completions = queue.completions;
             let pool = Pool { fleet, service, spec };
-            let hosts = queue.peers.hosts(now);
+            let hosts = queue.peers.waiting_hosts(now);
             let excluded = admission_queue::engines_left_to_others(&pool, hosts, rng);
             let mut engines = HostEngines { fleet, rng, service, spec, excluded, completions, now };
             queue.pass(&mut engines, now)
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -4,8 +4,8 @@
 
 use crate::wire::{
     WireBrittleness, WireDatagram, WireEndpointChange, WireFeatureCrash, WireFinishedFeature,
-    WireFullEndpoint, WireHoldOff, WireMigration, WirePlacement, WireRegistryState, WireReport,
-    WireRequestLimit, WireStreamOrigin,
+    WireFullEndpoint, WireHoldOff, WireMigration, WirePlacement, WireQueueState, WireRegistryState,
+    WireReport, WireRequestLimit, WireStreamOrigin,
 };
 
 /// Maximum number of changes of the endpoint list in a datagram, which holds 64 KB. A change takes
@@ -39,6 +39,8 @@
     pub request_limits: Vec<WireRequestLimit>,
     /// Software versions that began streams.
     pub stream_origins: Vec<WireStreamOrigin>,
+    /// What waits for engines at hosts.
+    pub queues: Vec<WireQueueState>,
 }
 
 impl Updates {
@@ -57,6 +59,7 @@
             hold_offs: Vec::new(),
             request_limits: datagram.request_limits.clone(),
             stream_origins: datagram.stream_origins.clone(),
+            queues: datagram.queues.clone(),
         }
     }
 
@@ -74,6 +77,7 @@
         datagram.hold_offs = self.hold_offs;
         datagram.request_limits = self.request_limits;
         datagram.stream_origins = self.stream_origins;
+        datagram.queues = self.queues;
     }
 
     /// Splits the updates into parts that fit into a datagram each. The first contains all but the
@@ -116,6 +120,7 @@
             + self.hold_offs.len()
             + self.request_limits.len()
             + self.stream_origins.len()
+            + self.queues.len()
     }
 
     /// Adds the time that the updates were held at this host to the ages that they state.
@@ -169,6 +174,7 @@
         replace_by(&mut self.full, newer.full, |full| full.endpoint);
         replace_by(&mut self.finished, newer.finished, |finished| finished.feature);
         replace_by(&mut self.stream_origins, newer.stream_origins, |origin| origin.stream);
+        replace_by(&mut self.queues, newer.queues, |queue| (queue.host, queue.service));
         // Two hosts may send what the endpoint stated to each of them in the other order.
         let known = &self.request_limits;
         let is_outdated = |limit: &WireRequestLimit| {
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -281,6 +281,23 @@
     pub age_ms: u32,
 }
 
+/// The most urgent generations that wait at a host for engines of a service.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct WireQueueState {
+    /// Digest of the host's name.
+    #[prost(fixed32, tag = "1")]
+    pub host: u32,
+    /// Digest of the service.
+    #[prost(fixed32, tag = "2")]
+    pub service: u32,
+    /// Their priority; 0 is the highest.
+    #[prost(uint32, tag = "3")]
+    pub priority: u32,
+    /// Memory that they need, in tokens.
+    #[prost(uint32, tag = "4")]
+    pub tokens: u32,
+}
+
 /// The software version that began a stream.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct WireStreamOrigin {
@@ -358,6 +375,9 @@
     /// Endpoints that want no requests from the receiver, which forwarded one.
     #[prost(message, repeated, tag = "26")]
     pub hold_offs: Vec<WireHoldOff>,
+    /// What waits for engines at hosts.
+    #[prost(message, repeated, tag = "40")]
+    pub queues: Vec<WireQueueState>,
     /// Request or reply of the membership protocol.
     #[prost(oneof = "WireKind", tags = "10, 11, 12, 13")]
     pub kind: Option<WireKind>,
