Queue calls of plain services, and bound what slow clients hold

Cause: calls of a plain service were sent to endpoints without a free slot in the order of their arrival. While a client was slow, the host stopped reading after 16 parts, and an engine cuts off a response that is unread for some seconds. Engines without memory preempted generations in time as often as late ones.

The host reads ahead of a slow client up to 64 KB for each stream and a tenth of its memory for all, ends a stream whose client takes nothing for 5 s, and closes its connection. A generation that is late already has priority 6 at its engine, a resumed one 4.

--- a/crates/dispatch/src/admission_queue.rs
+++ b/crates/dispatch/src/admission_queue.rs
@@ -1,4 +1,5 @@
-//! Queue of the generations of one service that wait at a host for an engine.
+//! Queue of the requests of one service that wait at a host for an endpoint: generations for the memory
+//! of an engine, calls of a plain service for a slot.
 //!
 //! Handles bursts of one kind of request of 1.5 to 2.5 times its usual rate for several seconds while
 //! a sixth of the engines is being reclaimed. An engine filled beyond its memory preempts running
@@ -22,9 +23,11 @@
 use crate::admission::{Admission, RefuseReason};
 use crate::candidates::Candidates;
 use crate::completions::Completions;
+use crate::fleet::Fleet;
 use crate::generation;
 use crate::organisation_usage::OrganisationUsage;
 use crate::peer_queues::{PeerQueues, QueueState};
+use crate::plain;
 use crate::pool::Pool;
 use crate::queued_work::QueuedWork;
 use crate::return_schedule::ReturnSchedule;
@@ -466,3 +469,33 @@
         false => Admission::Wait,
     }
 }
+
+/// Selects an endpoint with a free slot for a call of a plain service. The result is to wait if there is
+/// none, although endpoints are usable.
+pub fn admit_call<Draws>(
+    fleet: &Fleet,
+    service: &ServiceName,
+    candidates: &Candidates<'_>,
+    now: Instant,
+    rng: &mut Draws,
+) -> Admission
+where
+    Draws: Rng,
+{
+    let full = fleet.of_service(service).filter(|(_, endpoint)| !endpoint.has_free_slot(now));
+    let mut tried: Vec<EndpointIx> = full.map(|(ix, _)| ix).collect();
+    tried.extend(candidates.tried);
+    let free = Candidates { tried: &tried, ..*candidates };
+    if let Some(choice) = plain::choose(fleet, service, &free, now, rng) {
+        return Admission::Start(choice);
+    }
+    if plain::choose(fleet, service, candidates, now, rng).is_some() {
+        return Admission::Wait;
+    }
+    let limited_for = fleet.limited_for(service, candidates, now);
+    let reason = match limited_for {
+        Some(_) => RefuseReason::Limited,
+        None => RefuseReason::NoEndpoint,
+    };
+    Admission::Refuse { reason, retry_after: limited_for.unwrap_or_default() }
+}
--- a/crates/dispatch/src/completions.rs
+++ b/crates/dispatch/src/completions.rs
@@ -2,6 +2,9 @@
 
 use std::time::{Duration, Instant};
 
+use camphorloft_types::prelude::ServiceName;
+
+use crate::fleet::Fleet;
 use crate::pool::Pool;
 
 /// Half-life of the weight of a run.
@@ -60,13 +63,31 @@
         (self.token_seconds / self.tokens.max(1.0)).max(MIN_SECS)
     }
 
-    /// Returns the expected number of tokens of memory that the usable engines of a service free per
+    /// Returns the expected number of calls that the usable endpoints of a plain service complete per
     /// second.
+    pub fn calls_per_second(fleet: &Fleet, service: &ServiceName, now: Instant) -> f64 {
+        let usable = fleet.of_service(service).filter(|(_, e)| e.is_usable(now));
+        let rates = usable.map(|(_, e)| {
+            const MIN_SECS: f64 = 0.001;
+            let busy = e.runs.len() as f64 + e.load.peer_requests(now);
+            busy.min(f64::from(e.entry.slots)) / e.service_time().as_secs_f64().max(MIN_SECS)
+        });
+        rates.sum()
+    }
+
+    /// Returns the expected number of tokens of memory that the usable engines of a service free per
+    /// second, or 0 if no engine has sent a report lately.
     pub fn freed_per_second(&self, pool: &Pool<'_>, now: Instant) -> f64 {
         let usable = pool.fleet.of_service(pool.service).filter(|(_, e)| e.is_usable(now));
-        let used = usable
-            .map(|(_, e)| f64::from(e.load.estimate_engine_load(&e.runs, now).used))
-            .sum::<f64>();
-        used / self.mean_life_secs()
+        let (mut engines, mut reported, mut used) = (0_u32, 0_u32, 0.0);
+        for (_, engine) in usable {
+            engines += 1;
+            if engine.load.report(now).is_some() {
+                reported += 1;
+                used += f64::from(engine.load.estimate_engine_load(&engine.runs, now).used);
+            }
+        }
+        // Engines without a recent report are taken for like the others.
+        used * f64::from(engines) / f64::from(reported.max(1)) / self.mean_life_secs()
     }
 }
--- a/crates/dispatch/src/queued_work.rs
+++ b/crates/dispatch/src/queued_work.rs
@@ -1,4 +1,4 @@
-//! A generation that waits for an engine, with what determines its place in the queue.
+//! A request that waits for an endpoint, with what determines its place in the queue.
 
 use std::time::{Duration, Instant};
 
@@ -6,7 +6,7 @@
 
 use crate::generation::TokenDemand;
 
-/// A generation that waits for an engine.
+/// A generation that waits for an engine, or a call that waits for an endpoint of a plain service.
 #[derive(Clone, Debug)]
 pub struct QueuedWork {
     /// Whether its stream began on another engine and was interrupted.
@@ -21,8 +21,12 @@
     pub objective: Duration,
     /// Deadline for the end of the response.
     pub deadline: Instant,
-    /// Token requirements.
+    /// Token requirements. A call of a plain service counts as one token.
     pub demand: TokenDemand,
+    /// Expected time from its start to the first event or the response.
+    pub first_event: Duration,
+    /// Expected duration on a busy endpoint.
+    pub duration: Duration,
     /// Size of the request body, in bytes.
     pub body_bytes: u64,
     /// Whether it may not be sent to all engines of the service, so that it may have to wait while
@@ -47,7 +51,7 @@
     /// Returns the time that can pass until the prefill has to begin, or `None` if the first event can
     /// no longer be in time.
     pub fn slack(&self, now: Instant) -> Option<Duration> {
-        self.due(now).checked_sub(self.demand.prefill_time())
+        self.due(now).checked_sub(self.first_event)
     }
 
     /// Returns true when the first event can no longer be in time.
@@ -58,12 +62,12 @@
     /// Returns the time until the generation has to start for its first event to be in time on a busy
     /// engine.
     pub fn time_to_start(&self, now: Instant) -> Duration {
-        self.due(now).saturating_sub(self.demand.busy_prefill_time())
+        self.due(now).saturating_sub(self.first_event * 2)
     }
 
     /// Returns the time after which the generation can no longer be completed before its deadline.
     pub fn time_to_complete(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now).saturating_sub(self.demand.busy_duration())
+        self.deadline.saturating_duration_since(now).saturating_sub(self.duration)
     }
 
     /// Returns true when half of the time has passed for which the generation can wait at all.
@@ -79,8 +83,7 @@
 
     /// Returns its expected work: memory use in tokens, times its expected duration in milliseconds.
     pub fn work(&self) -> u64 {
-        let duration_ms =
-            u64::try_from(self.demand.busy_duration().as_millis()).unwrap_or(u64::MAX);
+        let duration_ms = u64::try_from(self.duration.as_millis()).unwrap_or(u64::MAX);
         self.tokens().saturating_mul(duration_ms)
     }
 }
--- a/crates/dispatch/tests/admission_queue.rs
+++ b/crates/dispatch/tests/admission_queue.rs
@@ -216,6 +216,7 @@
 
 fn work(kind: &Kind, arrived_at: Instant) -> QueuedWork {
     let Workload { prompt, tokens, due, .. } = kind.workload;
+    let demand = TokenDemand { kv_tokens: prompt, prefill_tokens: prompt, expected: tokens };
     QueuedWork {
         resumes: false,
         priority: kind.priority,
@@ -223,7 +224,9 @@
         arrived_at,
         objective: due,
         deadline: arrived_at + kind.timeout,
-        demand: TokenDemand { kv_tokens: prompt, prefill_tokens: prompt, expected: tokens },
+        demand,
+        first_event: demand.prefill_time(),
+        duration: demand.busy_duration(),
         body_bytes: 0,
         is_restricted: false,
     }
--- a/crates/dispatch/tests/common/replay.rs
+++ b/crates/dispatch/tests/common/replay.rs
@@ -380,6 +380,11 @@
 
     fn work(&self, client: &Client) -> QueuedWork {
         let kind = &self.load.kinds[client.kind];
+        let demand = TokenDemand {
+            kv_tokens: kind.workload.prompt,
+            prefill_tokens: kind.workload.prompt,
+            expected: (f64::from(kind.workload.tokens) * EXPECTED_FACTOR) as u32,
+        };
         QueuedWork {
             resumes: false,
             priority: kind.priority,
@@ -387,11 +392,9 @@
             arrived_at: client.arrived,
             objective: kind.workload.due,
             deadline: client.sent + kind.timeout,
-            demand: TokenDemand {
-                kv_tokens: kind.workload.prompt,
-                prefill_tokens: kind.workload.prompt,
-                expected: (f64::from(kind.workload.tokens) * EXPECTED_FACTOR) as u32,
-            },
+            demand,
+            first_event: demand.prefill_time(),
+            duration: demand.busy_duration(),
             body_bytes: 0,
             is_restricted: false,
         }
--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -111,6 +111,8 @@
     NotResumable,
     /// It is short and can be resumed, so preemption costs little.
     Resumable,
+    /// Its first event is late already, so that a pause costs the client little.
+    Late,
 }
 
 /// Meaning of an endpoint's response.
--- a/crates/host/src/connection.rs
+++ b/crates/host/src/connection.rs
@@ -20,6 +20,8 @@
     Head(Instant),
     /// The end of a response.
     Response,
+    /// Nothing any more: the client is too slow.
+    Aborted,
 }
 
 /// Phase of a connection, shared between its stream and its response bodies.
@@ -49,6 +51,11 @@
         self.0.set(Waiting::Request(Instant::now()));
     }
 
+    /// Records that the response is given up because its client is too slow.
+    pub(crate) fn abort(&self) {
+        self.0.set(Waiting::Aborted);
+    }
+
     /// Returns true if the connection is waiting for a new request.
     pub fn is_idle(&self) -> bool {
         matches!(self.0.get(), Waiting::Request(_))
@@ -68,6 +75,7 @@
             Waiting::Request(since) => (since, limits.idle_timeout),
             Waiting::Head(since) => (since, limits.head_timeout),
             Waiting::Response => return None,
+            Waiting::Aborted => return Some(Duration::ZERO),
         };
         Some(limit.saturating_sub(since.elapsed()))
     }
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -18,8 +18,9 @@
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, UpdateScope};
-use crate::queued_generation::Queues;
+use crate::queued_request::Queues;
 use crate::settings::HostSettings;
+use crate::stream_buffer::{MAX_CLIENT_PAUSE, StreamMemory};
 use crate::subset_table::SubsetTable;
 use crate::tunnel::ExcludedHosts;
 
@@ -27,6 +28,8 @@
 const REQUEST_BODY_FRACTION: f64 = 0.3;
 /// Fraction of the memory limit of the process that buffered responses may use.
 const RESPONSE_BODY_FRACTION: f64 = 0.2;
+/// Fraction of the memory limit of the process that events may use which clients have not taken.
+const STREAM_BUFFER_FRACTION: f64 = 0.1;
 
 /// Lifecycle stage of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -98,6 +101,8 @@
     pub request_bodies: MemoryBudget,
     /// Memory of responses that are read completely before they are forwarded.
     pub response_bodies: MemoryBudget,
+    /// Memory of events that clients have not taken.
+    pub stream_memory: Rc<StreamMemory>,
     /// Number of connections that this host forwards for others.
     pub open_tunnels: Cell<usize>,
     /// Grace period from the termination signal to the end of the process.
@@ -156,6 +161,10 @@
             state: RefCell::new(state),
             request_bodies: budget(REQUEST_BODY_FRACTION),
             response_bodies: budget(RESPONSE_BODY_FRACTION),
+            stream_memory: StreamMemory::new(
+                (memory * STREAM_BUFFER_FRACTION) as u64,
+                MAX_CLIENT_PAUSE,
+            ),
             open_tunnels: Cell::new(0),
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -11,13 +11,14 @@
 use slog::info;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
-use crate::boundary::{Registry, ResponseKind, Resume, Wire};
+use crate::boundary::{EnginePriority, Registry, ResponseKind, Resume, Wire};
 use crate::call::Call;
 use crate::context::Host;
 use crate::local_response::local_response;
-use crate::queued_generation::QueuedGeneration;
+use crate::queued_request::QueuedRequest;
 use crate::response_body::ResponseBody;
 use crate::sending::{SendPlan, SendReservation, UpstreamResponse, send};
+use crate::stream_buffer::StreamBuffer;
 use crate::stream_continuation::ContinuationError;
 use crate::stream_relay::{Source, StreamRelay};
 use crate::upstream::ExchangeError;
@@ -235,6 +236,7 @@
     ) -> Result<(Admission, Option<SendReservation<W, R>>), PlacementFailure> {
         let tokens_per_event =
             self.call.service().engine.as_ref().map_or(1, |engine| engine.tokens_per_event);
+        let demand = self.token_demand(resume, tokens_per_event);
         let work = QueuedWork {
             resumes: resume.is_some(),
             priority: self.call.priority(),
@@ -242,12 +244,14 @@
             arrived_at: self.since,
             objective: self.call.route().latency_objective,
             deadline: self.call.deadline,
-            demand: self.token_demand(resume, tokens_per_event),
+            demand,
+            first_event: demand.prefill_time(),
+            duration: demand.busy_duration(),
             body_bytes: self.call.body.len() as u64,
             is_restricted: !self.tried.is_empty() || self.software.is_some(),
         };
         let software = self.software.as_ref();
-        let queued = QueuedGeneration::enter(&self.cx, &self.call, work, &self.tried, software);
+        let queued = QueuedRequest::enter(&self.cx, &self.call, work, &self.tried, software);
         if !queued.is_decided() {
             self.log_wait();
         }
@@ -263,8 +267,11 @@
     fn log_wait(&mut self) {
         if !self.wait_logged {
             self.wait_logged = true;
+            let (queued, urgent_elsewhere) = self.cx.queue_of(&self.call.service().name);
             info!(self.cx.log, "generation waiting for capacity";
-                "call" => %self.call.id, "route" => %self.call.route().name);
+                "call" => %self.call.id, "route" => %self.call.route().name,
+                "priority" => self.call.priority(), "queued" => queued,
+                "urgent_elsewhere" => urgent_elsewhere);
         }
     }
 
@@ -325,7 +332,7 @@
             },
             None => RunWork::Plain,
         };
-        let priority = engine.map(|_| self.call.engine_priority());
+        let priority = engine.map(|_| self.engine_priority(resume.is_some()));
         SendPlan {
             endpoint: choice.endpoint,
             reservation: Some(reservation),
@@ -335,6 +342,18 @@
         }
     }
 
+    /// Returns the preemption priority. If hosts queue by priority, a generation that was interrupted is
+    /// not interrupted again, and one that is late anyway is interrupted before those in time.
+    fn engine_priority(&self, resumes: bool) -> EnginePriority {
+        let objective = self.call.route().latency_objective;
+        let is_late = !objective.is_zero() && self.since.elapsed() > objective;
+        match (self.cx.settings.prioritised, resumes, is_late) {
+            (true, true, _) => EnginePriority::Resumed,
+            (true, false, true) => EnginePriority::Late,
+            _ => self.call.engine_priority(),
+        }
+    }
+
     fn log_placement(&self, choice: &Choice) {
         let state = self.cx.state.borrow();
         let endpoint = state.fleet.get(choice.endpoint);
@@ -357,12 +376,17 @@
     }
 
     fn start_stream(self, upstream: UpstreamResponse<W, R>) -> Response<ResponseBody> {
-        let (tx, body) = ResponseBody::stream();
+        let buffer =
+            self.cx.settings.prioritised.then(|| StreamBuffer::new(&self.cx.stream_memory));
+        let (tx, body) = match &buffer {
+            Some(buffer) => ResponseBody::buffered_stream(buffer.clone()),
+            None => ResponseBody::stream(),
+        };
         let mut response = Response::new(body);
         *response.status_mut() = upstream.exchange.head.status;
         *response.headers_mut() = self.cx.wire.client_headers(&upstream.exchange.head);
         let source = Source::from(upstream);
-        let relay = StreamRelay::new(self.cx, self.call, source, self.software, tx);
+        let relay = StreamRelay::new(self.cx, self.call, source, self.software, (tx, buffer));
         tokio::task::spawn_local(relay.run());
         response
     }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -23,8 +23,9 @@
 //! - [`crash_check`]: finds out whether an endpoint crashed, and which requests may have caused it.
 //! - [`plain_call`]: serves a call to a plain service.
 //! - [`generation_call`]: places a generation on an engine and starts the relay of its event stream.
-//! - [`queued_generation`]: generations that wait for an engine in the order of their priority.
+//! - [`queued_request`]: requests that wait for an endpoint in the order of their priority.
 //! - [`queue_states`]: tells other hosts what waits here for engines.
+//! - [`stream_buffer`]: events of a stream that its client has not taken yet.
 //! - [`stream_relay`]: relays the events of a generation to its client.
 //! - [`stream_migration`]: migrates a relayed generation when its engine is draining.
 //! - [`stream_continuation`]: which software version may continue a stream.
@@ -73,7 +74,7 @@
 pub mod plain_call;
 pub mod probes;
 pub mod queue_states;
-pub mod queued_generation;
+pub mod queued_request;
 pub mod registry_outage;
 pub mod report_poll;
 pub mod response_body;
@@ -81,6 +82,7 @@
 pub mod serving_watch;
 pub mod settings;
 pub mod start_reads;
+pub mod stream_buffer;
 pub mod stream_continuation;
 pub mod stream_migration;
 pub mod stream_relay;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -15,7 +15,7 @@
 use crate::context::{Host, Stage};
 use crate::listener::{accept_loop, bind, serve_client};
 use crate::probes::{Probe, serve_probe};
-use crate::queued_generation::pass_queues;
+use crate::queued_request::pass_queues;
 use crate::settings::HostSettings;
 use crate::{endpoint_watch, peer_link, report_poll, serving_watch};
 
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -41,6 +41,10 @@
     pub ready_endpoints: IntGauge,
     /// Active streams.
     pub streams: IntGauge,
+    /// Requests that wait for an endpoint.
+    pub queued: IntGauge,
+    /// Time from the arrival in a queue to the decision, by priority and decision.
+    pub queue_seconds: HistogramVec,
 }
 
 impl Default for Metrics {
@@ -102,6 +106,13 @@
             serving_version: set.gauge("camphorloft_serving_version", "Version in force"),
             ready_endpoints: set.gauge("camphorloft_endpoints_ready", "Endpoints that take work"),
             streams: set.gauge("camphorloft_streams", "Streams in progress"),
+            queued: set.gauge("camphorloft_queued_requests", "Requests that wait for an endpoint"),
+            queue_seconds: set.histograms(
+                "camphorloft_queue_seconds",
+                "Time in a queue by priority and decision",
+                LATENCY_SECONDS,
+                &["priority", "decision"],
+            ),
             set,
         }
     }
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -23,6 +23,7 @@
 use crate::connecting::connect_to;
 use crate::context::Host;
 use crate::local_response::local_response;
+use crate::queued_request::QueuedRequest;
 use crate::response_body::ResponseBody;
 use crate::sending::{SendPlan, SendReservation, send};
 use crate::upstream::ExchangeError;
@@ -75,6 +76,8 @@
     may_have_run: bool,
     /// Time for which no further attempt can start because the endpoints limit requests.
     limited_for: Option<Duration>,
+    /// Retry delay of a call that is refused because the slots of all endpoints are in use.
+    no_room_for: Option<Duration>,
 }
 
 /// Serves a call.
@@ -94,6 +97,7 @@
         last_failure: None,
         may_have_run: false,
         limited_for: None,
+        no_room_for: None,
     };
     match attempts.run().await {
         Some(buffered) => attempts.forward(buffered),
@@ -110,7 +114,15 @@
     async fn run(&mut self) -> Option<BufferedResponse> {
         let deadline = self.call.deadline.into();
         let mut hedge_at = Instant::now() + self.hedge_delay();
-        self.start_attempt();
+        // A call to an engine, unlike a generation, has no known memory needs.
+        let is_queued = self.cx.settings.prioritised && self.call.service().engine.is_none();
+        match is_queued {
+            true => {
+                self.start_admitted().await;
+                hedge_at = Instant::now() + self.hedge_delay();
+            }
+            false => self.start_attempt(),
+        }
         while !self.running.is_empty() {
             // An attempt that has not been sent yet may still run.
             let retryable = self.call.route().retry_mode.is_retryable();
@@ -161,6 +173,47 @@
         self.unresolved.iter().any(|attempt| attempt.get())
     }
 
+    /// Waits in the queue of the service until the call is admitted or refused, and starts the first
+    /// attempt if it is admitted.
+    async fn start_admitted(&mut self) {
+        let call = &self.call;
+        let service_time = {
+            let state = self.cx.state.borrow();
+            let endpoints = state.fleet.of_service(&call.service().name);
+            endpoints.map(|(_, endpoint)| endpoint.service_time()).min().unwrap_or_default()
+        };
+        let work = QueuedWork {
+            resumes: false,
+            priority: call.priority(),
+            organisation: call.organisation_name().cloned(),
+            arrived_at: call.arrived_at,
+            objective: call.route().latency_objective,
+            deadline: call.deadline,
+            demand: TokenDemand { kv_tokens: 1, prefill_tokens: 0, expected: 0 },
+            first_event: service_time,
+            duration: service_time,
+            body_bytes: call.body.len() as u64,
+            is_restricted: false,
+        };
+        let queued = QueuedRequest::enter(&self.cx, call, work, &[], None);
+        if !queued.is_decided() {
+            info!(self.cx.log, "call waiting for capacity"; "call" => %call.id,
+                "route" => %call.route().name, "priority" => call.priority(),
+                "queued" => self.cx.queue_of(&call.service().name).0);
+        }
+        match queued.decision().await {
+            Some((Admission::Start(choice), Some(reservation))) => {
+                self.spawn_attempt(&choice, reservation, Instant::now());
+            }
+            Some((Admission::Refuse { reason, retry_after }, _)) => match reason {
+                RefuseReason::Limited => self.limited_for = Some(retry_after),
+                RefuseReason::NoCapacity => self.no_room_for = Some(retry_after),
+                RefuseReason::NoEndpoint => {}
+            },
+            _ => {}
+        }
+    }
+
     /// Starts an attempt if another one is allowed and an endpoint is available.
     fn start_attempt(&mut self) {
         if !self.may_send() || self.tried.len() >= MAX_CONNECT_ATTEMPTS {
@@ -186,6 +239,11 @@
             choice
         };
         let reservation = SendReservation::new(&self.cx, choice.endpoint);
+        self.spawn_attempt(&choice, reservation, now);
+    }
+
+    fn spawn_attempt(&mut self, choice: &Choice, reservation: SendReservation<W, R>, now: Instant) {
+        let choice = *choice;
         self.log_placement(&choice);
         self.tried.push(choice.endpoint);
         self.sends += 1;
@@ -282,13 +340,16 @@
             self.log_end(Outcome::Unknown, status, reason, None);
             return local_response(status, Outcome::Unknown, reason, None);
         }
-        let reason = match (self.limited_for, self.tried.is_empty()) {
-            (Some(_), _) => "limited",
-            (None, true) => "no_endpoint",
-            (None, false) => "refused_by_endpoints",
+        let reason = match (self.no_room_for, self.limited_for, self.tried.is_empty()) {
+            (Some(_), ..) => RefuseReason::NoCapacity.as_str(),
+            (None, Some(_), _) => "limited",
+            (None, None, true) => "no_endpoint",
+            (None, None, false) => "refused_by_endpoints",
         };
-        let retry_after = self.limited_for.unwrap_or_default().max(RETRY_AFTER);
-        let retry_after = retry_after.mul_f64(1.0 + self.cx.state.borrow_mut().rng.random::<f64>());
+        let retry_after = self.no_room_for.unwrap_or_else(|| {
+            let retry_after = self.limited_for.unwrap_or_default().max(RETRY_AFTER);
+            retry_after.mul_f64(1.0 + self.cx.state.borrow_mut().rng.random::<f64>())
+        });
         let status = StatusCode::SERVICE_UNAVAILABLE;
         self.cx.metrics.refusals.with_label_values(&[reason]).inc();
         self.log_end(Outcome::NotRun, status, reason, None);
--- a/crates/host/src/queued_generation.rs
+++ b/crates/host/src/queued_request.rs
@@ -1,4 +1,4 @@
-//! Generations that wait for an engine in the order of their priority.
+//! Requests that wait for an endpoint in the order of their priority.
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -52,7 +52,8 @@
     fleet: &'a mut Fleet,
     rng: &'a mut SmallRng,
     service: &'a ServiceName,
-    spec: &'a EngineSpec,
+    /// Specification of the engines; `None` for a plain service.
+    spec: Option<&'a EngineSpec>,
     /// Engines that are left to other hosts for the moment.
     excluded: Vec<EndpointIx>,
     completions: Completions,
@@ -66,7 +67,18 @@
             software: waiter.software.as_ref(),
             max_delay: Duration::ZERO,
         };
-        let pool = Pool { fleet: self.fleet, service: self.service, spec: self.spec };
+        let Some(spec) = self.spec else {
+            let candidates = Candidates { max_delay: terms.max_delay, ..candidates };
+            let (service, now) = (self.service, self.now);
+            let admission =
+                admission_queue::admit_call(self.fleet, service, &candidates, now, self.rng);
+            if let Admission::Start(choice) = &admission {
+                self.fleet.reserve_send(choice.endpoint, now);
+                self.fleet.begin_reservation(choice.endpoint);
+            }
+            return admission;
+        };
+        let pool = Pool { fleet: self.fleet, service: self.service, spec };
         let admission = admission_queue::admit(
             &pool,
             work,
@@ -85,7 +97,10 @@
     }
 
     fn freed_per_second(&mut self) -> f64 {
-        let pool = Pool { fleet: self.fleet, service: self.service, spec: self.spec };
+        let Some(spec) = self.spec else {
+            return Completions::calls_per_second(self.fleet, self.service, self.now);
+        };
+        let pool = Pool { fleet: self.fleet, service: self.service, spec };
         self.completions.freed_per_second(&pool, self.now)
     }
 
@@ -96,14 +111,16 @@
 
 /// A generation in the queue, until dropped.
 #[derive(Debug)]
-pub struct QueuedGeneration<W, R> {
+pub struct QueuedRequest<W, R> {
     cx: Rc<Host<W, R>>,
     call: Rc<Call>,
     ticket: Ticket,
+    priority: u8,
+    entered_at: Instant,
     rx: oneshot::Receiver<Decision>,
 }
 
-impl<W, R> QueuedGeneration<W, R> {
+impl<W, R> QueuedRequest<W, R> {
     /// Adds a generation to the queue of its service. `tried` and `software` restrict the engines that
     /// it may be sent to. If nothing else waits, the decision follows at once.
     pub fn enter(
@@ -122,6 +139,7 @@
             tx,
         };
         let service = &call.service().name;
+        let (priority, entered_at) = (work.priority, Instant::now());
         let (ticket, is_first) = {
             let mut state = cx.state.borrow_mut();
             let queue = state.queues.entry(service.clone()).or_default();
@@ -132,7 +150,7 @@
             true => drop(cx.pass_queue(service, Instant::now())),
             false => cx.queues_changed.notify_one(),
         }
-        Self { cx: cx.clone(), call: call.clone(), ticket, rx }
+        Self { cx: cx.clone(), call: call.clone(), ticket, priority, entered_at, rx }
     }
 
     /// Returns true if the decision is made, so that [`Self::decision`] returns at once.
@@ -145,14 +163,22 @@
     pub async fn decision(mut self) -> Option<(Admission, Option<SendReservation<W, R>>)> {
         let time_left = self.call.time_left(Instant::now());
         let decision = timeout(time_left, &mut self.rx).await.ok()?.ok()?;
+        let label = match decision.admission {
+            Admission::Start(_) => "start",
+            Admission::Wait | Admission::Refuse { .. } => "refuse",
+        };
+        let priority = self.priority.to_string();
+        let labels = [priority.as_str(), label];
+        let waited = self.entered_at.elapsed().as_secs_f64();
+        self.cx.metrics.queue_seconds.with_label_values(&labels).observe(waited);
         Some(self.accept(decision))
     }
 
     fn accept(&self, decision: Decision) -> (Admission, Option<SendReservation<W, R>>) {
         let Decision { admission, run } = decision;
-        let reservation = match (&admission, run) {
-            (Admission::Start(choice), Some(run)) => {
-                Some(SendReservation::of_run(&self.cx, choice.endpoint, run))
+        let reservation = match &admission {
+            Admission::Start(choice) => {
+                Some(SendReservation::of_admitted(&self.cx, choice.endpoint, run))
             }
             _ => None,
         };
@@ -160,7 +186,7 @@
     }
 }
 
-impl<W, R> Drop for QueuedGeneration<W, R> {
+impl<W, R> Drop for QueuedRequest<W, R> {
     fn drop(&mut self) {
         let waiter = {
             let mut state = self.cx.state.borrow_mut();
@@ -189,11 +215,13 @@
             let Some(waiter) = queue.first() else { return false };
             // The specification may differ between versions of the configuration for a moment.
             let call = waiter.call.clone();
-            let Some(spec) = &call.service().engine else { return false };
+            let spec = call.service().engine.as_ref();
             let completions = queue.completions;
-            let pool = Pool { fleet, service, spec };
-            let hosts = queue.peers.waiting_hosts(now);
-            let excluded = admission_queue::engines_left_to_others(&pool, hosts, rng);
+            let excluded = spec.map_or_else(Vec::new, |spec| {
+                let pool = Pool { fleet, service, spec };
+                let hosts = queue.peers.waiting_hosts(now);
+                admission_queue::engines_left_to_others(&pool, hosts, rng)
+            });
             let mut engines = HostEngines { fleet, rng, service, spec, excluded, completions, now };
             queue.pass(&mut engines, now)
         };
@@ -229,8 +257,19 @@
         self.wake_queues();
     }
 
+    /// Returns the number of requests that wait, and the most urgent priority that is known to wait at
+    /// another host.
+    pub(crate) fn queue_of(&self, service: &ServiceName) -> (usize, Option<u8>) {
+        let state = self.state.borrow();
+        let queue = state.queues.get(service);
+        queue.map_or((0, None), |queue| (queue.len(), queue.peers.most_urgent(Instant::now())))
+    }
+
     fn has_queued(&self) -> bool {
-        self.state.borrow().queues.values().any(|queue| !queue.is_empty())
+        let state = self.state.borrow();
+        let queued = state.queues.values().map(|queue| queue.len()).sum::<usize>();
+        self.metrics.queued.set(queued as i64);
+        queued > 0
     }
 }
 
--- a/crates/host/src/response_body.rs
+++ b/crates/host/src/response_body.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 
 use crate::connection::Phase;
+use crate::stream_buffer::{MAX_PARTS, StreamBuffer};
 
 quick_error! {
     /// Error that aborts a response. The connection is closed, so that the client does not take the
@@ -30,7 +31,7 @@
 #[derive(Debug)]
 enum Content {
     Full(Option<Bytes>),
-    Stream(mpsc::Receiver<Result<Bytes, BodyError>>),
+    Stream(mpsc::Receiver<Result<Bytes, BodyError>>, Option<Rc<StreamBuffer>>),
 }
 
 /// Body of a response. Notifies its connection when the response ends.
@@ -50,11 +51,22 @@
     /// without having sent an error.
     pub fn stream() -> (mpsc::Sender<Result<Bytes, BodyError>>, Self) {
         let (tx, rx) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
-        (tx, Self { content: Content::Stream(rx), phase: None })
+        (tx, Self { content: Content::Stream(rx, None), phase: None })
+    }
+
+    /// Like [`Self::stream`], with parts held in a buffer until the client takes them.
+    pub fn buffered_stream(
+        buffer: Rc<StreamBuffer>,
+    ) -> (mpsc::Sender<Result<Bytes, BodyError>>, Self) {
+        let (tx, rx) = mpsc::channel(MAX_PARTS);
+        (tx, Self { content: Content::Stream(rx, Some(buffer)), phase: None })
     }
 
     /// Attaches the body to the connection that it is sent on.
     pub(crate) fn attach(&mut self, phase: Rc<Phase>) {
+        if let Content::Stream(_, Some(buffer)) = &self.content {
+            buffer.attach(&phase);
+        }
         self.phase = Some(phase);
     }
 }
@@ -80,8 +92,12 @@
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Content::Stream(rx) => {
-                rx.poll_recv(cx).map(|part| part.map(|part| part.map(Frame::data)))
+            Content::Stream(rx, buffer) => {
+                let poll = rx.poll_recv(cx);
+                if let (Poll::Ready(Some(Ok(part))), Some(buffer)) = (&poll, buffer) {
+                    buffer.take(part.len());
+                }
+                poll.map(|part| part.map(|part| part.map(Frame::data)))
             }
         }
     }
@@ -95,7 +111,7 @@
             Content::Full(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Content::Stream(_) => SizeHint::default(),
+            Content::Stream(..) => SizeHint::default(),
         }
     }
 }
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -33,19 +33,23 @@
         Self { cx: cx.clone(), endpoint, run: None }
     }
 
-    /// Takes over the run with which a generation was placed on an engine.
-    pub fn of_run(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, run: RunId) -> Self {
-        Self { cx: cx.clone(), endpoint, run: Some(run) }
+    /// Takes over a reservation that was recorded when a request was admitted from a queue: `run` stands
+    /// for a generation, and a call is recorded as any other.
+    pub fn of_admitted(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, run: Option<RunId>) -> Self {
+        Self { cx: cx.clone(), endpoint, run }
     }
 }
 
 impl<W, R> Drop for SendReservation<W, R> {
     fn drop(&mut self) {
-        let fleet = &mut self.cx.state.borrow_mut().fleet;
-        match self.run {
-            Some(run) => fleet.release_run(self.endpoint, run, Instant::now()),
-            None => fleet.end_reservation(self.endpoint),
+        {
+            let fleet = &mut self.cx.state.borrow_mut().fleet;
+            match self.run {
+                Some(run) => fleet.release_run(self.endpoint, run, Instant::now()),
+                None => fleet.end_reservation(self.endpoint),
+            }
         }
+        self.cx.wake_queues();
     }
 }
 
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -19,6 +19,7 @@
 use crate::generation_call::Placement;
 use crate::response_body::BodyError;
 use crate::sending::{RunGuard, UpstreamResponse};
+use crate::stream_buffer::StreamBuffer;
 use crate::stream_continuation::ORIGIN_ANNOUNCEMENT_INTERVAL;
 use crate::stream_migration::transfer_result;
 use crate::task::OwnedTask;
@@ -47,6 +48,8 @@
 pub(crate) enum StreamEnd {
     Complete,
     ClientDisconnected,
+    /// The client did not take events for too long.
+    ClientTooSlow,
     TimedOut,
     Interrupted,
 }
@@ -56,6 +59,7 @@
         match self {
             StreamEnd::Complete => "complete",
             StreamEnd::ClientDisconnected => "caller_left",
+            StreamEnd::ClientTooSlow => "caller_too_slow",
             StreamEnd::TimedOut => "timeout",
             StreamEnd::Interrupted => "broken_off",
         }
@@ -64,9 +68,10 @@
     fn outcome(self) -> Outcome {
         match self {
             StreamEnd::Complete => Outcome::Completed,
-            StreamEnd::ClientDisconnected | StreamEnd::TimedOut | StreamEnd::Interrupted => {
-                Outcome::Unknown
-            }
+            StreamEnd::ClientDisconnected
+            | StreamEnd::ClientTooSlow
+            | StreamEnd::TimedOut
+            | StreamEnd::Interrupted => Outcome::Unknown,
         }
     }
 }
@@ -84,6 +89,8 @@
     pub(crate) call: Rc<Call>,
     pub(crate) source: Source<W, R>,
     pub(crate) tx: mpsc::Sender<Result<Bytes, BodyError>>,
+    /// Size of what the client has not taken, if the host keeps reading while the client is slow.
+    pub(crate) buffer: Option<Rc<StreamBuffer>>,
     /// Software version that began the stream; `None` before its first event, or if unknown.
     pub(crate) software: Option<SoftwareVersion>,
     /// When the version was last announced to the other hosts.
@@ -129,7 +136,7 @@
         call: Rc<Call>,
         source: Source<W, R>,
         software: Option<SoftwareVersion>,
-        tx: mpsc::Sender<Result<Bytes, BodyError>>,
+        (tx, buffer): (mpsc::Sender<Result<Bytes, BodyError>>, Option<Rc<StreamBuffer>>),
     ) -> Self {
         let fleet_changes = cx.subscribe_fleet();
         let last_event_id = call.last_event_id;
@@ -138,6 +145,7 @@
             call,
             source,
             tx,
+            buffer,
             software,
             origin_announced_at: None,
             splitter: EventSplitter::default(),
@@ -164,12 +172,20 @@
     pub async fn run(mut self) {
         self.cx.metrics.streams.inc();
         let end = self.relay_events().await;
-        if end == StreamEnd::Interrupted || end == StreamEnd::TimedOut {
+        if matches!(end, StreamEnd::Interrupted | StreamEnd::TimedOut | StreamEnd::ClientTooSlow) {
             // Sending fails if the client has disconnected.
             let _ = self.tx.send(Err(BodyError::Interrupted)).await;
         }
         self.cx.metrics.streams.dec();
         self.log_end(end);
+        // The run ends before the client has taken the rest.
+        let buffer = self.buffer.take();
+        drop(self);
+        if let Some(buffer) = buffer
+            && !buffer.drained().await
+        {
+            buffer.abort();
+        }
     }
 
     async fn relay_events(&mut self) -> StreamEnd {
@@ -253,6 +269,17 @@
         }
         self.record_events();
         self.record_origin();
+        if let Some(buffer) = &self.buffer {
+            let has_room = tokio::select! {
+                has_room = timeout_at(self.call.deadline.into(), buffer.room()) => has_room,
+                () = self.tx.closed() => return Err(StreamEnd::ClientDisconnected),
+            };
+            match has_room {
+                Ok(true) => buffer.add(out.len()),
+                Ok(false) => return Err(StreamEnd::ClientTooSlow),
+                Err(_) => return Err(StreamEnd::TimedOut),
+            }
+        }
         let sent = timeout_at(self.call.deadline.into(), self.tx.send(Ok(out.freeze()))).await;
         match sent {
             Ok(Ok(())) => Ok(()),
