Lower the limits of prefill at which generations wait at the host

Cause: with several hosts, engines still had up to two seconds of prefill before them when an urgent prompt was sent.

Change: at most 5,000 tokens (7,000 before) may be pending at an engine, and 1,500 (3,500) while more urgent ones wait. Tests check that nothing is refused or held back at half of the usual load, and that calls of plain services wait for a slot.

--- a/crates/dispatch/src/admission_queue.rs
+++ b/crates/dispatch/src/admission_queue.rs
@@ -44,9 +44,9 @@
 /// Prompt tokens that an engine may still have to prefill when a generation is admitted. An engine is
 /// busy with them for longer than the time between two decisions, so it loses nothing if further ones
 /// wait at the host, where more urgent ones can overtake them.
-const MAX_PREFILL: u32 = 7_000;
+const MAX_PREFILL: u32 = 5_000;
 /// The same for a generation while another one waits that comes before it.
-const MAX_PREFILL_BEHIND: u32 = 3_500;
+const MAX_PREFILL_BEHIND: u32 = 1_500;
 /// Time for which memory is kept for urgent generations after one has waited.
 const URGENT_PERIOD: Duration = Duration::from_secs(1);
 /// Base delay before a client retries that was refused because no engine is usable: replacement
--- a/crates/dispatch/tests/admission_queue.rs
+++ b/crates/dispatch/tests/admission_queue.rs
@@ -1,7 +1,6 @@
 //! Replays the load that the queue is made for: bursts of digests and verdicts on common engines, a
 //! sixth of which is reclaimed every few seconds.
 
-#[expect(dead_code, reason = "the other tests use the rest")]
 mod common;
 #[path = "common/engine_model.rs"]
 mod engine_model;
@@ -10,8 +9,11 @@
 
 use std::time::{Duration, Instant};
 
+use camphorloft_dispatch::admission_queue::admit_call;
 use camphorloft_dispatch::prelude::*;
 use engine_model::Workload;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use replay::{Kind, Load, Outcomes, Replay};
 
 const LENGTH: Duration = Duration::from_secs(50);
@@ -93,6 +95,21 @@
     }
 }
 
+/// Half of the usual load leaves room at every moment.
+#[test]
+fn nothing_is_refused_or_held_back_while_there_is_room() {
+    let kinds = [steady(DIGESTS, 4.0), steady(VERDICTS, 7.0)];
+    for hosts in [1, 8] {
+        let (before, _) = replay_all(&kinds, hosts, false);
+        let (after, _) = replay_all(&kinds, hosts, true);
+        for (before, after) in before.iter().zip(&after) {
+            assert_eq!(after.refusals, 0, "{after:?}");
+            assert!(after.on_time_share() >= before.on_time_share(), "{before:?}, {after:?}");
+            assert!(after.on_time_share() >= 0.98, "{after:?}");
+        }
+    }
+}
+
 /// Fraction of the mean share of served requests below which a kind or an organisation starves.
 const STARVING: f64 = 0.25;
 
@@ -292,6 +309,33 @@
     assert!(delays.max().unwrap() <= VERDICTS.timeout / 3, "clients do not wait for longer");
 }
 
+/// Endpoints without a free slot run calls in the order of their arrival.
+#[test]
+fn calls_wait_while_all_slots_are_taken() {
+    let now = Instant::now();
+    let mut fleet = common::fleet(&["n-a", "n-a"], now);
+    let rng = &mut Pcg64Mcg::seed_from_u64(1);
+    let candidates = Candidates::default();
+    let service = common::service();
+    // The endpoints have six slots each.
+    for number in 0..12 {
+        let admission = admit_call(&fleet, &service, &candidates, now, rng);
+        let Admission::Start(choice) = admission else { panic!("{number}: {admission:?}") };
+        fleet.start_run(choice.endpoint, &common::call(number), RunWork::Plain, now);
+    }
+    assert_eq!(admit_call(&fleet, &service, &candidates, now, rng), Admission::Wait);
+    let ix = common::find(&fleet, "e0");
+    let run = fleet.get(ix).unwrap().runs[0].id;
+    fleet.end_run(ix, run);
+    let admission = admit_call(&fleet, &service, &candidates, now, rng);
+    assert!(matches!(admission, Admission::Start(choice) if choice.endpoint == ix));
+    // Endpoints that may not be used are not waited for.
+    let tried = [ix, common::find(&fleet, "e1")];
+    let candidates = Candidates { tried: &tried, ..candidates };
+    let admission = admit_call(&fleet, &service, &candidates, now, rng);
+    assert!(matches!(admission, Admission::Refuse { reason: RefuseReason::NoEndpoint, .. }));
+}
+
 #[test]
 fn generation_of_a_client_that_left_is_not_admitted() {
     let now = Instant::now();
