Count the delay at a limited engine from the end of the wait

Cause: a generation that was admitted from the queue was sent at the time at which its placement had begun plus the delay that the limit of its engine required. After a wait longer than the delay, that was at once.

Change: the delay counts from the choice of the engine.

The new test failed before: all five waiting generations arrived within 400 ms at an engine that states a limit of two a second.

--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -211,7 +211,8 @@
                     let reservation = reservation
                         .unwrap_or_else(|| SendReservation::new(&self.cx, choice.endpoint));
                     self.log_placement(&choice);
-                    sleep_until((now + choice.delay).into()).await;
+                    // The generation may have waited in the queue until the choice.
+                    sleep_until((Instant::now() + choice.delay).into()).await;
                     return Ok((choice, reservation));
                 }
                 Admission::Refuse { reason, retry_after } => {
