--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -18,8 +18,10 @@
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, UpdateScope};
+use crate::queued_request::Queues;
 use crate::settings::HostSettings;
 use crate::stall_monitor::StallMonitor;
+use crate::stream_buffer::{MAX_CLIENT_PAUSE, StreamMemory};
 use crate::subset_table::SubsetTable;
 use crate::tunnel::ExcludedHosts;
 
@@ -27,6 +29,8 @@
 const REQUEST_BODY_FRACTION: f64 = 0.3;
 /// Fraction of the memory limit of the process that buffered responses may use.
 const RESPONSE_BODY_FRACTION: f64 = 0.2;
+/// Fraction of the memory limit of the process that events may use which clients have not taken.
+const STREAM_BUFFER_FRACTION: f64 = 0.1;
 
 /// Lifecycle stage of a host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +61,8 @@
     pub subset: SubsetTable,
     /// Software versions that began streams.
     pub origins: StreamOrigins,
+    /// Generations that wait for an engine, by service.
+    pub queues: Queues,
     /// Quota of retries.
     pub quota: RetryQuota,
     /// Features of requests that were interrupted by crashes.
@@ -100,6 +106,8 @@
     pub request_bodies: MemoryBudget,
     /// Memory of responses that are read completely before they are forwarded.
     pub response_bodies: MemoryBudget,
+    /// Memory of events that clients have not taken.
+    pub stream_memory: Rc<StreamMemory>,
     /// Number of connections that this host forwards for others.
     pub open_tunnels: Cell<usize>,
     /// Grace period from the termination signal to the end of the process.
@@ -115,6 +123,10 @@
     pub waits_after_pause: Cell<bool>,
     /// Time of the first configuration version.
     pub first_version_at: Cell<Option<Instant>>,
+    /// When this host last told others what waits here.
+    pub queues_stated_at: Cell<Option<Instant>>,
+    /// Notified when generations that wait may have room.
+    pub queues_changed: Notify,
     /// Time of the last log line about a statement of an endpoint that is not valid.
     pub malformed_logged_at: Cell<Option<Instant>>,
     /// Whether another host may use another secret, so that the registry's is read again.
@@ -138,6 +150,7 @@
             peers: Peers::new(settings.host.clone(), settings.locality.region.clone(), hosts),
             subset: SubsetTable::default(),
             origins: StreamOrigins::default(),
+            queues: Queues::new(),
             quota: RetryQuota::new(settings.quota, hosts),
             crash_suspects: CrashSuspects::default(),
             reachability: Reachability::default(),
@@ -162,12 +175,18 @@
             state: RefCell::new(state),
             request_bodies: budget(REQUEST_BODY_FRACTION),
             response_bodies: budget(RESPONSE_BODY_FRACTION),
+            stream_memory: StreamMemory::new(
+                (memory * STREAM_BUFFER_FRACTION) as u64,
+                MAX_CLIENT_PAUSE,
+            ),
             open_tunnels: Cell::new(0),
             list_read_at: Cell::new(None),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
             waits_after_pause: Cell::new(false),
             first_version_at: Cell::new(None),
+            queues_stated_at: Cell::new(None),
+            queues_changed: Notify::new(),
             malformed_logged_at: Cell::new(None),
             doubts_secret: Cell::new(false),
             last_fetch_at: Cell::new(None),
@@ -247,6 +266,8 @@
         let ready = state.fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
         self.metrics.ready_endpoints.set(ready as i64);
         self.fleet_revision.send_modify(|count| *count += 1);
+        drop(state);
+        self.wake_queues();
     }
 
     /// Returns the scope of hosts for which this host is the assigned reader of the registry.
@@ -391,6 +412,8 @@
         let name = {
             let mut state = self.state.borrow_mut();
             if !state.fleet.record_report(ix, report, as_of) {
+                drop(state);
+                self.wake_queues();
                 return;
             }
             state.fleet.get(ix).map(|endpoint| endpoint.entry.name.clone())
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -12,13 +12,15 @@
 use slog::info;
 use tokio::time::{sleep, sleep_until, timeout_at};
 
-use crate::boundary::{Registry, ResponseKind, Resume, Wire};
+use crate::boundary::{EnginePriority, Registry, ResponseKind, Resume, Wire};
 use crate::call::Call;
 use crate::context::Host;
 use crate::local_response::local_response;
+use crate::queued_request::QueuedRequest;
 use crate::response_body::ResponseBody;
 use crate::sending::{SendPlan, SendReservation, UpstreamResponse, send};
 use crate::speed_observation::logged_speed;
+use crate::stream_buffer::StreamBuffer;
 use crate::stream_continuation::ContinuationError;
 use crate::stream_relay::{Source, StreamRelay};
 use crate::upstream::ExchangeError;
@@ -223,22 +225,26 @@
             if self.tried.len() >= MAX_ENDPOINTS_TRIED {
                 return Err(self.failure("no_endpoint", RETRY_AFTER_REFUSAL));
             }
-            match self.admit(resume, now) {
+            let (admission, reservation) = match self.call.service().engine {
+                Some(_) if self.cx.settings.prioritised => {
+                    self.admit_from_queue(resume, now).await?
+                }
+                _ => (self.admit(resume, now), None),
+            };
+            match admission {
                 Admission::Start(choice) => {
-                    let reservation = SendReservation::new(&self.cx, choice.endpoint);
+                    let reservation = reservation
+                        .unwrap_or_else(|| SendReservation::new(&self.cx, choice.endpoint));
                     self.log_placement(&choice);
-                    sleep_until((now + choice.delay).into()).await;
+                    // The generation may have waited in the queue until the choice.
+                    sleep_until((Instant::now() + choice.delay).into()).await;
                     return Ok((choice, reservation));
                 }
                 Admission::Refuse { reason, retry_after } => {
                     return Err(self.failure(reason.as_str(), retry_after));
                 }
                 Admission::Wait => {
-                    if !self.wait_logged {
-                        self.wait_logged = true;
-                        info!(self.cx.log, "generation waiting for capacity";
-                            "call" => %self.call.id, "route" => %self.call.route().name);
-                    }
+                    self.log_wait();
                     sleep(ADMISSION_INTERVAL.min(self.call.time_left(now))).await;
                 }
             }
@@ -248,6 +254,53 @@
         }
     }
 
+    /// Waits in the queue of the service until the generation is admitted or refused.
+    async fn admit_from_queue(
+        &mut self,
+        resume: Option<&Resume>,
+        now: Instant,
+    ) -> Result<(Admission, Option<SendReservation<W, R>>), PlacementFailure> {
+        let tokens_per_event =
+            self.call.service().engine.as_ref().map_or(1, |engine| engine.tokens_per_event);
+        let demand = self.token_demand(resume, tokens_per_event);
+        let work = QueuedWork {
+            resumes: resume.is_some(),
+            priority: self.call.priority(),
+            organisation: self.call.organisation_name().cloned(),
+            arrived_at: self.since,
+            objective: self.call.route().latency_objective,
+            deadline: self.call.deadline,
+            demand,
+            first_event: demand.prefill_time(),
+            duration: demand.busy_duration(),
+            body_bytes: self.call.body.len() as u64,
+            is_restricted: !self.tried.is_empty() || self.software.is_some(),
+        };
+        let software = self.software.as_ref();
+        let queued = QueuedRequest::enter(&self.cx, &self.call, work, &self.tried, software);
+        if !queued.is_decided() {
+            self.log_wait();
+        }
+        let (admission, reservation) = queued.decision().await.ok_or_else(|| self.timed_out())?;
+        // The request may have been found to crash endpoints meanwhile.
+        if now.elapsed() > ADMISSION_INTERVAL && self.cx.crashes_endpoints(&self.call) {
+            let failure = self.failure("crashes_endpoints", Duration::ZERO);
+            return Err(PlacementFailure { retry_after: None, ..failure });
+        }
+        Ok((admission, reservation))
+    }
+
+    fn log_wait(&mut self) {
+        if !self.wait_logged {
+            self.wait_logged = true;
+            let (queued, urgent_elsewhere) = self.cx.queue_of(&self.call.service().name);
+            info!(self.cx.log, "generation waiting for capacity";
+                "call" => %self.call.id, "route" => %self.call.route().name,
+                "priority" => self.call.priority(), "queued" => queued,
+                "urgent_elsewhere" => urgent_elsewhere);
+        }
+    }
+
     fn admit(&self, resume: Option<&Resume>, now: Instant) -> Admission {
         let call = &self.call;
         let service = call.service();
@@ -306,7 +359,7 @@
             },
             None => RunWork::Plain,
         };
-        let priority = engine.map(|_| self.call.engine_priority());
+        let priority = engine.map(|_| self.engine_priority(resume.is_some()));
         SendPlan {
             endpoint: choice.endpoint,
             reservation: Some(reservation),
@@ -316,6 +369,18 @@
         }
     }
 
+    /// Returns the preemption priority. If hosts queue by priority, a generation that was interrupted is
+    /// not interrupted again, and one that is late anyway is interrupted before those in time.
+    fn engine_priority(&self, resumes: bool) -> EnginePriority {
+        let objective = self.call.route().latency_objective;
+        let is_late = !objective.is_zero() && self.since.elapsed() > objective;
+        match (self.cx.settings.prioritised, resumes, is_late) {
+            (true, true, _) => EnginePriority::Resumed,
+            (true, false, true) => EnginePriority::Late,
+            _ => self.call.engine_priority(),
+        }
+    }
+
     fn log_placement(&self, choice: &Choice) {
         let state = self.cx.state.borrow();
         let endpoint = state.fleet.get(choice.endpoint);
@@ -341,12 +406,17 @@
     }
 
     fn start_stream(self, upstream: UpstreamResponse<W, R>) -> Response<ResponseBody> {
-        let (tx, body) = ResponseBody::stream();
+        let buffer =
+            self.cx.settings.prioritised.then(|| StreamBuffer::new(&self.cx.stream_memory));
+        let (tx, body) = match &buffer {
+            Some(buffer) => ResponseBody::buffered_stream(buffer.clone()),
+            None => ResponseBody::stream(),
+        };
         let mut response = Response::new(body);
         *response.status_mut() = upstream.exchange.head.status;
         *response.headers_mut() = self.cx.wire.client_headers(&upstream.exchange.head);
         let source = Source::from(upstream);
-        let relay = StreamRelay::new(self.cx, self.call, source, self.software, tx);
+        let relay = StreamRelay::new(self.cx, self.call, source, self.software, (tx, buffer));
         tokio::task::spawn_local(relay.run());
         response
     }
--- a/crates/host/src/metrics.rs
+++ b/crates/host/src/metrics.rs
@@ -55,6 +55,10 @@
     pub evacuated_zones: IntGauge,
     /// Active streams.
     pub streams: IntGauge,
+    /// Requests that wait for an endpoint.
+    pub queued: IntGauge,
+    /// Time from the arrival in a queue to the decision, by priority and decision.
+    pub queue_seconds: HistogramVec,
 }
 
 impl Default for Metrics {
@@ -135,6 +139,13 @@
             ),
             evacuated_zones: set.gauge("camphorloft_evacuated_zones", "Evacuated zones"),
             streams: set.gauge("camphorloft_streams", "Streams in progress"),
+            queued: set.gauge("camphorloft_queued_requests", "Requests that wait for an endpoint"),
+            queue_seconds: set.histograms(
+                "camphorloft_queue_seconds",
+                "Time in a queue by priority and decision",
+                LATENCY_SECONDS,
+                &["priority", "decision"],
+            ),
             set,
         }
     }
--- a/crates/host/src/residency.rs
+++ b/crates/host/src/residency.rs
@@ -16,19 +16,24 @@
 /// contain thousands of either.
 const MAX_CONFLICTS_LOGGED: usize = 16;
 
+/// Returns the regions in which a call may be processed under the version by which it was routed and
+/// the one in force.
+pub(crate) fn residency_of(call: &Call, in_force: Option<&Rc<ServingSet>>) -> Residency {
+    let own = call.serving.residency(call.route, call.organisation);
+    match in_force {
+        Some(in_force) if !Rc::ptr_eq(in_force, &call.serving) => {
+            let route = &call.route().name;
+            own.intersection(&in_force.residency_by_name(route, call.organisation_name()))
+        }
+        _ => own,
+    }
+}
+
 impl<W, R> Host<W, R> {
     /// Returns the regions in which a call may be processed from now on. A newer version than the one by
     /// which it was routed can only restrict it further.
     pub fn residency(&self, call: &Call) -> Residency {
-        let own = call.serving.residency(call.route, call.organisation);
-        let state = self.state.borrow();
-        match &state.serving {
-            Some(in_force) if !Rc::ptr_eq(in_force, &call.serving) => {
-                let route = &call.route().name;
-                own.intersection(&in_force.residency_by_name(route, call.organisation_name()))
-            }
-            _ => own,
-        }
+        residency_of(call, self.state.borrow().serving.as_ref())
     }
 
     /// Checks whether an endpoint of a service in an allowed region accepts new work.
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -15,6 +15,17 @@
 use crate::context::Host;
 use crate::upstream::{Exchange, ExchangeError, HttpConnection};
 
+/// What is recorded of a request that was admitted from a queue.
+#[derive(Clone, Copy, Debug)]
+pub struct Admitted {
+    /// The run that stands for a generation; a call is recorded as any other.
+    pub run: Option<RunId>,
+    /// When the request was placed.
+    pub placed_at: Instant,
+    /// Whether it counts against this host's share of a limit.
+    pub is_counted: bool,
+}
+
 /// Counts a request as placed on an endpoint and not sent yet, until dropped.
 pub struct SendReservation<W, R> {
     cx: Rc<Host<W, R>>,
@@ -23,6 +34,8 @@
     placed_at: Instant,
     /// Whether it counts against this host's share of a limit.
     is_counted: bool,
+    /// The run that stands for it, if it was admitted from a queue.
+    run: Option<RunId>,
 }
 
 impl<W, R> SendReservation<W, R> {
@@ -33,13 +46,26 @@
         let is_counted = state.fleet.reserve_send(endpoint, placed_at);
         state.fleet.begin_reservation(endpoint);
         drop(state);
-        Self { cx: cx.clone(), endpoint, placed_at, is_counted }
+        Self { cx: cx.clone(), endpoint, placed_at, is_counted, run: None }
+    }
+
+    /// Takes over a reservation that was recorded when a request was admitted from a queue.
+    pub fn of_admitted(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, admitted: Admitted) -> Self {
+        let Admitted { run, placed_at, is_counted } = admitted;
+        Self { cx: cx.clone(), endpoint, placed_at, is_counted, run }
     }
 }
 
 impl<W, R> Drop for SendReservation<W, R> {
     fn drop(&mut self) {
-        self.cx.state.borrow_mut().fleet.end_reservation(self.endpoint);
+        {
+            let fleet = &mut self.cx.state.borrow_mut().fleet;
+            match self.run {
+                Some(run) => fleet.release_run(self.endpoint, run, Instant::now()),
+                None => fleet.end_reservation(self.endpoint),
+            }
+        }
+        self.cx.wake_queues();
     }
 }
 
@@ -58,8 +84,8 @@
     pub fn start(cx: &Rc<Host<W, R>>, endpoint: EndpointIx, call: &Call, work: RunWork) -> Self {
         let now = Instant::now();
         let run = cx.state.borrow_mut().fleet.start_run(endpoint, &call.id, work, now);
-        if let RunWork::Generation { kv_tokens, prefill_tokens, .. } = work {
-            cx.send_placement(endpoint, kv_tokens, prefill_tokens);
+        if let RunWork::Generation { kv_tokens, prefill_tokens, expected, .. } = work {
+            cx.send_placement(endpoint, &TokenDemand { kv_tokens, prefill_tokens, expected });
         }
         Self { cx: cx.clone(), endpoint, run }
     }
@@ -67,7 +93,7 @@
 
 impl<W, R> Drop for RunGuard<W, R> {
     fn drop(&mut self) {
-        self.cx.state.borrow_mut().fleet.end_run(self.endpoint, self.run);
+        self.cx.end_run(self.endpoint, self.run);
     }
 }
 
