Ignore changes of other hosts to a list that this host reads itself

Cause: a late datagram of a former reader changed the list of the present one for good. Change: a host whose own read of the list is recent uses of the changes of others only what they say about processes that it lists, such as that one drains. The other hosts notice as before that their list differs from the reader's and read it again. The tests of dispatch, host and platform pass.

--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -187,6 +187,12 @@
         changes.push(FleetChange::Joined(ix));
     }
 
+    /// Returns true if the process of an entry is listed.
+    pub fn lists_process(&self, entry: &EndpointEntry) -> bool {
+        let known = self.find(&entry.name).and_then(|ix| self.get(ix));
+        known.is_some_and(|known| known.is_listed() && known.entry.is_same_process(entry))
+    }
+
     /// Records that an endpoint states that it is draining. Appends to `changes` if that is new.
     pub fn mark_draining(&mut self, ix: EndpointIx, now: Instant, changes: &mut Vec<FleetChange>) {
         if let Some(endpoint) = self.get_mut(ix)
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -254,7 +254,7 @@
     }
 
     /// Returns true when this host's own read of the list is recent.
-    fn has_read_list(&self, now: Instant) -> bool {
+    pub(crate) fn has_read_list(&self, now: Instant) -> bool {
         const FRESH: Duration = Duration::from_millis(1500);
         self.list_read_at.get().is_some_and(|at| now.saturating_duration_since(at) < FRESH)
     }
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -196,7 +196,10 @@
     }
 }
 
-/// Applies changes of the endpoint list received from another host.
+/// Applies changes of the endpoint list received from another host. A host that reads the list itself uses
+/// only what they say about endpoints that it knows: a late change of a former reader could otherwise bring
+/// back an endpoint that left, and the store would not state its removal again. Other hosts notice that
+/// their list differs from the reader's.
 pub fn apply_changes<W, R, Changes>(
     cx: &Rc<Host<W, R>>,
     changes: Changes,
@@ -206,9 +209,12 @@
     Changes: Iterator<Item = EndpointChange>,
 {
     let mut changed = Vec::new();
+    let reads_list = cx.has_read_list(now);
     for change in changes {
         let fleet = &mut cx.state.borrow_mut().fleet;
         match change {
+            EndpointChange::Listed(entry) if reads_list && !fleet.lists_process(&entry) => {}
+            EndpointChange::Removed(_) if reads_list => {}
             EndpointChange::Listed(entry) => fleet.upsert(entry, now, &mut changed),
             EndpointChange::Removed(name) => fleet.remove(&name, now, &mut changed),
         }
