Place a request again if the process did not run since its placement

Cause: a request that waited for its share of a limit was sent on a decision from before a pause of the process. Change: a placement is valid until 1.5 s after its wait. A request whose placement is out of date is not sent; the host waits up to 0.6 s until its endpoint list is up to date, and places the request again.

--- a/crates/dispatch/tests/request_limits.rs
+++ b/crates/dispatch/tests/request_limits.rs
@@ -184,3 +184,25 @@
     });
     assert_eq!(senders.count(), 0);
 }
+
+/// A host may be paused for up to 10 s; others may have used its share meanwhile.
+#[test]
+fn share_of_the_time_of_a_pause_is_used_after_it() {
+    let (start, rate) = (Instant::now(), 8.0);
+    for pause in [1, 3, 10] {
+        let mut limit = RequestLimit::default();
+        limit.record(Some("8".parse().unwrap()), start, start);
+        limit.set_position(0, 1, start);
+        limit.reserve(start);
+        let woken_at = start + Duration::from_secs(pause);
+        let (mut now, mut sent) = (woken_at, 0);
+        while now < woken_at + Duration::from_secs(1) {
+            if limit.send_at(now) == Some(now) {
+                limit.reserve(now);
+                sent += 1;
+            }
+            now += Duration::from_millis(1);
+        }
+        assert!(f64::from(sent) <= rate * 1.5, "{sent} requests in a second after {pause} s");
+    }
+}
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -200,7 +200,7 @@
             }
             match self.admit(resume, now) {
                 Admission::Start(choice) => {
-                    let reservation = SendReservation::new(&self.cx, choice.endpoint);
+                    let reservation = SendReservation::new(&self.cx, &choice);
                     self.log_placement(&choice);
                     sleep_until((now + choice.delay).into()).await;
                     return Ok((choice, reservation));
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -185,7 +185,7 @@
             }
             choice
         };
-        let reservation = SendReservation::new(&self.cx, choice.endpoint);
+        let reservation = SendReservation::new(&self.cx, &choice);
         self.log_placement(&choice);
         self.tried.push(choice.endpoint);
         self.sends += 1;
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -1,13 +1,14 @@
 //! Sends a request to an endpoint and records the run and its result.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_types::prelude::*;
 use http::Request;
 use http_body_util::Full;
 use slog::info;
+use tokio::time::sleep;
 
 use crate::boundary::{EnginePriority, OutboundContext, Registry, ResponseKind, Resume, Wire};
 use crate::call::Call;
@@ -15,20 +16,34 @@
 use crate::context::Host;
 use crate::upstream::{Exchange, ExchangeError, HttpConnection};
 
+/// Time from when a request may be sent until its placement is out of date. Connections through other hosts
+/// take up to 1.4 s; a process that does not run for longer has missed changes.
+const PLACEMENT_VALIDITY: Duration = Duration::from_millis(1500);
+/// Maximum time that a process that did not run waits for what it missed.
+const CATCH_UP_TIME: Duration = Duration::from_millis(600);
+/// Time between two checks whether it has received that.
+const CATCH_UP_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Counts a request as placed on an endpoint and not sent yet, until dropped.
 pub struct SendReservation<W, R> {
     cx: Rc<Host<W, R>>,
     endpoint: EndpointIx,
+    valid_until: Instant,
 }
 
 impl<W, R> SendReservation<W, R> {
-    /// Records that a request is placed on an endpoint.
-    pub fn new(cx: &Rc<Host<W, R>>, endpoint: EndpointIx) -> Self {
+    /// Records that a request is placed on an endpoint and sent after the delay of the choice.
+    pub fn new(cx: &Rc<Host<W, R>>, choice: &Choice) -> Self {
+        let (now, endpoint) = (Instant::now(), choice.endpoint);
         let mut state = cx.state.borrow_mut();
-        state.fleet.reserve_send(endpoint, Instant::now());
+        state.fleet.reserve_send(endpoint, now);
         state.fleet.begin_reservation(endpoint);
         drop(state);
-        Self { cx: cx.clone(), endpoint }
+        Self { cx: cx.clone(), endpoint, valid_until: now + choice.delay + PLACEMENT_VALIDITY }
+    }
+
+    fn is_valid(&self) -> bool {
+        Instant::now() <= self.valid_until
     }
 }
 
@@ -122,6 +137,12 @@
     let Some(name) = cx.state.borrow().fleet.get(ix).map(|e| e.entry.name.clone()) else {
         return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
     };
+    if plan.reservation.as_ref().is_some_and(|reservation| !reservation.is_valid()) {
+        let err = ExchangeError::NotSent("the placement is out of date".to_owned());
+        log_failure(cx, call, ix, &err);
+        catch_up(cx).await;
+        return Err(err);
+    }
     let via = connection.via().cloned();
     if let Some(via) = &via {
         info!(cx.log, "request sent through host"; "call" => %call.id, "endpoint" => %name,
@@ -154,6 +175,14 @@
     }
 }
 
+/// Waits until the endpoint list is up to date after a pause of this process.
+async fn catch_up<W, R>(cx: &Rc<Host<W, R>>) {
+    let until = Instant::now() + CATCH_UP_TIME;
+    while Instant::now() < until && !cx.is_list_current() {
+        sleep(CATCH_UP_INTERVAL).await;
+    }
+}
+
 fn build_request<W, R>(
     cx: &Rc<Host<W, R>>,
     call: &Call,
