--- a/crates/dispatch/tests/placing.rs
+++ b/crates/dispatch/tests/placing.rs
@@ -223,3 +223,28 @@
     let _ = admission::admit(&pool, &demand, &candidates, (now, DUE), now, &mut rng);
     let _ = plain::choose(&fleet, &service, &candidates, now, &mut rng);
 }
+
+fn report(running: u32, draining: bool) -> LoadReport {
+    LoadReport { running, draining, ..LoadReport::default() }
+}
+
+/// Two hosts poll one engine while each takes the other for lost. Both send their reports to all hosts, where they arrive in any order: the later one counts, whoever sent it,
+/// and no report takes draining back.
+#[test]
+fn older_report_of_a_second_poller_replaces_the_newer_one() {
+    let now = Instant::now();
+    let at = |ms| now + Duration::from_millis(ms);
+    let mut fleet = fleet(&["n-a"], now);
+    let ix = fleet.find(&"e0".parse().unwrap()).expect("an endpoint");
+    fleet.record_report(ix, report(9, false), at(500));
+    fleet.record_report(ix, report(1, false), at(400));
+    let load = |fleet: &Fleet| {
+        let endpoint = fleet.get(ix).expect("an endpoint");
+        endpoint.load.estimate_engine_load(&endpoint.runs, at(600)).sequences
+    };
+    assert_eq!(load(&fleet), 9);
+    assert!(fleet.record_report(ix, report(9, true), at(600)));
+    assert!(!fleet.record_report(ix, report(9, true), at(600)), "the same report again");
+    fleet.record_report(ix, report(0, false), at(700));
+    assert!(fleet.get(ix).is_some_and(|endpoint| !endpoint.is_ready()));
+}
