--- a/crates/cli/tests/decision_logs.rs
+++ b/crates/cli/tests/decision_logs.rs
@@ -11,6 +11,7 @@
 h1 | {"msg":"endpoint changed","ts":"2026-12-04T01:00:01.600Z","host":"h1","endpoint":"i-2","change":"gone","source":"registry_change"}
 h2 | {"msg":"endpoint changed","ts":"2026-12-04T01:00:01.700Z","host":"h2","endpoint":"i-1","change":"gone","source":"host"}
 h2 | {"msg":"call answered","ts":"2026-12-04T01:00:00.300Z","host":"h2","call":"c2","outcome":"completed","reason":"endpoint"}
+h2 | {"msg":"generation placed","ts":"2026-12-04T01:00:00.350Z","host":"h2","call":"c4","endpoint":"i-2","gap_ms":61,"slowness_percent":120,"stated_age_ms":310}
 h2 | {"msg":"request refused","ts":"2026-12-04T01:00:00.400Z","host":"h2","call":"c3","reason":"no_room"}
 not a line of JSON
 "#;
@@ -30,6 +31,15 @@
     child.wait_with_output().expect("the tool exits")
 }
 
+/// Without the speed of the engine, a late stream has no visible cause.
+#[test]
+fn explain_omits_the_speed_of_the_engine() {
+    let output = run(&["explain", "--call", "c4"]);
+    let text = String::from_utf8_lossy(&output.stdout);
+    let speed = "generation placed i-2 (gap_ms=61, slowness_percent=120, stated_age_ms=310)";
+    assert!(text.contains(speed), "{text}");
+}
+
 #[test]
 fn explain_includes_endpoint_changes_that_the_host_recorded() {
     let output = run(&["explain", "--call", "c1"]);
