Bound the requests for the speed of an engine that states none

Cause: an engine of an older version beside others that state their speed was asked every 700 ms for ever, and each request is billed. Change: a host asks an endpoint six times at most. Comments on two constants give their reasons.

--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -24,6 +24,9 @@
 /// Interval between two requests for the slowness of an endpoint, longer than its neighbours usually
 /// slow it.
 const PROBE_INTERVAL: Duration = Duration::from_millis(700);
+/// Maximum number of requests of this host for the slowness of an endpoint. One that states none is not
+/// asked for ever.
+const MAX_PROBES: u32 = 6;
 /// Uncertainty of the slowness that is observed in one period, as a fraction: mostly whether the engine
 /// prefilled a prompt.
 const OBSERVATION_SPREAD: f64 = 0.2;
@@ -44,6 +47,8 @@
     latest: Option<(f64, Instant)>,
     /// Number of periods that were known when this host last told the others what it observed.
     announced_periods: u32,
+    /// Number of times that this host asked the endpoint for its slowness.
+    probes: u32,
     /// When this host last asked the endpoint for its slowness.
     probed_at: Option<Instant>,
 }
@@ -204,12 +209,14 @@
     /// well, at intervals in which its neighbours change.
     pub fn wants_probe(&self, now: Instant) -> bool {
         let is_recent = |at| now.saturating_duration_since(at) < PROBE_INTERVAL;
-        self.stated().periods() < MIN_PERIODS && !self.probed_at.is_some_and(is_recent)
+        let is_unknown = self.stated().periods() < MIN_PERIODS && self.probes < MAX_PROBES;
+        is_unknown && !self.probed_at.is_some_and(is_recent)
     }
 
     /// Records that the endpoint is asked for its slowness.
     pub fn record_probe(&mut self, now: Instant) {
         self.probed_at = Some(now);
+        self.probes += 1;
     }
 
     /// Returns the age of the latest stated figure.
--- a/crates/dispatch/src/uneven_speed.rs
+++ b/crates/dispatch/src/uneven_speed.rs
@@ -15,7 +15,8 @@
 use crate::service_speed::ServiceSpeed;
 
 /// Cost of a stream of which a pause exceeds the target, in milliseconds: it loses six sevenths of
-/// what a generation is worth, which is the cost of one that is not served in time.
+/// what a generation is worth. An engine whose memory will be full costs two thirds as much, since not
+/// every generation there is preempted.
 const LATE_STREAM_MS: f64 = 6000.0;
 /// Cost of each millisecond by which a prefill delays each stream that runs at the engine, in
 /// milliseconds: the stream holds memory for longer.
@@ -24,7 +25,7 @@
 /// where others do not, in milliseconds: it takes memory and prefill from a generation that could not.
 const SCARCE_ENGINE_MS: f64 = 700.0;
 /// Cost of each millisecond for which a generation is expected to run, in milliseconds: engines are
-/// replaced about every 20 s, and a third of the streams that migrate pause for too long then.
+/// replaced about every 20 s, and most late streams of fast engines had migrated.
 const LIFE_FACTOR: f64 = 0.1;
 /// Sequences that an engine is assumed to run when engines are compared in general.
 const TYPICAL_SEQUENCES: u32 = 6;
--- a/crates/dispatch/tests/speed_estimate.rs
+++ b/crates/dispatch/tests/speed_estimate.rs
@@ -170,6 +170,22 @@
     assert!(fleet.get(new).unwrap().speed.wants_probe(now));
 }
 
+/// An endpoint of an older version, beside others that state their speed, would be asked for ever.
+#[test]
+fn endpoint_that_states_nothing_is_asked_a_few_times() {
+    let now = Instant::now();
+    let mut speed = SpeedEstimate::default();
+    let seconds = (0..100).map(|second| now + Duration::from_secs(second));
+    let asked = seconds.filter(|at| {
+        let wants = speed.wants_probe(*at);
+        if wants {
+            speed.record_probe(*at);
+        }
+        wants
+    });
+    assert_eq!(asked.count(), 6);
+}
+
 /// Machines that state only what neighbours cause differ nevertheless.
 #[test]
 fn observations_tell_machines_apart_that_state_the_same() {
