--- a/crates/dispatch/src/admission_queue.rs
+++ b/crates/dispatch/src/admission_queue.rs
@@ -32,21 +32,20 @@
 use crate::queued_work::QueuedWork;
 use crate::return_schedule::ReturnSchedule;
 
-/// Expected memory use of an engine, as a fraction, up to which a generation is admitted, even if it
-/// has waited for long: beyond it, engines preempt generations, and in the replay of bursts as many are
-/// late for that reason as are in time because they start.
+/// Expected memory use of an engine, as a fraction, up to which a generation is admitted.
 const MAX_FILL: f64 = 1.0;
+/// The same for a generation that has to start now to be in time, while none comes before it. The
+/// estimate of the memory use is an upper one for short generations, which end before others grow.
+const MAX_FILL_TO_BE_IN_TIME: f64 = 1.15;
 /// The same for an engine that crashes when it has to refuse many requests.
 const MAX_FILL_IF_BRITTLE: f64 = 0.9;
 /// The same for a generation while another one waits that comes before it. The rest is kept for that
 /// one: a tenth of an engine's memory is most of a prompt in current deployments.
 const MAX_FILL_BEHIND: f64 = 0.9;
-/// Prompt tokens that an engine may still have to prefill when a generation is admitted. An engine is
-/// busy with them for longer than the time between two decisions, so it loses nothing if further ones
-/// wait at the host, where more urgent ones can overtake them.
-const MAX_PREFILL: u32 = 5_000;
-/// The same for a generation while another one waits that comes before it.
-const MAX_PREFILL_BEHIND: u32 = 1_500;
+/// Prompt tokens that an engine may still have to prefill when a generation is admitted while another one
+/// waits that comes before it, or whose organisation exceeds its share. An engine is busy with them for longer than the time between two decisions,
+/// so it loses nothing if further ones wait at the host, where more urgent ones can overtake them.
+const MAX_PREFILL_BEHIND: u32 = 5_000;
 /// Time for which memory is kept for urgent generations after one has waited.
 const URGENT_PERIOD: Duration = Duration::from_secs(1);
 /// Base delay before a client retries that was refused because no engine is usable: replacement
@@ -71,14 +70,35 @@
 pub struct AdmissionTerms {
     /// Largest expected memory use of the engine with the generation added, as a fraction.
     pub max_fill: f64,
-    /// Largest number of prompt tokens that the engine still has to prefill before it.
-    pub max_prefill: u32,
+    /// Largest number of prompt tokens that the engine still has to prefill before it; `None` if no other
+    /// generation comes before it and its organisation has not used more than its share.
+    pub max_prefill: Option<u32>,
     /// Time until the first event is due.
     pub due: Duration,
     /// Maximum delay at an engine that limits requests.
     pub max_delay: Duration,
 }
 
+impl AdmissionTerms {
+    fn allows_prefill(&self, tokens: u32) -> bool {
+        self.max_prefill.is_none_or(|max| tokens <= max)
+    }
+
+    /// Returns true if no engine satisfies these terms on prefill that does not satisfy `other`.
+    fn allows_no_more_prefill(&self, other: &Self) -> bool {
+        other.max_prefill.is_none_or(|other| self.max_prefill.is_some_and(|max| max <= other))
+    }
+
+    /// Returns the engines that are left to other hosts, given those drawn for it. A generation that comes
+    /// first may use any engine: hosts rarely have such a one at the same time.
+    pub fn excluded<'e>(&self, left_to_others: &'e [EndpointIx]) -> &'e [EndpointIx] {
+        match self.max_prefill {
+            Some(_) => left_to_others,
+            None => &[],
+        }
+    }
+}
+
 /// The engines that the generations of a queue wait for.
 pub trait Engines<Item> {
     /// Requests admission for a generation. If it starts, the engine's load has to include it from then
@@ -283,12 +303,17 @@
 
     fn terms(&self, entry: &Entry<Item>, ahead: &Ahead, now: Instant) -> AdmissionTerms {
         let work = &entry.work;
-        let has_turn =
-            entry.comes_first(now) && !self.usage.exceeds_share(work.organisation.as_ref());
+        let exceeds_share = self.usage.exceeds_share(work.organisation.as_ref());
+        let has_turn = entry.comes_first(now) && !exceeds_share;
         let is_behind = !has_turn && self.is_behind(work, ahead, now);
-        let max_prefill = if is_behind { MAX_PREFILL } else { u32::MAX };
-        let must_start = work.time_to_start(now).is_zero();
-        let max_fill = if is_behind { MAX_FILL_BEHIND } else if must_start { 1.15 } else { MAX_FILL };
+        let max_prefill = (is_behind || exceeds_share).then_some(MAX_PREFILL_BEHIND);
+        let is_due = work.time_to_start(now).is_zero() && !work.is_late(now);
+        let must_start = is_due && !exceeds_share;
+        let max_fill = match (is_behind, must_start) {
+            (true, _) => MAX_FILL_BEHIND,
+            (false, true) => MAX_FILL_TO_BE_IN_TIME,
+            (false, false) => MAX_FILL,
+        };
         AdmissionTerms {
             max_fill,
             max_prefill,
@@ -337,7 +362,7 @@
         self.blocked.iter().any(|(least, better)| {
             *least <= tokens
                 && terms.max_fill <= better.max_fill
-                && terms.max_prefill <= better.max_prefill
+                && terms.allows_no_more_prefill(better)
         })
     }
 }
@@ -465,7 +490,7 @@
         true => terms.max_fill.min(MAX_FILL_IF_BRITTLE),
         false => terms.max_fill,
     };
-    match choice.fill <= max_fill && choice.prefill_tokens <= terms.max_prefill {
+    match choice.fill <= max_fill && terms.allows_prefill(choice.prefill_tokens) {
         true => Admission::Start(choice),
         false => Admission::Wait,
     }
--- a/crates/dispatch/tests/common/replay.rs
+++ b/crates/dispatch/tests/common/replay.rs
@@ -171,14 +171,14 @@
             &pool,
             work,
             &candidates,
-            &self.excluded,
+            terms.excluded(&self.excluded),
             terms,
             self.now,
             self.rng,
         );
         if let Admission::Start(choice) = admission {
             let call = common::call(0);
-            let run = self.fleet.reserve_run(choice.endpoint, &call, &work.demand, self.now);
+            let (run, _) = self.fleet.reserve_run(choice.endpoint, &call, &work.demand, self.now);
             self.runs.push(run);
         }
         admission
@@ -468,7 +468,8 @@
             Admission::Refuse { retry_after, .. } => refused.push((client, retry_after)),
             Admission::Start(choice) => {
                 let call = common::call(0);
-                let run = host.fleet.reserve_run(choice.endpoint, &call, &work.demand, self.now);
+                let (run, _) =
+                    host.fleet.reserve_run(choice.endpoint, &call, &work.demand, self.now);
                 started.push(Started { client, host: ix, endpoint: choice.endpoint, run });
             }
         }
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -233,8 +233,8 @@
             };
             match admission {
                 Admission::Start(choice) => {
-                    let reservation = reservation
-                        .unwrap_or_else(|| SendReservation::new(&self.cx, choice.endpoint));
+                    let reservation =
+                        reservation.unwrap_or_else(|| SendReservation::new(&self.cx, &choice));
                     self.log_placement(&choice);
                     // The generation may have waited in the queue until the choice.
                     sleep_until((Instant::now() + choice.delay).into()).await;
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -255,7 +255,7 @@
             }
             choice
         };
-        let reservation = SendReservation::new(&self.cx, choice.endpoint);
+        let reservation = SendReservation::new(&self.cx, &choice);
         self.spawn_attempt(&choice, reservation, now);
     }
 
--- a/crates/host/src/queued_request.rs
+++ b/crates/host/src/queued_request.rs
@@ -89,7 +89,7 @@
             &pool,
             work,
             &candidates,
-            if terms.max_prefill == u32::MAX { &[] } else { &self.excluded },
+            terms.excluded(&self.excluded),
             terms,
             self.now,
             self.rng,
@@ -186,7 +186,7 @@
         let Decision { admission, admitted } = decision;
         let reservation = match (&admission, admitted) {
             (Admission::Start(choice), Some(admitted)) => {
-                Some(SendReservation::of_admitted(&self.cx, choice.endpoint, admitted))
+                Some(SendReservation::of_admitted(&self.cx, choice, admitted))
             }
             _ => None,
         };
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -74,6 +74,7 @@
     let regions = [("north-a", "north"), ("south-a", "south")];
     let regions = regions.map(|(zone, region)| (zone.parse().unwrap(), region.parse().unwrap()));
     HostSettings {
+        prioritised: false,
         host: name.parse().unwrap(),
         locality: Locality {
             zone: format!("{region}-a").parse().unwrap(),
