--- a/crates/dispatch/src/admission_queue.rs
+++ b/crates/dispatch/src/admission_queue.rs
@@ -307,8 +307,7 @@
         let has_turn = entry.comes_first(now) && !exceeds_share;
         let is_behind = !has_turn && self.is_behind(work, ahead, now);
         let max_prefill = (is_behind || exceeds_share).then_some(MAX_PREFILL_BEHIND);
-        let is_due = work.time_to_start(now).is_zero() && !work.is_late(now);
-        let must_start = is_due && !exceeds_share;
+        let must_start = work.time_to_start(now).is_zero();
         let max_fill = match (is_behind, must_start) {
             (true, _) => MAX_FILL_BEHIND,
             (false, true) => MAX_FILL_TO_BE_IN_TIME,
