Explain what would stop a newcomer in the sending and queueing of requests

Cause: a constant named after one of its uses, a field without a comment and two modules about pauses without a reference. Change: comments and the name MAX_FILL_AFTER_WAIT; no change of behaviour.

--- a/crates/dispatch/src/admission_queue.rs
+++ b/crates/dispatch/src/admission_queue.rs
@@ -34,17 +34,18 @@
 
 /// Expected memory use of an engine, as a fraction, up to which a generation is admitted.
 const MAX_FILL: f64 = 1.0;
-/// The same for a generation that has to start now to be in time, while none comes before it. The
-/// estimate of the memory use is an upper one for short generations, which end before others grow.
-const MAX_FILL_TO_BE_IN_TIME: f64 = 1.15;
+/// The same for a generation that has waited as long as it can to be in time, while none comes before it.
+/// The estimate of the memory use is an upper one for short generations, which end before others grow.
+const MAX_FILL_AFTER_WAIT: f64 = 1.15;
 /// The same for an engine that crashes when it has to refuse many requests.
 const MAX_FILL_IF_BRITTLE: f64 = 0.9;
 /// The same for a generation while another one waits that comes before it. The rest is kept for that
 /// one: a tenth of an engine's memory is most of a prompt in current deployments.
 const MAX_FILL_BEHIND: f64 = 0.9;
 /// Prompt tokens that an engine may still have to prefill when a generation is admitted while another one
-/// waits that comes before it, or whose organisation exceeds its share. An engine is busy with them for longer than the time between two decisions,
-/// so it loses nothing if further ones wait at the host, where more urgent ones can overtake them.
+/// waits that comes before it, or whose organisation exceeds its share. An engine is busy with them for
+/// longer than the time between two decisions, so it loses nothing if further ones wait at the host, where
+/// more urgent ones can overtake them.
 const MAX_PREFILL_BEHIND: u32 = 5_000;
 /// Time for which memory is kept for urgent generations after one has waited.
 const URGENT_PERIOD: Duration = Duration::from_secs(1);
@@ -307,10 +308,10 @@
         let has_turn = entry.comes_first(now) && !exceeds_share;
         let is_behind = !has_turn && self.is_behind(work, ahead, now);
         let max_prefill = (is_behind || exceeds_share).then_some(MAX_PREFILL_BEHIND);
-        let must_start = work.time_to_start(now).is_zero();
-        let max_fill = match (is_behind, must_start) {
+        let has_waited = work.time_to_start(now).is_zero();
+        let max_fill = match (is_behind, has_waited) {
             (true, _) => MAX_FILL_BEHIND,
-            (false, true) => MAX_FILL_TO_BE_IN_TIME,
+            (false, true) => MAX_FILL_AFTER_WAIT,
             (false, false) => MAX_FILL,
         };
         AdmissionTerms {
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -45,6 +45,7 @@
     is_counted: bool,
     /// The run that stands for it, if it was admitted from a queue.
     run: Option<RunId>,
+    /// Time after which the request has to be placed again.
     valid_until: Instant,
 }
 
--- a/crates/host/src/stall_monitor.rs
+++ b/crates/host/src/stall_monitor.rs
@@ -1,5 +1,6 @@
 //! Recognises times in which this host's process did not run, so that they do not count as slowness of
-//! others.
+//! others. They may be short; `camphorloft_dispatch::pause` handles pauses of seconds, after which what
+//! the host knows is out of date.
 
 use std::cell::Cell;
 use std::time::{Duration, Instant};
