Do not let a request that waits for its region hold up others in the queue

Cause: the queue treats a request that may not use all endpoints as one that waits while others start, but residency did not count as such a restriction since the queue and the residency of requests were merged. Change: the allowed regions of a generation or a call make it a restricted one in the queue.

--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -263,6 +263,7 @@
         let tokens_per_event =
             self.call.service().engine.as_ref().map_or(1, |engine| engine.tokens_per_event);
         let demand = self.token_demand(resume, tokens_per_event);
+        let in_some_regions = !self.cx.residency(&self.call).is_unrestricted();
         let work = QueuedWork {
             resumes: resume.is_some(),
             priority: self.call.priority(),
@@ -274,7 +275,7 @@
             first_event: demand.prefill_time(),
             duration: demand.busy_duration(),
             body_bytes: self.call.body.len() as u64,
-            is_restricted: !self.tried.is_empty() || self.software.is_some(),
+            is_restricted: in_some_regions || !self.tried.is_empty() || self.software.is_some(),
         };
         let software = self.software.as_ref();
         let queued = QueuedRequest::enter(&self.cx, &self.call, work, &self.tried, software);
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -200,7 +200,7 @@
             first_event: service_time,
             duration: service_time,
             body_bytes: call.body.len() as u64,
-            is_restricted: false,
+            is_restricted: !self.cx.residency(call).is_unrestricted(),
         };
         let queued = QueuedRequest::enter(&self.cx, call, work, &[], None);
         if !queued.is_decided() {
