Recognise pauses of the process in one place

Cause: PauseDetector and StallMonitor kept the same state (last tick, end of the last pause) and decided the same question, with limits of 1 s and 220 ms. Change: both use TickMonitor; they differ in the limit and in what follows from a pause. No change of behaviour, but that a tick late by exactly 120 ms counts as a pause.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`fleet`]: the table of endpoints.
 //! - [`revision`]: position in the registry's change history.
 //! - [`evacuation`]: zones that receive no requests because the operator evacuates them.
+//! - [`tick_monitor`]: recognises times in which the process did not run, by its own ticks.
 //! - [`pause`]: whether the process was paused.
 //! - [`brittleness`]: services whose endpoints crash when they have to refuse many requests.
 //! - [`candidates`]: restricts the endpoints that a request may be sent to.
@@ -87,4 +88,5 @@
 pub mod stall_clock;
 pub mod stream_origins;
 pub mod subset;
+pub mod tick_monitor;
 pub mod uneven_speed;
--- a/crates/dispatch/src/pause.rs
+++ b/crates/dispatch/src/pause.rs
@@ -6,6 +6,8 @@
 
 use std::time::{Duration, Instant};
 
+use crate::tick_monitor::TickMonitor;
+
 /// Time between two ticks from which the process counts as paused. Ticks are due every 100 ms; a busy
 /// process is late by a few hundred milliseconds.
 const MIN_PAUSE: Duration = Duration::from_secs(1);
@@ -17,31 +19,32 @@
 const MAX_WAIT: Duration = Duration::from_millis(500);
 
 /// Detects pauses of the process by its own ticks.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct PauseDetector {
-    ticked_at: Option<Instant>,
-    woke_at: Option<Instant>,
+    ticks: TickMonitor,
     /// Whether the state of the registry arrived since the process woke.
     is_informed: bool,
 }
 
+impl Default for PauseDetector {
+    fn default() -> Self {
+        Self { ticks: TickMonitor::new(MIN_PAUSE), is_informed: false }
+    }
+}
+
 impl PauseDetector {
     /// Records a tick. Returns the duration of the pause that it ends, if any.
     pub fn record_tick(&mut self, now: Instant) -> Option<Duration> {
-        let before = self.ticked_at.replace(now)?;
-        let gap = now.saturating_duration_since(before);
-        if gap < MIN_PAUSE {
-            return None;
-        }
-        self.woke_at = Some(now);
+        let pause = self.ticks.record_tick(now)?;
         self.is_informed = false;
-        Some(gap)
+        Some(pause)
     }
 
     /// Records that the current state of the registry arrived.
     pub fn record_registry_state(&mut self, now: Instant) {
         let is_current = |at| now.saturating_duration_since(at) >= BACKLOG_TIME;
-        self.is_informed |= self.woke_at.is_some_and(is_current) && !self.is_paused(now);
+        self.is_informed |=
+            self.ticks.woke_at().is_some_and(is_current) && !self.ticks.is_overdue(now);
     }
 
     /// Returns true if the process was paused and does not know yet what has changed.
@@ -62,16 +65,12 @@
     /// ```
     pub fn must_wait(&self, now: Instant) -> bool {
         let woke_recently = |at| now.saturating_duration_since(at) < MAX_WAIT;
-        self.is_paused(now) || !self.is_informed && self.woke_at.is_some_and(woke_recently)
+        let woke_recently = self.ticks.woke_at().is_some_and(woke_recently);
+        self.ticks.is_overdue(now) || !self.is_informed && woke_recently
     }
 
     /// Returns true if the process was paused since `at`.
     pub fn was_paused_since(&self, at: Instant, now: Instant) -> bool {
-        self.is_paused(now) || self.woke_at.is_some_and(|woke_at| woke_at > at)
-    }
-
-    /// Returns true if the last tick is overdue, which is the first sign of a pause.
-    fn is_paused(&self, now: Instant) -> bool {
-        self.ticked_at.is_some_and(|at| now.saturating_duration_since(at) >= MIN_PAUSE)
+        self.ticks.paused_since(at, now)
     }
 }
--- a/crates/host/src/stall_monitor.rs
+++ b/crates/host/src/stall_monitor.rs
@@ -5,6 +5,8 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
+use camphorloft_dispatch::tick_monitor::TickMonitor;
+
 /// Interval between ticks.
 pub const TICK: Duration = Duration::from_millis(100);
 /// Lateness of a tick from which the process counts as stalled. A process that is limited to a tenth
@@ -13,23 +15,21 @@
 
 /// Recognises times in which this host's process did not run.
 #[derive(Debug)]
-pub struct StallMonitor {
-    ticked_at: Cell<Instant>,
-    stalled_until: Cell<Option<Instant>>,
-}
+pub struct StallMonitor(Cell<TickMonitor>);
 
 impl StallMonitor {
     /// Creates a monitor.
     pub fn new(now: Instant) -> Self {
-        Self { ticked_at: Cell::new(now), stalled_until: Cell::new(None) }
+        let mut ticks = TickMonitor::new(TICK + MAX_LATENESS);
+        ticks.record_tick(now);
+        Self(Cell::new(ticks))
     }
 
     /// Records a tick. Called at every [`TICK`].
     pub fn tick(&self, now: Instant) {
-        if self.is_late(now) {
-            self.stalled_until.set(Some(now));
-        }
-        self.ticked_at.set(now);
+        let mut ticks = self.0.get();
+        ticks.record_tick(now);
+        self.0.set(ticks);
     }
 
     /// Returns true if the process did not run for some time between `since` and `now`.
@@ -49,10 +49,6 @@
     /// assert!(!monitor.stalled_since(woken, woken + TICK));
     /// ```
     pub fn stalled_since(&self, since: Instant, now: Instant) -> bool {
-        self.is_late(now) || self.stalled_until.get().is_some_and(|until| until > since)
-    }
-
-    fn is_late(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.ticked_at.get()) > TICK + MAX_LATENESS
+        self.0.get().paused_since(since, now)
     }
 }
