--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -17,12 +17,12 @@
 
 /// Expected memory use, as a fraction, up to which a generation is admitted while it can still
 /// wait.
-const MAX_FILL: f64 = 1.0;
+pub(crate) const MAX_FILL: f64 = 1.0;
 /// The same for an engine that crashes when it has to refuse many requests.
-const MAX_FILL_IF_BRITTLE: f64 = 0.9;
+pub(crate) const MAX_FILL_IF_BRITTLE: f64 = 0.9;
 /// Expected memory use, as a fraction, up to which a generation is admitted once it cannot wait any
-/// longer.
-const MAX_FILL_AFTER_WAIT: f64 = 1.15;
+/// longer. The estimate is an upper one for short generations, which end before others grow.
+pub(crate) const MAX_FILL_AFTER_WAIT: f64 = 1.15;
 /// Maximum fraction of the first-event objective spent waiting; the rest is for the prefill.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 /// Minimum delay before a refused client retries: on each engine a generation ends about this
--- a/crates/dispatch/src/admission_queue.rs
+++ b/crates/dispatch/src/admission_queue.rs
@@ -20,7 +20,10 @@
 use camphorloft_types::prelude::*;
 use rand::Rng;
 
-use crate::admission::{Admission, RefuseReason};
+use crate::admission::{
+    Admission, MAX_FILL, MAX_FILL_AFTER_WAIT, MAX_FILL_IF_BRITTLE, RefuseReason,
+};
+use crate::admission_terms::AdmissionTerms;
 use crate::candidates::Candidates;
 use crate::completions::Completions;
 use crate::fleet::Fleet;
@@ -31,16 +34,10 @@
 use crate::pool::Pool;
 use crate::queued_work::QueuedWork;
 use crate::return_schedule::ReturnSchedule;
+use crate::waiting_ahead::WaitingAhead;
 
-/// Expected memory use of an engine, as a fraction, up to which a generation is admitted.
-const MAX_FILL: f64 = 1.0;
-/// The same for a generation that has waited as long as it can to be in time, while none comes before it.
-/// The estimate of the memory use is an upper one for short generations, which end before others grow.
-const MAX_FILL_AFTER_WAIT: f64 = 1.15;
-/// The same for an engine that crashes when it has to refuse many requests.
-const MAX_FILL_IF_BRITTLE: f64 = 0.9;
-/// The same for a generation while another one waits that comes before it. The rest is kept for that
-/// one: a tenth of an engine's memory is most of a prompt in current deployments.
+/// Expected memory use of an engine, as a fraction, up to which a generation is admitted while another
+/// one waits that comes before it. The rest is kept for that one: a tenth of an engine's memory is most of a prompt in current deployments.
 const MAX_FILL_BEHIND: f64 = 0.9;
 /// Prompt tokens that an engine may still have to prefill when a generation is admitted while another one
 /// waits that comes before it, or whose organisation exceeds its share. An engine is busy with them for
@@ -66,40 +63,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(u64);
 
-/// Conditions on which a generation is admitted at a moment.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct AdmissionTerms {
-    /// Largest expected memory use of the engine with the generation added, as a fraction.
-    pub max_fill: f64,
-    /// Largest number of prompt tokens that the engine still has to prefill before it; `None` if no other
-    /// generation comes before it and its organisation has not used more than its share.
-    pub max_prefill: Option<u32>,
-    /// Time until the first event is due.
-    pub due: Duration,
-    /// Maximum delay at an engine that limits requests.
-    pub max_delay: Duration,
-}
-
-impl AdmissionTerms {
-    fn allows_prefill(&self, tokens: u32) -> bool {
-        self.max_prefill.is_none_or(|max| tokens <= max)
-    }
-
-    /// Returns true if no engine satisfies these terms on prefill that does not satisfy `other`.
-    fn allows_no_more_prefill(&self, other: &Self) -> bool {
-        other.max_prefill.is_none_or(|other| self.max_prefill.is_some_and(|max| max <= other))
-    }
-
-    /// Returns the engines that are left to other hosts, given those drawn for it. A generation that comes
-    /// first may use any engine: hosts rarely have such a one at the same time.
-    pub fn excluded<'e>(&self, left_to_others: &'e [EndpointIx]) -> &'e [EndpointIx] {
-        match self.max_prefill {
-            Some(_) => left_to_others,
-            None => &[],
-        }
-    }
-}
-
 /// The engines that the generations of a queue wait for.
 pub trait Engines<Item> {
     /// Requests admission for a generation. If it starts, the engine's load has to include it from then
@@ -225,7 +188,7 @@
         self.shed(engines, now, &mut decided);
         let usage = &self.usage;
         self.entries.sort_by_cached_key(|entry| Place::new(entry, usage, now));
-        let mut ahead = Ahead::default();
+        let mut ahead = WaitingAhead::default();
         let mut freed_per_second = None;
         let mut kept = Vec::with_capacity(self.entries.len());
         for entry in std::mem::take(&mut self.entries) {
@@ -302,7 +265,7 @@
         (entry.item, Admission::Refuse { reason: RefuseReason::NoCapacity, retry_after })
     }
 
-    fn terms(&self, entry: &Entry<Item>, ahead: &Ahead, now: Instant) -> AdmissionTerms {
+    fn terms(&self, entry: &Entry<Item>, ahead: &WaitingAhead, now: Instant) -> AdmissionTerms {
         let work = &entry.work;
         let exceeds_share = self.usage.exceeds_share(work.organisation.as_ref());
         let has_turn = entry.comes_first(now) && !exceeds_share;
@@ -324,7 +287,7 @@
 
     /// Returns true if a generation waits that comes before this one, or a more urgent one has waited
     /// within [`URGENT_PERIOD`].
-    fn is_behind(&self, work: &QueuedWork, ahead: &Ahead, now: Instant) -> bool {
+    fn is_behind(&self, work: &QueuedWork, ahead: &WaitingAhead, now: Instant) -> bool {
         if work.resumes {
             return false;
         }
@@ -336,37 +299,6 @@
     }
 }
 
-/// The generations that were found not to fit during a pass.
-#[derive(Clone, Debug, Default)]
-struct Ahead {
-    /// Memory that they need, in tokens.
-    tokens: u64,
-    /// Smallest memory needs of one that did not fit, with the condition.
-    blocked: Vec<(u64, AdmissionTerms)>,
-}
-
-impl Ahead {
-    fn add(&mut self, work: &QueuedWork, terms: &AdmissionTerms) {
-        if work.is_restricted {
-            return;
-        }
-        self.tokens += work.tokens();
-        if !self.blocks(work, terms) {
-            self.blocked.push((work.tokens(), *terms));
-        }
-    }
-
-    /// Returns true if one that needs no more memory did not fit on conditions as good as these.
-    fn blocks(&self, work: &QueuedWork, terms: &AdmissionTerms) -> bool {
-        let tokens = work.tokens();
-        self.blocked.iter().any(|(least, better)| {
-            *least <= tokens
-                && terms.max_fill <= better.max_fill
-                && terms.allows_no_more_prefill(better)
-        })
-    }
-}
-
 /// Place of a generation in the queue: the smallest is admitted first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Place {
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -1,7 +1,6 @@
 //! The table of endpoints.
 
 use std::collections::HashMap;
-use std::fmt;
 use std::time::{Duration, Instant};
 
 use camphorloft_types::prelude::*;
@@ -14,6 +13,7 @@
 use crate::entry::EndpointEntry;
 use crate::evacuation::{Evacuations, KnownEvacuations};
 use crate::expected_gaps::usual_gap_ms;
+use crate::fleet_change::FleetChange;
 use crate::generation::TokenDemand;
 use crate::load::LoadReport;
 use crate::migration::{MigrationPlans, PlannedMigration};
@@ -29,42 +29,6 @@
 /// repeat the announcement of a new endpoint for 1.5 s, directly and through two relays.
 const LATE_ANNOUNCEMENT_PERIOD: Duration = Duration::from_secs(3);
 
-/// Change of an endpoint's state as known to this host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FleetChange {
-    /// The endpoint was listed.
-    Joined(EndpointIx),
-    /// The endpoint started draining.
-    Draining(EndpointIx),
-    /// The endpoint turned cold, or stays cold for longer than was known.
-    Cold(EndpointIx),
-    /// The endpoint is no longer listed.
-    Removed(EndpointIx),
-}
-
-impl FleetChange {
-    /// Returns the endpoint.
-    pub fn endpoint(self) -> EndpointIx {
-        match self {
-            FleetChange::Joined(ix)
-            | FleetChange::Draining(ix)
-            | FleetChange::Cold(ix)
-            | FleetChange::Removed(ix) => ix,
-        }
-    }
-}
-
-impl fmt::Display for FleetChange {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            FleetChange::Joined(_) => "joined",
-            FleetChange::Draining(_) => "leaving",
-            FleetChange::Cold(_) => "cold",
-            FleetChange::Removed(_) => "gone",
-        })
-    }
-}
-
 /// The table of endpoints.
 ///
 /// The index of an endpoint is reused only after the endpoint was removed and the last run of this
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 //! - [`subset`]: selects the endpoints that a host sends work to.
 //! - [`assignment`]: selects the host that performs a task for the others.
 //! - [`endpoint`]: state of one endpoint.
+//! - [`fleet_change`]: change of an endpoint's state as known to this host.
 //! - [`fleet`]: the table of endpoints.
 //! - [`revision`]: position in the registry's change history.
 //! - [`evacuation`]: zones that receive no requests because the operator evacuates them.
@@ -36,6 +37,8 @@
 //! - [`generation`]: selects an engine for a generation.
 //! - [`admission`]: starts, delays or refuses a generation.
 //! - [`admission_queue`]: the generations of one service that wait at a host for an engine.
+//! - [`admission_terms`]: conditions on which a queued generation is admitted.
+//! - `waiting_ahead`: what waits before a generation in the queue.
 //! - [`queued_work`]: a generation that waits, with what determines its place in the queue.
 //! - [`peer_queues`]: what other hosts state about the generations that wait there.
 //! - [`organisation_usage`]: how much of the admitted work each organisation had recently.
@@ -48,6 +51,7 @@
 
 pub mod admission;
 pub mod admission_queue;
+pub mod admission_terms;
 pub mod assignment;
 pub mod brittleness;
 pub mod candidates;
@@ -61,6 +65,7 @@
 pub mod evacuation;
 pub mod expected_gaps;
 pub mod fleet;
+pub mod fleet_change;
 pub mod generation;
 pub mod health;
 pub mod load;
@@ -90,3 +95,4 @@
 pub mod subset;
 pub mod tick_monitor;
 pub mod uneven_speed;
+mod waiting_ahead;
--- a/crates/dispatch/src/prelude.rs
+++ b/crates/dispatch/src/prelude.rs
@@ -1,7 +1,8 @@
 //! Common imports.
 
 pub use crate::admission::{Admission, RefuseReason};
-pub use crate::admission_queue::{AdmissionQueue, AdmissionTerms, Engines, Ticket};
+pub use crate::admission_queue::{AdmissionQueue, Engines, Ticket};
+pub use crate::admission_terms::AdmissionTerms;
 pub use crate::brittleness::Brittleness;
 pub use crate::candidates::Candidates;
 pub use crate::choice::Choice;
@@ -12,7 +13,8 @@
 pub use crate::endpoint::{Endpoint, EndpointState};
 pub use crate::entry::{EndpointEntry, ProcessStart};
 pub use crate::evacuation::{EvacuationChange, Evacuations, KnownEvacuations};
-pub use crate::fleet::{Fleet, FleetChange};
+pub use crate::fleet::Fleet;
+pub use crate::fleet_change::FleetChange;
 pub use crate::generation::TokenDemand;
 pub use crate::health::Health;
 pub use crate::load::{LoadHint, LoadReport};
