Open the connections of a migration before its copies

Cause: a host connected to the source anew for each copy, and to the destination between the two. From another region these round trips take longer than the margin of a plan, so that the next migration off the same engine began before the final copy, which then waited 200 to 380 ms behind a first copy; copies of the last migrations did not end before the shutdown.

Change: the connection to the source is opened while the migration waits for its start and used for both copies, the one to the destination during the first copy, and plans contain the round trips that are left. The new test failed with a plan that was as long for a host of another region.

--- a/crates/dispatch/src/reclaim.rs
+++ b/crates/dispatch/src/reclaim.rs
@@ -34,6 +34,9 @@
 const FINISH_FRACTION: f64 = 0.7;
 /// Fixed duration of the first copy, in addition to the transfer of its bytes.
 const COPY_SETUP_DURATION: Duration = Duration::from_millis(8);
+/// Round trips from this host to the source in which its link is reserved and idle: one for each copy. A
+/// host in another region would otherwise make its final copy after the next migration has begun.
+const COPY_ROUND_TRIPS: u32 = 2;
 /// Factor on the transfer time of a copy between availability zones.
 const CROSS_ZONE_FACTOR: u32 = 2;
 /// Estimated memory use including the copy, as a fraction, up to which an engine qualifies as a
@@ -187,7 +190,8 @@
             reasons.full += 1;
             continue;
         }
-        let duration = migration_duration(spec, distance, kv_tokens);
+        let duration = migration_duration(spec, distance, kv_tokens)
+            + source.connect_time() * COPY_ROUND_TRIPS;
         let done_at = fleet.migrations.links_free_at(from, ix, now) + duration;
         if done_at > deadline {
             reasons.too_late += 1;
--- a/crates/dispatch/tests/reclaim.rs
+++ b/crates/dispatch/tests/reclaim.rs
@@ -250,3 +250,24 @@
     let decision = decide(&fleet, from, &runs[0], now);
     assert!(matches!(decision, ReclaimDecision::Migrate { to, .. } if to == same));
 }
+
+#[test]
+fn plans_of_a_distant_host_contain_its_round_trips() {
+    // Without them the next migration begins before the final copy, which then waits behind its first copy
+    // and lengthens the pause of the stream.
+    let now = Instant::now();
+    let duration = |zone: &str| {
+        let mut fleet = fleet(&[zone, zone], now);
+        let from = find(&fleet, "e0");
+        fleet.start_run(from, &call(0), work(3_000, 2_000), now);
+        fleet.mark_draining(from, now, &mut Vec::new());
+        let source = fleet.get(from).unwrap();
+        match decide(&fleet, from, &source.runs[0], now) {
+            ReclaimDecision::Migrate { duration, .. } => (duration, source.connect_time()),
+            other => panic!("no migration in {zone}: {other:?}"),
+        }
+    };
+    let (near, near_round_trip) = duration("n-a");
+    let (far, far_round_trip) = duration("s-a");
+    assert!(far - near >= (far_round_trip - near_round_trip) * 2, "{near:?}, {far:?}");
+}
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -106,17 +106,25 @@
         )
     };
     let (from_ix, to_ix) = (plan.from, plan.to);
-    let kv_copy = KvCopy { cx: &cx, call: &call, from_ix, from: &from, to_ix, to: &to };
-    wait_for_start(&cx, plan, kv_tokens).await?;
+    let mut kv_copy =
+        KvCopy { cx: &cx, call: &call, from_ix, from: &from, to_ix, to: &to, connection: None };
+    // Connections are opened while there is time: a round trip to another region would otherwise delay the
+    // copies, and with them those of other generations.
+    let (started, connection) =
+        tokio::join!(wait_for_start(&cx, plan, kv_tokens), kv_copy.connect());
+    started?;
+    kv_copy.connection = connection.ok();
     check_region(&cx, &call, plan.to, None)?;
     let first_started_at = Instant::now();
-    let handle = kv_copy.copy_first(plan.from).await?;
+    let residency = cx.residency(&call);
+    let (handle, connection) = tokio::join!(
+        kv_copy.copy_first(plan.from),
+        connect_to(&cx, plan.to, &residency, CONNECT_TIMEOUT)
+    );
+    let handle = handle?;
     let guard = CopyGuard { cx: cx.clone(), from: from.clone(), handle: Some(handle) };
     let first_duration = first_started_at.elapsed();
-    let Ok(connection) = connect_to(&cx, plan.to, &cx.residency(&call), CONNECT_TIMEOUT).await
-    else {
-        return Err(TransferError::Unreachable);
-    };
+    let connection = connection.map_err(|_| TransferError::Unreachable)?;
     check_region(&cx, &call, plan.to, connection.via())?;
     let final_started_at = Instant::now();
     let (handle, events, copied) = kv_copy.copy_final().await?;
@@ -231,6 +239,8 @@
     from: &'a EndpointEntry,
     to_ix: EndpointIx,
     to: &'a EndpointEntry,
+    /// Connection to the source.
+    connection: Option<HttpConnection>,
 }
 
 impl<W, R> KvCopy<'_, W, R>
@@ -238,28 +248,36 @@
     W: Wire,
     R: Registry,
 {
+    async fn connect(&self) -> Result<HttpConnection, TransferError> {
+        let addr = self.cx.settings.endpoint_addr(self.from.addr);
+        let connection = connect(addr, CONNECT_TIMEOUT).await;
+        connection.map_err(|err| TransferError::Failed(err.to_string()))
+    }
+
     async fn request_copy(
-        &self,
+        &mut self,
         is_final: bool,
         request_timeout: Duration,
     ) -> Result<CopyReply, TransferError> {
         let failed = |detail: String| TransferError::Failed(detail);
         let check = self.cx.check_not_evacuated(self.to_ix);
         check.map_err(|_| TransferError::Evacuated)?;
-        let addr = self.cx.settings.endpoint_addr(self.from.addr);
-        let connection = connect(addr, CONNECT_TIMEOUT).await;
-        let mut connection = connection.map_err(|err| failed(err.to_string()))?;
+        let mut connection = match self.connection.take().filter(HttpConnection::is_open) {
+            Some(connection) => connection,
+            None => self.connect().await?,
+        };
         self.cx.count_own_call(self.from_ix);
         let req = self.cx.wire.copy_request(self.from, &self.call.id, self.to.addr, is_final);
         let response = timeout(request_timeout, connection.fetch(req, MAX_REPLY_BYTES)).await;
         let (head, body) =
             response.map_err(|_| TransferError::TooLate)?.map_err(|err| failed(err.to_string()))?;
         self.cx.record_own_call_directives(self.from_ix, self.from, &head);
+        self.connection = Some(connection);
         Ok(self.cx.wire.decode_copy_response(head.status, &body))
     }
 
     /// Makes the first copy, while the generation runs.
-    async fn copy_first(&self, from: EndpointIx) -> Result<CopyHandle, TransferError> {
+    async fn copy_first(&mut self, from: EndpointIx) -> Result<CopyHandle, TransferError> {
         loop {
             let deadline = expected_shutdown(self.cx, from) - FINAL_COPY_MARGIN;
             let remaining = deadline.saturating_duration_since(Instant::now());
@@ -280,7 +298,7 @@
 
     /// Stops the generation and copies the rest. Returns the handle, the number of generated events
     /// if reported, and whether the destination has the copy.
-    async fn copy_final(&self) -> Result<(CopyHandle, Option<u64>, bool), TransferError> {
+    async fn copy_final(&mut self) -> Result<(CopyHandle, Option<u64>, bool), TransferError> {
         const MAX_ATTEMPTS: u32 = 5;
         for _ in 0..MAX_ATTEMPTS {
             match self.request_copy(true, FINAL_COPY_TIMEOUT).await? {
