Let requests wait for a host that starts while the registry is unavailable

Change: a request waits at the host for the configuration and the endpoints, for a quarter of its client's time and 1 s at most; 64 requests at a time.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -44,6 +44,7 @@
 //! - [`organisation_usage`]: how much of the admitted work each organisation had recently.
 //! - [`completions`]: how fast the engines of a service free memory.
 //! - [`return_schedule`]: when refused clients are told to come back.
+//! - [`start_return`]: when clients are told to come back to a host without a configuration.
 //! - [`retry_quota`]: limits retries across all hosts.
 //! - [`pool`]: the engines of one service.
 //! - [`reachability`]: whether this host reaches the endpoints over its own links.
@@ -91,6 +92,7 @@
 pub mod slowness_samples;
 pub mod speed;
 pub mod stall_clock;
+pub mod start_return;
 pub mod stream_origins;
 pub mod subset;
 pub mod tick_monitor;
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -12,7 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use slog::{Logger, info, warn};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::boundary::Registry;
 use crate::memory_budget::MemoryBudget;
@@ -27,6 +27,8 @@
 
 /// Fraction of the memory limit of the process that buffered request bodies may use.
 const REQUEST_BODY_FRACTION: f64 = 0.3;
+/// Maximum number of requests that wait for the start of this host.
+const MAX_START_WAITS: usize = 64;
 /// Fraction of the memory limit of the process that buffered responses may use.
 const RESPONSE_BODY_FRACTION: f64 = 0.2;
 /// Fraction of the memory limit of the process that events may use which clients have not taken.
@@ -133,6 +135,8 @@
     pub doubts_secret: Cell<bool>,
     /// Time of the last fetch of a version from another host.
     last_fetch_at: Cell<Option<Instant>>,
+    /// Permits for requests that wait for the start of this host.
+    pub start_waits: Semaphore,
     fleet_revision: watch::Sender<u64>,
     stage: watch::Sender<Stage>,
     registry_reached: watch::Sender<bool>,
@@ -190,6 +194,7 @@
             malformed_logged_at: Cell::new(None),
             doubts_secret: Cell::new(false),
             last_fetch_at: Cell::new(None),
+            start_waits: Semaphore::new(MAX_START_WAITS),
             fleet_revision: watch::Sender::new(0),
             stage: watch::Sender::new(Stage::Serving),
             registry_reached: watch::Sender::new(false),
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -6,6 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 use camphorloft_dispatch::prelude::ResidencyRefusal;
+use camphorloft_dispatch::start_return::{retry_delay, start_wait};
 use camphorloft_serving::prelude::*;
 use camphorloft_types::prelude::*;
 use http::{Request, Response, StatusCode, header, request};
@@ -13,7 +14,7 @@
 use hyper::body::{Body, Incoming};
 use rand::Rng;
 use slog::info;
-use tokio::time::timeout_at;
+use tokio::time::{sleep_until, timeout_at};
 
 use crate::boundary::{DecodedHead, Registry, Wire};
 use crate::call::Call;
@@ -24,8 +25,8 @@
 use crate::response_body::ResponseBody;
 use crate::{generation_call, plain_call};
 
-/// Retry delay sent by a host that has not received a configuration version yet.
-const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Interval at which a request that waits for the start of the host checks whether it has ended.
+const START_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Retry delay sent by a draining host. It is short because the load balancer sends the retry to
 /// another host.
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -113,9 +114,15 @@
     W: Wire,
     R: Registry,
 {
-    let serving = cx
-        .serving()
-        .ok_or_else(|| Refusal::unavailable("no_version_known", UNCONFIGURED_RETRY_AFTER))?;
+    if cx.serving().is_none() {
+        wait_for_start(cx, decoded.timeout).await;
+    }
+    let serving = cx.serving().ok_or_else(|| {
+        let draw = cx.state.borrow_mut().rng.random::<f64>();
+        let time_left = decoded.timeout.map(|limit| limit.saturating_sub(arrived_at.elapsed()));
+        let retry_after = retry_delay(cx.started_at.elapsed(), time_left, draw);
+        Refusal::unavailable("no_version_known", retry_after)
+    })?;
     if head.headers.contains_key(header::TRANSFER_ENCODING)
         && head.headers.contains_key(header::CONTENT_LENGTH)
     {
@@ -174,6 +181,22 @@
     Ok(call)
 }
 
+/// Waits until a host that has just started knows the configuration and the endpoints, for as long as a
+/// request may wait for that. Only some requests wait at a time, which bounds their memory.
+async fn wait_for_start<W, R>(cx: &Rc<Host<W, R>>, time_limit: Option<Duration>) {
+    let Ok(_permit) = cx.start_waits.try_acquire() else { return };
+    let wait_until = Instant::now() + start_wait(time_limit);
+    let mut stages = cx.stages();
+    let mut fleet_changes = cx.subscribe_fleet();
+    while !cx.is_ready() && cx.stage() == Stage::Serving && Instant::now() < wait_until {
+        tokio::select! {
+            _ = fleet_changes.changed() => {}
+            _ = stages.changed() => {}
+            () = sleep_until((Instant::now() + START_CHECK_INTERVAL).min(wait_until).into()) => {}
+        }
+    }
+}
+
 /// Refuses requests that a draining host may not be able to finish.
 fn check_draining<W, R>(cx: &Rc<Host<W, R>>, route: &Route) -> Result<(), Refusal> {
     let Stage::Draining { since } = cx.stage() else { return Ok(()) };
