Connect anew if the source of a migration closed the connection

Cause: a source may close a connection after any response; the connection of the first copy is used again for the final one, so that such a close between the two ended the migration. Found by reading the change. A copy request that was not sent on a used connection is sent on a new one.

--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -25,10 +25,10 @@
 use crate::subset_table::SubsetTable;
 use crate::tunnel::ExcludedHosts;
 
-/// Fraction of the memory limit of the process that buffered request bodies may use.
-const REQUEST_BODY_FRACTION: f64 = 0.3;
 /// Maximum number of requests that wait for the start of this host.
 const MAX_START_WAITS: usize = 64;
+/// Fraction of the memory limit of the process that buffered request bodies may use.
+const REQUEST_BODY_FRACTION: f64 = 0.3;
 /// Fraction of the memory limit of the process that buffered responses may use.
 const RESPONSE_BODY_FRACTION: f64 = 0.2;
 /// Fraction of the memory limit of the process that events may use which clients have not taken.
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -115,7 +115,7 @@
     R: Registry,
 {
     if cx.serving().is_none() {
-        wait_for_start(cx, decoded.timeout).await;
+        wait_until_started(cx, decoded.timeout).await;
     }
     let serving = cx.serving().ok_or_else(|| {
         let draw = cx.state.borrow_mut().rng.random::<f64>();
@@ -183,7 +183,7 @@
 
 /// Waits until a host that has just started knows the configuration and the endpoints, for as long as a
 /// request may wait for that. Only some requests wait at a time, which bounds their memory.
-async fn wait_for_start<W, R>(cx: &Rc<Host<W, R>>, time_limit: Option<Duration>) {
+async fn wait_until_started<W, R>(cx: &Rc<Host<W, R>>, time_limit: Option<Duration>) {
     let Ok(_permit) = cx.start_waits.try_acquire() else { return };
     let wait_until = Instant::now() + start_wait(time_limit);
     let mut stages = cx.stages();
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -11,13 +11,13 @@
 use quick_error::quick_error;
 use slog::{debug, info};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
 use crate::boundary::{CopyHandle, CopyReply, CopySource, Registry, Wire};
 use crate::call::Call;
 use crate::connecting::connect_to;
 use crate::context::Host;
-use crate::upstream::{HttpConnection, connect};
+use crate::upstream::{ExchangeError, HttpConnection, connect};
 
 /// Interval between attempts at a copy that the engine is not ready for.
 const RETRY_INTERVAL: Duration = Duration::from_millis(40);
@@ -262,17 +262,26 @@
         let failed = |detail: String| TransferError::Failed(detail);
         let check = self.cx.check_not_evacuated(self.to_ix);
         check.map_err(|_| TransferError::Evacuated)?;
-        let mut connection = match self.connection.take().filter(HttpConnection::is_open) {
-            Some(connection) => connection,
-            None => self.connect().await?,
-        };
         self.cx.count_own_call(self.from_ix);
-        let req = self.cx.wire.copy_request(self.from, &self.call.id, self.to.addr, is_final);
-        let response = timeout(request_timeout, connection.fetch(req, MAX_REPLY_BYTES)).await;
-        let (head, body) =
-            response.map_err(|_| TransferError::TooLate)?.map_err(|err| failed(err.to_string()))?;
+        let deadline = tokio::time::Instant::now() + request_timeout;
+        let (head, body) = loop {
+            let (mut connection, is_reused) = match self.connection.take() {
+                Some(connection) => (connection, true),
+                None => (self.connect().await?, false),
+            };
+            let req = self.cx.wire.copy_request(self.from, &self.call.id, self.to.addr, is_final);
+            let response = timeout_at(deadline, connection.fetch(req, MAX_REPLY_BYTES)).await;
+            match response.map_err(|_| TransferError::TooLate)? {
+                Ok(response) => {
+                    self.connection = Some(connection);
+                    break response;
+                }
+                // The source closed the connection while it was not in use.
+                Err(ExchangeError::NotSent(_)) if is_reused => {}
+                Err(err) => return Err(failed(err.to_string())),
+            }
+        };
         self.cx.record_own_call_directives(self.from_ix, self.from, &head);
-        self.connection = Some(connection);
         Ok(self.cx.wire.decode_copy_response(head.status, &body))
     }
 
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -189,11 +189,6 @@
         self.via.as_ref()
     }
 
-    /// Returns true unless the connection is known to be closed.
-    pub fn is_open(&self) -> bool {
-        !self.sender.is_closed()
-    }
-
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
