--- a/review/rig/client.rs
+++ b/review/rig/client.rs
@@ -39,7 +39,14 @@
 }
 
 /// Sends a request on a new channel and reads its answer.
-pub fn send(to: SocketAddr, method: &str, path: &str, id: &str, deadline_ms: u64, more: &str) -> Answer {
+pub fn send(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+    more: &str,
+) -> Answer {
     match open(to, id) {
         Some(mut stream) => send_on(&mut stream, method, path, id, deadline_ms, more),
         None => Answer { id: id.to_owned(), ..Answer::default() },
--- a/review/rig/gone.rs
+++ b/review/rig/gone.rs
@@ -18,9 +18,8 @@
     let store = Store::start();
     store.put("op", "config", &config(7, "huvo11a", "wuno96b"));
     let behaviour = Behaviour { reads_prompts: true, events: 40, ..Behaviour::default() };
-    let start = |name: &str| {
-        Replica::start(&store, name, "huvo11a", "khomas-a", true, behaviour.clone())
-    };
+    let start =
+        |name: &str| Replica::start(&store, name, "huvo11a", "khomas-a", true, behaviour.clone());
     let first = start("i-7f3a91c1");
     let gateway = address(101);
     let link = Link::start(gateway, first.addr);
@@ -58,9 +57,8 @@
     drop(requesters);
     sleep_ms(5000);
     machine.note_log(&["stream interrupted", "stream resumed", "stream ended"]);
-    let count = |replica: &Replica, after: Instant| {
-        replica.ends().iter().filter(|at| **at > after).count()
-    };
+    let count =
+        |replica: &Replica, after: Instant| replica.ends().iter().filter(|at| **at > after).count();
     let after = left_at + Duration::from_millis(500);
     let late = count(&first, after) + count(&second, after);
     let running = count(&first, left_at) + count(&second, left_at);
--- a/review/rig/hosts.rs
+++ b/review/rig/hosts.rs
@@ -41,7 +41,13 @@
 impl Machine {
     /// Writes the settings of a machine. `gateway` is the address at which its links to the replicas are
     /// played, if they may be cut.
-    pub fn new(name: &str, last: u8, zone: &str, store: SocketAddr, gateway: Option<Ipv4Addr>) -> Self {
+    pub fn new(
+        name: &str,
+        last: u8,
+        zone: &str,
+        store: SocketAddr,
+        gateway: Option<Ipv4Addr>,
+    ) -> Self {
         let dir = std::env::temp_dir().join(format!("camphorloft-review-{}", std::process::id()));
         fs::create_dir_all(&dir).expect("a temporary folder");
         *DIR.lock().unwrap() = Some(dir.clone());
@@ -121,7 +127,8 @@
         let path = dir.join(format!("{name}.toml"));
         fs::write(&path, settings).expect("a settings file");
         let log = dir.join(format!("{name}.log"));
-        let machine = Self { name: name.to_owned(), ip, settings: path, log, child: Mutex::new(None) };
+        let machine =
+            Self { name: name.to_owned(), ip, settings: path, log, child: Mutex::new(None) };
         for port in [FRONT, READINESS, 7200, 7201] {
             TcpListener::bind((ip, port)).expect("the address is free");
         }
--- a/review/rig/restored.rs
+++ b/review/rig/restored.rs
@@ -77,12 +77,15 @@
         .ran()
         .into_iter()
         .filter(|(id, _, _)| {
-            let sent = answers.iter().find(|answer| answer.id == *id).and_then(|answer| answer.sent_at);
+            let sent =
+                answers.iter().find(|answer| answer.id == *id).and_then(|answer| answer.sent_at);
             sent.is_some_and(|at| at > passed_on + DRAIN)
         })
         .collect();
     let failed = answers.iter().filter(|answer| answer.status != 200 || !answer.complete);
-    let lost = failed.inspect(|answer| note(&format!("not served: {}, status {}", answer.id, answer.status))).count();
+    let lost = failed
+        .inspect(|answer| note(&format!("not served: {}, status {}", answer.id, answer.status)))
+        .count();
     note(&format!(
         "the first answer with Server-Leaving had arrived {:.1} s before the end; {} requests, {lost} not served; {} ran at the replica that left, {} of them sent later than drain-ms after \
          the machine had passed on that it leaves; {} at the other one",
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -179,7 +179,8 @@
             found.sort_by_key(|(_, (_, version))| *version);
             let left = until.saturating_duration_since(Instant::now());
             if !found.is_empty() || left.is_zero() {
-                let records: Vec<String> = found.iter().map(|(key, row)| record(key, row)).collect();
+                let records: Vec<String> =
+                    found.iter().map(|(key, row)| record(key, row)).collect();
                 let body = format!(
                     r#"{{"records":[{}],"row-version":{},"server-time-ms":1}}"#,
                     records.join(","),
