Mark the end of a response that another host forwards

Clients saw streams without a length end as complete after about 90 of 200 events, and calls with a part of their body and status 200, when the host that forwarded the connection to the endpoint stopped.

Cause: the forwarder copied bytes as they were. The operating system closes the connections of a process that ends with FIN, which for a response without a length is the end of its body. Nothing distinguished a stopped forwarder from a finished response.

Change: the forwarder sends the endpoint's bytes in frames and marks their end with an empty one; bytes that stop before the mark are an error of the body. Hosts agree on it in the request and the reply, so that builds of two versions work side by side: without marks no end counts as complete, and an older host gets a reset.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`response_body`]: bodies of responses to clients.
 //! - [`upstream`]: HTTP client connections to endpoints.
 //! - [`tunnel`]: connections to endpoints through other hosts.
+//! - [`tunnel_bytes`]: bytes of an endpoint that another host forwards, with a mark at their end.
 //! - [`frame_stream`]: connections between hosts that carry authenticated frames.
 //! - [`memory_budget`]: memory that bodies of one kind use together.
 //! - [`pace`]: pacing of large reads.
@@ -104,4 +105,5 @@
 pub mod task;
 pub mod transfer;
 pub mod tunnel;
+pub mod tunnel_bytes;
 pub mod upstream;
--- a/crates/host/src/tunnel.rs
+++ b/crates/host/src/tunnel.rs
@@ -3,7 +3,8 @@
 //! A host that is cut off from the endpoints asks another one to connect to an endpoint, and uses that
 //! connection as its own. The other host forwards bytes in both directions and closes each end as the
 //! other one was closed: decisions, deadlines and retries remain with the host that serves the client, so
-//! that a request is sent exactly as often as over a direct connection.
+//! that a request is sent exactly as often as over a direct connection. [`crate::tunnel_bytes`] marks the
+//! end of the endpoint's bytes.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -23,7 +24,7 @@
 use rand::Rng;
 use slog::{debug, info};
 use socket2::SockRef;
-use tokio::io::{AsyncWriteExt, copy};
+use tokio::io::{AsyncWriteExt, copy, join};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -31,6 +32,7 @@
 use crate::connecting::{connect_timeout, open_directly, try_own_links};
 use crate::context::{Host, Stage, State};
 use crate::frame_stream::FrameStream;
+use crate::tunnel_bytes::{forward_marked, forwarded_bytes};
 use crate::upstream::{HttpConnection, set_liveness_options, start_http};
 
 /// Maximum number of hosts that are asked for one connection.
@@ -110,22 +112,27 @@
         let request = WireTunnelRequest {
             endpoint,
             timeout_ms: u32::try_from(allowed.as_millis()).unwrap_or(u32::MAX),
+            marks_end: true,
         };
         let result = timeout(allowed + MESSAGE_TIME, ask(via.addr, keys.clone(), request)).await;
         let detail = match result {
-            Ok(Ok((WireTunnelResult::Connected, stream))) => match start_http(stream).await {
-                Ok(connection) => return Ok(connection.through(via.host)),
-                Err(err) => err.to_string(),
-            },
-            Ok(Ok((WireTunnelResult::Unreachable, _))) => {
+            Ok(Ok((WireTunnelResult::Connected, marks_end, stream))) => {
+                let (rx, tx) = stream.into_split();
+                let stream = join(forwarded_bytes(rx, marks_end), tx);
+                match start_http(stream).await {
+                    Ok(connection) => return Ok(connection.through(via.host)),
+                    Err(err) => err.to_string(),
+                }
+            }
+            Ok(Ok((WireTunnelResult::Unreachable, ..))) => {
                 witnesses += 1;
                 if witnesses >= MIN_WITNESSES {
                     return Err(TunnelError::Unreachable);
                 }
                 continue;
             }
-            Ok(Ok((WireTunnelResult::Evacuated, _))) => return Err(TunnelError::Evacuated),
-            Ok(Ok((result, _))) => format!("{result:?}"),
+            Ok(Ok((WireTunnelResult::Evacuated, ..))) => return Err(TunnelError::Evacuated),
+            Ok(Ok((result, ..))) => format!("{result:?}"),
             Ok(Err(err)) => err.to_string(),
             Err(_) => "no response in time".to_owned(),
         };
@@ -161,17 +168,19 @@
     Some((host.clone(), endpoint.digest))
 }
 
+/// Asks a host for a connection. Returns its result, whether it marks the end of the endpoint's bytes, and
+/// the connection.
 async fn ask(
     addr: SocketAddr,
     keys: FrameKeys,
     request: WireTunnelRequest,
-) -> io::Result<(WireTunnelResult, TcpStream)> {
+) -> io::Result<(WireTunnelResult, bool, TcpStream)> {
     let stream = TcpStream::connect(addr).await?;
     set_liveness_options(&stream)?;
     let mut frames = FrameStream::new(stream, keys);
     frames.write(&WireConfigRequest { tunnel: Some(request), ..Default::default() }).await?;
     let reply: WireTunnelReply = frames.read().await?;
-    Ok((reply.result(), frames.into_stream()?))
+    Ok((reply.result(), reply.marks_end, frames.into_stream()?))
 }
 
 /// Connects to an endpoint for another host and forwards the connection until it ends.
@@ -188,13 +197,13 @@
         Ok(endpoint) => (WireTunnelResult::Connected, Some(endpoint)),
         Err(result) => (result, None),
     };
-    frames.write(&WireTunnelReply { result: result.into() }).await?;
+    let marks_end = request.marks_end;
+    frames.write(&WireTunnelReply { result: result.into(), marks_end }).await?;
     let host = frames.into_stream()?;
     let Some(endpoint) = endpoint else { return Ok(()) };
     set_liveness_options(&host)?;
     let _open = OpenTunnel::new(&cx);
-    forward(host, endpoint).await;
-    Ok(())
+    forward(host, endpoint, marks_end).await
 }
 
 async fn connect_for<W, R>(
@@ -256,21 +265,18 @@
 }
 
 /// Forwards a connection until one end closes. A host that closes its end has abandoned the request, so
-/// that the endpoint's end is closed too. A reset of one end resets the other, so that a response that ends
-/// with its connection does not look complete.
-async fn forward(mut host: TcpStream, mut endpoint: TcpStream) {
-    if forward_until_end(&mut host, &mut endpoint).await.is_err() {
-        reset_on_close(&host);
-        reset_on_close(&endpoint);
-    }
-}
-
-async fn forward_until_end(host: &mut TcpStream, endpoint: &mut TcpStream) -> io::Result<()> {
+/// that the endpoint's end is closed too. The host's end is reset unless the endpoint's bytes ended, also
+/// when this process ends: an older host takes the end of the connection for the end of the response.
+async fn forward(mut host: TcpStream, mut endpoint: TcpStream, marks_end: bool) -> io::Result<()> {
+    SockRef::from(&host).set_linger(Some(Duration::ZERO))?;
     let (mut host_rx, mut host_tx) = host.split();
     let (mut endpoint_rx, mut endpoint_tx) = endpoint.split();
     let mut requests = pin!(copy(&mut host_rx, &mut endpoint_tx));
     let responses = async {
-        copy(&mut endpoint_rx, &mut host_tx).await?;
+        match marks_end {
+            true => forward_marked(&mut endpoint_rx, &mut host_tx).await?,
+            false => drop(copy(&mut endpoint_rx, &mut host_tx).await?),
+        }
         host_tx.shutdown().await
     };
     tokio::select! {
@@ -279,8 +285,3 @@
     }
     timeout(CLOSE_TIMEOUT, requests).await?.map(drop)
 }
-
-fn reset_on_close(stream: &TcpStream) {
-    // A socket that does not support the option has already failed.
-    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
-}
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -119,7 +120,10 @@
 /// # Errors
 ///
 /// Returns [`ExchangeError::NotSent`] if the connection was closed.
-pub async fn start_http(stream: TcpStream) -> Result<HttpConnection, ExchangeError> {
+pub async fn start_http<Io>(stream: Io) -> Result<HttpConnection, ExchangeError>
+where
+    Io: AsyncRead + AsyncWrite + Unpin + 'static,
+{
     start_http_with(stream, Builder::new().max_buf_size(MAX_HEAD_BYTES)).await
 }
 
@@ -166,10 +170,10 @@
     Ok(stream)
 }
 
-async fn start_http_with(
-    stream: TcpStream,
-    options: &Builder,
-) -> Result<HttpConnection, ExchangeError> {
+async fn start_http_with<Io>(stream: Io, options: &Builder) -> Result<HttpConnection, ExchangeError>
+where
+    Io: AsyncRead + AsyncWrite + Unpin + 'static,
+{
     let (sender, connection) = options.handshake(TokioIo::new(stream)).await.map_err(not_sent)?;
     let task = OwnedTask::spawn(async move {
         // The request or the body read reports the error.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -466,6 +466,9 @@
     /// Time within which the endpoint has to accept the connection, in milliseconds.
     #[prost(uint32, tag = "2")]
     pub timeout_ms: u32,
+    /// Whether the end of the endpoint's bytes shall be marked. Older hosts do not ask for it.
+    #[prost(bool, tag = "3")]
+    pub marks_end: bool,
 }
 
 /// Result of a request for a connection to an endpoint.
@@ -494,6 +497,9 @@
     /// Result. The tag is none of [`WireConfigReply`], which older hosts send.
     #[prost(enumeration = "WireTunnelResult", tag = "15")]
     pub result: i32,
+    /// Whether the end of the endpoint's bytes is marked. Older hosts do not mark it.
+    #[prost(bool, tag = "16")]
+    pub marks_end: bool,
 }
 
 /// Reply to a [`WireConfigRequest`].
