Do not reset clients that read their responses slowly

Clients that read 2.2 KB a second through a receive buffer of 8 KB were reset after about 43 of 188 events that the host had ready.

Cause: TCP_USER_TIMEOUT of 3 s on client connections. Linux counts not only unacknowledged data, but also the time for which a live peer keeps its receive window closed.

Change: client connections have keepalive probes without a user timeout. The deadline of the call limits how long a client may take its response: the run ends at it even while the client takes nothing, and a connection with unsent bytes closes after it. On the related path through another host, the forwarder's connection to that host gets 60 s in place of 3 s, and the forwarder no longer resets it 5 s after the endpoint's end.

--- a/crates/host/src/connection.rs
+++ b/crates/host/src/connection.rs
@@ -26,44 +26,68 @@
 
 /// Phase of a connection, shared between its stream and its response bodies.
 #[derive(Debug)]
-pub struct Phase(Cell<Waiting>);
+pub struct Phase {
+    waiting: Cell<Waiting>,
+    /// Whether the client has not taken all that is to be sent.
+    is_write_blocked: Cell<bool>,
+    /// Time until which the client has to take the response that is being sent.
+    response_deadline: Cell<Option<Instant>>,
+}
 
 impl Phase {
     /// Builds the phase of a newly accepted connection.
     pub fn new() -> Self {
-        Self(Cell::new(Waiting::Request(Instant::now())))
+        Self {
+            waiting: Cell::new(Waiting::Request(Instant::now())),
+            is_write_blocked: Cell::new(false),
+            response_deadline: Cell::new(None),
+        }
     }
 
     /// Records that bytes were received.
     fn bytes_arrived(&self) {
-        if let Waiting::Request(_) = self.0.get() {
-            self.0.set(Waiting::Head(Instant::now()));
+        if let Waiting::Request(_) = self.waiting.get() {
+            self.waiting.set(Waiting::Head(Instant::now()));
+        }
+    }
+
+    /// Records the result of a write. The idle time begins when the client has taken the response.
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        self.is_write_blocked.set(written.is_pending());
+        if let Waiting::Request(_) = self.waiting.get() {
+            self.waiting.set(Waiting::Request(Instant::now()));
         }
     }
 
     /// Records that a complete request head was received.
     pub(crate) fn head_arrived(&self) {
-        self.0.set(Waiting::Response);
+        self.response_deadline.set(None);
+        self.waiting.set(Waiting::Response);
+    }
+
+    /// Sets the time until which the client has to take the response.
+    pub(crate) fn set_response_deadline(&self, deadline: Option<Instant>) {
+        self.response_deadline.set(deadline);
     }
 
     /// Records that a response has ended.
     pub(crate) fn response_ended(&self) {
-        self.0.set(Waiting::Request(Instant::now()));
+        self.waiting.set(Waiting::Request(Instant::now()));
     }
 
     /// Records that the response is given up because its client is too slow.
     pub(crate) fn abort(&self) {
-        self.0.set(Waiting::Aborted);
+        self.waiting.set(Waiting::Aborted);
     }
 
-    /// Returns true if the connection is waiting for a new request.
+    /// Returns true if the connection is waiting for a new request, and the client has taken all responses.
     pub fn is_idle(&self) -> bool {
-        matches!(self.0.get(), Waiting::Request(_))
+        matches!(self.waiting.get(), Waiting::Request(_)) && !self.is_write_blocked.get()
     }
 
     /// Returns true if a part of a request head was received.
     pub fn is_reading_head(&self) -> bool {
-        matches!(self.0.get(), Waiting::Head(_))
+        matches!(self.waiting.get(), Waiting::Head(_))
     }
 
     /// Returns the time until a timeout expires, zero if it has expired, or `None` if none applies.
@@ -76,11 +100,14 @@
     /// assert!(left <= limits.idle_timeout && left > limits.idle_timeout / 2);
     /// ```
     pub fn time_left(&self, limits: &ClientLimits) -> Option<Duration> {
-        let (since, limit) = match self.0.get() {
-            Waiting::Request(since) => (since, limits.idle_timeout),
-            Waiting::Head(since) => (since, limits.head_timeout),
-            Waiting::Response => return None,
-            Waiting::Aborted => return Some(Duration::ZERO),
+        let deadline = self.response_deadline.get();
+        let until_deadline = deadline.map(|at| at.saturating_duration_since(Instant::now()));
+        let (since, limit) = match (self.waiting.get(), until_deadline) {
+            (Waiting::Aborted, _) => return Some(Duration::ZERO),
+            (_, Some(left)) if self.is_write_blocked.get() => return Some(left),
+            (Waiting::Response, left) => return left.filter(|left| !left.is_zero()),
+            (Waiting::Request(since), _) => (since, limits.idle_timeout),
+            (Waiting::Head(since), _) => (since, limits.head_timeout),
         };
         Some(limit.saturating_sub(since.elapsed()))
     }
@@ -92,7 +119,7 @@
     }
 }
 
-/// A TCP stream that records received bytes in the phase of its connection.
+/// A TCP stream that records in the phase of its connection what is received and what cannot be sent.
 #[derive(Debug)]
 pub struct WatchedStream {
     inner: TcpStream,
@@ -127,7 +154,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
+        let poll = Pin::new(&mut self.inner).poll_write(cx, buf);
+        self.phase.record_write(&poll);
+        poll
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -143,7 +172,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+        let poll = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
+        self.phase.record_write(&poll);
+        poll
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -94,11 +94,13 @@
             return local_response(status, Outcome::NotRun, reason, retry_after);
         }
     };
-    if call.route().retry_mode.is_stream() {
-        generation_call::serve(cx.clone(), call).await
-    } else {
-        plain_call::serve(cx.clone(), call).await
-    }
+    let deadline = call.deadline;
+    let mut response = match call.route().retry_mode.is_stream() {
+        true => generation_call::serve(cx.clone(), call).await,
+        false => plain_call::serve(cx.clone(), call).await,
+    };
+    response.body_mut().set_deadline(deadline);
+    response
 }
 
 /// Authenticates and routes a request and reads its body.
--- a/crates/host/src/listener.rs
+++ b/crates/host/src/listener.rs
@@ -23,7 +23,7 @@
 use crate::connection::{Phase, WatchedStream};
 use crate::context::{Host, Stage};
 use crate::intake;
-use crate::upstream::set_liveness_options;
+use crate::upstream::set_keepalive_options;
 
 /// Maximum number of connections waiting to be accepted. When the queue is full, a client repeats
 /// its connection attempt only after a second.
@@ -86,7 +86,7 @@
     W: Wire,
     R: Registry,
 {
-    if let Err(err) = set_liveness_options(&stream) {
+    if let Err(err) = set_keepalive_options(&stream) {
         debug!(cx.log, "connection setup failed"; "error" => %err);
         return;
     }
--- a/crates/host/src/response_body.rs
+++ b/crates/host/src/response_body.rs
@@ -3,6 +3,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -38,20 +39,22 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     content: Content,
+    /// Time until which the client waits for its end.
+    deadline: Option<Instant>,
     phase: Option<Rc<Phase>>,
 }
 
 impl ResponseBody {
     /// Builds a body that is completely known.
     pub fn full(bytes: Bytes) -> Self {
-        Self { content: Content::Full(Some(bytes)), phase: None }
+        Self::new(Content::Full(Some(bytes)))
     }
 
     /// Builds a body that is sent as its parts arrive. It is complete when the sender is dropped
     /// without having sent an error.
     pub fn stream() -> (mpsc::Sender<Result<Bytes, BodyError>>, Self) {
         let (tx, rx) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
-        (tx, Self { content: Content::Stream(rx, None), phase: None })
+        (tx, Self::new(Content::Stream(rx, None)))
     }
 
     /// Like [`Self::stream`], with parts held in a buffer until the client takes them.
@@ -59,7 +62,16 @@
         buffer: Rc<StreamBuffer>,
     ) -> (mpsc::Sender<Result<Bytes, BodyError>>, Self) {
         let (tx, rx) = mpsc::channel(MAX_PARTS);
-        (tx, Self { content: Content::Stream(rx, Some(buffer)), phase: None })
+        (tx, Self::new(Content::Stream(rx, Some(buffer))))
+    }
+
+    fn new(content: Content) -> Self {
+        Self { content, deadline: None, phase: None }
+    }
+
+    /// Sets the time until which the client waits for the end of the response.
+    pub(crate) fn set_deadline(&mut self, deadline: Instant) {
+        self.deadline = Some(deadline);
     }
 
     /// Attaches the body to the connection that it is sent on.
@@ -67,6 +79,7 @@
         if let Content::Stream(_, Some(buffer)) = &self.content {
             buffer.attach(&phase);
         }
+        phase.set_response_deadline(self.deadline);
         self.phase = Some(phase);
     }
 }
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -181,15 +181,16 @@
     pub async fn run(mut self) {
         self.cx.metrics.streams.inc();
         let end = self.relay_events().await;
-        if matches!(end, StreamEnd::Interrupted | StreamEnd::TimedOut | StreamEnd::ClientTooSlow) {
-            // Sending fails if the client has disconnected.
-            let _ = self.tx.send(Err(BodyError::Interrupted)).await;
-        }
         self.cx.metrics.streams.dec();
         self.log_end(end);
         // The run ends before the client has taken the rest.
-        let buffer = self.buffer.take();
+        let (tx, buffer) = (self.tx.clone(), self.buffer.take());
         drop(self);
+        if matches!(end, StreamEnd::Interrupted | StreamEnd::TimedOut | StreamEnd::ClientTooSlow) {
+            // Sending fails if the client has disconnected.
+            let _ = tx.send(Err(BodyError::Interrupted)).await;
+        }
+        drop(tx);
         if let Some(buffer) = buffer
             && !buffer.drained().await
         {
--- a/crates/host/src/tunnel.rs
+++ b/crates/host/src/tunnel.rs
@@ -33,7 +33,7 @@
 use crate::context::{Host, Stage, State};
 use crate::frame_stream::FrameStream;
 use crate::tunnel_bytes::{forward_marked, forwarded_bytes};
-use crate::upstream::{HttpConnection, set_liveness_options, start_http};
+use crate::upstream::{HttpConnection, set_keepalive_options, set_liveness_options, start_http};
 
 /// Maximum number of hosts that are asked for one connection.
 const MAX_HOSTS_ASKED: usize = 3;
@@ -49,8 +49,9 @@
 const MAX_CONNECT_TIME: Duration = Duration::from_millis(350);
 /// Maximum number of connections that one host forwards.
 const MAX_TUNNELS: usize = 512;
-/// Time in which a host closes its end after the endpoint has closed the other one.
-const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which unacknowledged data closes a forwarded connection to a host, which stops reading while
+/// its client does. Clients wait less long for a response.
+const HOST_USER_TIMEOUT: Duration = Duration::from_secs(60);
 
 quick_error! {
     /// Reason that an endpoint was not reached through another host.
@@ -201,7 +202,8 @@
     frames.write(&WireTunnelReply { result: result.into(), marks_end }).await?;
     let host = frames.into_stream()?;
     let Some(endpoint) = endpoint else { return Ok(()) };
-    set_liveness_options(&host)?;
+    set_keepalive_options(&host)?;
+    SockRef::from(&host).set_tcp_user_timeout(Some(HOST_USER_TIMEOUT))?;
     let _open = OpenTunnel::new(&cx);
     forward(host, endpoint, marks_end).await
 }
@@ -283,5 +285,6 @@
         result = &mut requests => return result.map(drop),
         result = responses => result?,
     }
-    timeout(CLOSE_TIMEOUT, requests).await?.map(drop)
+    // The host closes its end when it has read the rest.
+    requests.await.map(drop)
 }
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -30,10 +30,10 @@
 /// Idle time before the first TCP keepalive probe, and interval between probes. The operating
 /// system supports only whole seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
-/// Number of unacknowledged keepalive probes after which a connection is closed, if [`USER_TIMEOUT`] has
-/// passed since the last data or acknowledgement.
+/// Number of unacknowledged keepalive probes after which a connection is closed, if its user timeout, if
+/// any, has passed since the last data or acknowledgement.
 const KEEPALIVE_RETRIES: u32 = 2;
-/// Time after which unacknowledged sent data closes a connection.
+/// Time after which unacknowledged sent data closes a connection to an endpoint or a host.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Maximum size of a response head, in bytes, and of what is read ahead of a body.
@@ -79,16 +79,24 @@
     _task: OwnedTask<()>,
 }
 
-/// Sets the socket options that detect an unresponsive peer, and disables Nagle's algorithm.
+/// Sets the socket options that detect an unresponsive peer which reads all that it is sent at once, and
+/// disables Nagle's algorithm.
 pub fn set_liveness_options(stream: &TcpStream) -> io::Result<()> {
+    set_keepalive_options(stream)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+/// Sets the socket options that detect an unresponsive peer that may read slowly, and disables Nagle's
+/// algorithm. The user timeout of the system would also close the connection of a peer that is alive, but
+/// keeps its receive window closed for so long. What is sent to such a peer needs another limit.
+pub fn set_keepalive_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_IDLE)
         .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_keepalive(&keepalive)
 }
 
 /// Connects to an endpoint.
