Do not assume the version of a stream from an outdated endpoint list

Another system joined streams from two software versions after a restart of all hosts. Two related gaps were real:

- The time after which the only listed version counts as the only one was a constant of 60 s, also where routes serve streams for longer.
It is now twice the longest such time, and 60 s at least.
- A host that receives no changes of the endpoint list trusted it all the same.
It now refuses with 503 and Retry-After.

The test of the retention time could not pass before, as the time was fixed. The log names what a client takes up.

--- a/crates/dispatch/src/stream_origins.rs
+++ b/crates/dispatch/src/stream_origins.rs
@@ -13,9 +13,11 @@
 use crate::fleet::Fleet;
 use crate::run::CallId;
 
-/// Time for which the origin of a stream is kept after it was last announced, longer than clients wait
-/// for their streams.
-const RETENTION: Duration = Duration::from_secs(60);
+/// Minimum time for which the origin of a stream is kept after it was last announced.
+const MIN_RETENTION: Duration = Duration::from_secs(60);
+/// The same as a multiple of the longest time for which a route serves a stream: a client may take up its
+/// stream after that time, and again until the new attempt has lasted as long.
+const RETENTION_FACTOR: u32 = 2;
 /// Maximum number of streams. The origins of further ones are not recorded until
 /// [`StreamOrigins::purge`] is called.
 const MAX_STREAMS: usize = 1 << 16;
@@ -33,8 +35,9 @@
 }
 
 /// Software versions that began streams, and the versions that served.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct StreamOrigins {
+    retention: Duration,
     streams: HashMap<StreamDigest, (SoftwareVersion, Instant)>,
     /// When endpoints of a version were last listed.
     versions: HashMap<(ServiceName, SoftwareVersion), Instant>,
@@ -42,7 +45,28 @@
     complete_since: Option<Instant>,
 }
 
+impl Default for StreamOrigins {
+    fn default() -> Self {
+        Self {
+            retention: MIN_RETENTION,
+            streams: HashMap::new(),
+            versions: HashMap::new(),
+            complete_since: None,
+        }
+    }
+}
+
 impl StreamOrigins {
+    /// Sets the longest time for which a route serves a stream. The retention time does not become shorter,
+    /// since streams of the former configuration may go on.
+    pub fn set_longest_stream(&mut self, longest: Duration) {
+        self.retention = self.retention.max(longest.saturating_mul(RETENTION_FACTOR));
+    }
+
+    fn is_kept(&self, at: Instant, now: Instant) -> bool {
+        now.saturating_duration_since(at) <= self.retention
+    }
+
     /// Records the version that began a stream. A stream never changes its version, so that a later
     /// record of another one is ignored.
     ///
@@ -59,17 +83,16 @@
         if self.streams.len() >= MAX_STREAMS && !self.streams.contains_key(&stream) {
             return;
         }
-        let known = self.streams.entry(stream).or_insert_with(|| (software.clone(), now));
-        if is_kept(known.1, now) && known.0 != *software {
-            return;
+        let known = self.find(stream, now);
+        if known.is_none_or(|known| known == *software) {
+            self.streams.insert(stream, (software.clone(), now));
         }
-        *known = (software.clone(), now);
     }
 
     /// Returns the version that began a stream, if known.
     pub fn find(&self, stream: StreamDigest, now: Instant) -> Option<SoftwareVersion> {
         let (software, at) = self.streams.get(&stream)?;
-        is_kept(*at, now).then(|| software.clone())
+        self.is_kept(*at, now).then(|| software.clone())
     }
 
     /// Records the versions that are listed. `is_complete` is true when all endpoints are known.
@@ -88,11 +111,11 @@
     /// began every stream.
     pub fn only_version(&self, service: &ServiceName, now: Instant) -> Option<SoftwareVersion> {
         let since = self.complete_since?;
-        if now.saturating_duration_since(since) < RETENTION {
+        if now.saturating_duration_since(since) < self.retention {
             return None;
         }
         let versions = self.versions.iter();
-        let served = versions.filter(|((of, _), at)| of == service && is_kept(**at, now));
+        let served = versions.filter(|((of, _), at)| of == service && self.is_kept(**at, now));
         let served: BTreeSet<&SoftwareVersion> = served.map(|((_, version), _)| version).collect();
         match served.len() {
             1 => served.first().map(|version| (*version).clone()),
@@ -102,11 +125,8 @@
 
     /// Removes what is older than the retention time.
     pub fn purge(&mut self, now: Instant) {
-        self.streams.retain(|_, (_, at)| is_kept(*at, now));
-        self.versions.retain(|_, at| is_kept(*at, now));
+        let is_kept = |at: Instant| now.saturating_duration_since(at) <= self.retention;
+        self.streams.retain(|_, (_, at)| is_kept(*at));
+        self.versions.retain(|_, at| is_kept(*at));
     }
 }
-
-fn is_kept(at: Instant, now: Instant) -> bool {
-    now.saturating_duration_since(at) <= RETENTION
-}
--- a/crates/dispatch/tests/stream_origins.rs
+++ b/crates/dispatch/tests/stream_origins.rs
@@ -102,3 +102,20 @@
     origins.record(StreamDigest(69_999), &version, later);
     assert!(origins.find(StreamDigest(69_999), later).is_some());
 }
+
+/// Guards against streams that outlive the record of the version that began them, and are joined from it and
+/// the version that replaced it.
+#[test]
+fn versions_are_kept_for_as_long_as_a_route_serves_streams() {
+    let (start, first_stream) = (Instant::now(), stream(1));
+    let longest = RETENTION * 5;
+    let mut origins = StreamOrigins::default();
+    origins.set_longest_stream(longest);
+    origins.record(first_stream, &"v1".parse().unwrap(), start);
+    origins.observe(&fleet(start), true, start);
+    let later = start + longest;
+    origins.purge(later);
+    assert_eq!(origins.find(first_stream, later), Some("v1".parse().unwrap()));
+    // All hosts started again at `start`, and a version that they have not seen may have begun the stream.
+    assert_eq!(origins.only_version(&service(), later), None);
+}
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -364,6 +364,9 @@
         for (ix, service) in &set.services {
             state.fleet.set_gap_target(&service.name, set.gap_target(ix));
         }
+        let streams = set.routes.values().filter(|route| route.retry_mode.is_stream());
+        let longest_stream = streams.map(|route| route.timeout).max().unwrap_or_default();
+        state.origins.set_longest_stream(longest_stream);
         state.serving = Some(Rc::new(set));
         drop(state);
         if self.first_version_at.get().is_none() {
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -81,6 +81,9 @@
     match placement.cx.required_software(&placement.call, Instant::now()) {
         Ok(software) => placement.software = software,
         Err(ContinuationError::UnknownVersion) => {
+            info!(placement.cx.log, "software version of a stream not known";
+                "call" => %placement.call.id, "resumes" => call_name(&placement.call.resumes),
+                "after_event" => placement.call.last_event_id);
             let failure = placement.failure("stream_version_unknown", RETRY_AFTER_REFUSAL);
             return placement.respond_failure(failure);
         }
@@ -394,6 +397,7 @@
             "route" => %self.call.route().name, "endpoint" => name,
             "parts" => self.call.parts_text(),
             "software" => software, "resumes" => call_name(&self.call.resumes),
+            "after_event" => self.call.last_event_id,
             "attempt" => self.tried.len() + 1, "version" => %self.call.serving.version,
             "cost_ms" => choice.cost_ms.round(), "fill" => (choice.fill * 100.0).round() / 100.0,
             "unread" => choice.prefill_tokens, "sequences" => choice.sequences,
--- a/crates/host/src/stream_continuation.rs
+++ b/crates/host/src/stream_continuation.rs
@@ -45,7 +45,10 @@
         let state = self.state.borrow();
         let origin = call.resumes.as_ref().and_then(|first| state.origins.find(first.into(), now));
         let service = &call.service().name;
-        let software = origin.or_else(|| state.origins.only_version(service, now));
+        // A host that receives no changes of the endpoint list does not know which versions serve now.
+        let only_version =
+            || state.origins.only_version(service, now).filter(|_| self.is_list_current());
+        let software = origin.or_else(only_version);
         software.map(Some).ok_or(ContinuationError::UnknownVersion)
     }
 
