Use a connection for one copy request only

A faulty endpoint may send the response to an earlier request once more on a kept connection. Requests of clients each use a connection of their own, but the first and the final copy of a migration shared one, and their responses do not name the request: a second response to the first copy counted as that to the final one, and the generation went on at the destination although the source had not said that it stopped.

Change: each copy request uses its own connection; that for the final copy is opened during the first one. fetch consumes the connection, so that none can be used twice.

--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -151,7 +151,7 @@
 {
     let req = cx.wire.health_request(&entry, &path);
     let call = async {
-        let mut connected = connect(cx.settings.endpoint_addr(entry.addr), REPORT_TIMEOUT).await?;
+        let connected = connect(cx.settings.endpoint_addr(entry.addr), REPORT_TIMEOUT).await?;
         connected.fetch(req, MAX_HEALTH_BYTES).await
     };
     let result = match timeout(REPORT_TIMEOUT, call).await {
@@ -186,7 +186,7 @@
     cx.count_own_call(ix);
     let req = cx.wire.report_request(&entry);
     let call = async {
-        let mut connected = connect(cx.settings.endpoint_addr(entry.addr), REPORT_TIMEOUT).await?;
+        let connected = connect(cx.settings.endpoint_addr(entry.addr), REPORT_TIMEOUT).await?;
         connected.fetch(req, MAX_REPORT_BYTES).await
     };
     let response = timeout(REPORT_TIMEOUT, call).await;
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -111,17 +111,19 @@
     // Connections are opened while there is time: a round trip to another region would otherwise delay the
     // copies, and with them those of other generations.
     let (started, connection) =
-        tokio::join!(wait_for_start(&cx, plan, kv_tokens), kv_copy.connect());
+        tokio::join!(wait_for_start(&cx, plan, kv_tokens), connect_source(&cx, &from));
     started?;
     kv_copy.connection = connection.ok();
     check_region(&cx, &call, plan.to, None)?;
     let first_started_at = Instant::now();
     let residency = cx.residency(&call);
-    let (handle, connection) = tokio::join!(
+    let (handle, for_final_copy, connection) = tokio::join!(
         kv_copy.copy_first(plan.from),
+        connect_source(&cx, &from),
         connect_to(&cx, plan.to, &residency, CONNECT_TIMEOUT)
     );
     let handle = handle?;
+    kv_copy.connection = for_final_copy.ok();
     let guard = CopyGuard { cx: cx.clone(), from: from.clone(), handle: Some(handle) };
     let first_duration = first_started_at.elapsed();
     let connection = connection.map_err(|_| TransferError::Unreachable)?;
@@ -223,7 +225,7 @@
     R: Registry,
 {
     let released = async {
-        let mut connection = connect(cx.settings.endpoint_addr(from.addr), CONNECT_TIMEOUT).await?;
+        let connection = connect(cx.settings.endpoint_addr(from.addr), CONNECT_TIMEOUT).await?;
         connection.fetch(cx.wire.release_request(&from, &handle), MAX_REPLY_BYTES).await
     };
     if let Ok(Err(err)) = timeout(CONNECT_TIMEOUT * 2, released).await {
@@ -231,6 +233,15 @@
     }
 }
 
+/// Connects to the source of a copy.
+async fn connect_source<W, R>(
+    cx: &Host<W, R>,
+    from: &EndpointEntry,
+) -> Result<HttpConnection, TransferError> {
+    let connection = connect(cx.settings.endpoint_addr(from.addr), CONNECT_TIMEOUT).await;
+    connection.map_err(|err| TransferError::Failed(err.to_string()))
+}
+
 /// Copies of the KV cache of one generation between two engines.
 struct KvCopy<'a, W, R> {
     cx: &'a Rc<Host<W, R>>,
@@ -239,7 +250,8 @@
     from: &'a EndpointEntry,
     to_ix: EndpointIx,
     to: &'a EndpointEntry,
-    /// Connection to the source.
+    /// Connection to the source, opened ahead of the next request. Each is used for one request, since an
+    /// engine may send the response to an earlier request once more.
     connection: Option<HttpConnection>,
 }
 
@@ -248,12 +260,6 @@
     W: Wire,
     R: Registry,
 {
-    async fn connect(&self) -> Result<HttpConnection, TransferError> {
-        let addr = self.cx.settings.endpoint_addr(self.from.addr);
-        let connection = connect(addr, CONNECT_TIMEOUT).await;
-        connection.map_err(|err| TransferError::Failed(err.to_string()))
-    }
-
     async fn request_copy(
         &mut self,
         is_final: bool,
@@ -265,19 +271,16 @@
         self.cx.count_own_call(self.from_ix);
         let deadline = tokio::time::Instant::now() + request_timeout;
         let (head, body) = loop {
-            let (mut connection, is_reused) = match self.connection.take() {
+            let (connection, opened_ahead) = match self.connection.take() {
                 Some(connection) => (connection, true),
-                None => (self.connect().await?, false),
+                None => (connect_source(self.cx, self.from).await?, false),
             };
             let req = self.cx.wire.copy_request(self.from, &self.call.id, self.to.addr, is_final);
             let response = timeout_at(deadline, connection.fetch(req, MAX_REPLY_BYTES)).await;
             match response.map_err(|_| TransferError::TooLate)? {
-                Ok(response) => {
-                    self.connection = Some(connection);
-                    break response;
-                }
+                Ok(response) => break response,
                 // The source closed the connection while it was not in use.
-                Err(ExchangeError::NotSent(_)) if is_reused => {}
+                Err(ExchangeError::NotSent(_)) if opened_ahead => {}
                 Err(err) => return Err(failed(err.to_string())),
             }
         };
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -211,14 +211,14 @@
         Ok(Exchange { head, body, _task: self.task })
     }
 
-    /// Sends a request and reads the complete response body, of up to `max_bytes`. The connection
-    /// can be reused after success.
+    /// Sends a request and reads the complete response body, of up to `max_bytes`. The connection is used up:
+    /// what arrives on it later may be a second copy of the response.
     ///
     /// # Errors
     ///
     /// Returns [`ExchangeError`] if no complete response arrived, or if it is too large.
     pub async fn fetch(
-        &mut self,
+        mut self,
         req: Request<FullBody>,
         max_bytes: usize,
     ) -> Result<(response::Parts, Bytes), ExchangeError> {
@@ -236,7 +236,7 @@
     /// Returns [`ExchangeError`] if no complete response arrived, if it is too large, or if the
     /// connection stalled.
     pub async fn fetch_paced(
-        &mut self,
+        mut self,
         req: Request<FullBody>,
         max_bytes: usize,
         head_timeout: Duration,
