Write the events that precede an interruption before the error

When the body of a response fails, the HTTP library drops what it has buffered and not written. A client whose stream was interrupted right after some events received none of them, and could not resume after them.

Change: the body is pending once before it returns its error, so that the library writes what it has.

--- a/crates/host/src/response_body.rs
+++ b/crates/host/src/response_body.rs
@@ -39,6 +39,8 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     content: Content,
+    /// Error that ended a stream and is yet to be returned.
+    error: Option<BodyError>,
     /// Time until which the client waits for its end.
     deadline: Option<Instant>,
     phase: Option<Rc<Phase>>,
@@ -66,7 +68,7 @@
     }
 
     fn new(content: Content) -> Self {
-        Self { content, deadline: None, phase: None }
+        Self { content, error: None, deadline: None, phase: None }
     }
 
     /// Sets the time until which the client waits for the end of the response.
@@ -100,17 +102,31 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(err) = self.error.take() {
+            return Poll::Ready(Some(Err(err)));
+        }
         match &mut self.content {
             Content::Full(bytes) => {
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
             Content::Stream(rx, buffer) => {
-                let poll = rx.poll_recv(cx);
-                if let (Poll::Ready(Some(Ok(part))), Some(buffer)) = (&poll, buffer) {
+                let part = match rx.poll_recv(cx) {
+                    Poll::Ready(Some(Err(err))) => {
+                        // The HTTP library drops what it has buffered when a body fails, and sends it while
+                        // the body is pending.
+                        self.error = Some(err);
+                        cx.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
+                    Poll::Ready(Some(Ok(part))) => part,
+                    Poll::Ready(None) => return Poll::Ready(None),
+                    Poll::Pending => return Poll::Pending,
+                };
+                if let Some(buffer) = buffer {
                     buffer.take(part.len());
                 }
-                poll.map(|part| part.map(|part| part.map(Frame::data)))
+                Poll::Ready(Some(Ok(Frame::data(part))))
             }
         }
     }
