Do not forward another response as a part of a stream

An engine that sent events without a length and then another response on the same connection had the head of that response forwarded as an event, and the stream ended as complete.

Cause: the relay forwarded every block that ends with a blank line; only the identifiers of events that have one were compared.

Change: in a stream whose events have identifiers, a block without one is an interruption of the source, unless it is a comment or a retry delay.

stream_contains_the_head_of_another_response failed before with "HTTP/1.1 503 Service Unavailable" after three events, and passes over a direct connection and through another host.

--- a/crates/host/src/event_splitter.rs
+++ b/crates/host/src/event_splitter.rs
@@ -15,6 +15,21 @@
 }
 
 impl Event {
+    /// Returns true if it cannot belong to a stream whose events have identifiers: it has none, and is not a
+    /// comment or a retry delay. It may be another response on the same connection.
+    ///
+    /// ```
+    /// use camphorloft_host::event_splitter::EventSplitter;
+    /// let mut splitter = EventSplitter::default();
+    /// splitter.push(b"id: 7\ndata: a\n\nretry: 100\n\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    /// assert!(!splitter.next_event().unwrap().is_foreign());
+    /// assert!(!splitter.next_event().unwrap().is_foreign());
+    /// assert!(splitter.next_event().unwrap().is_foreign());
+    /// ```
+    pub fn is_foreign(&self) -> bool {
+        self.id.is_none() && !self.has_only(|line| is_comment(line) || line.starts_with(b"retry:"))
+    }
+
     /// Returns true if it has no field, so that clients ignore it. Servers send comments to keep a
     /// connection open.
     ///
@@ -26,11 +41,21 @@
     /// assert!(!splitter.next_event().unwrap().is_comment());
     /// ```
     pub fn is_comment(&self) -> bool {
-        let mut lines = self.bytes.split(|byte| *byte == b'\n');
-        lines.all(|line| line.is_empty() || line == b"\r" || line.starts_with(b":"))
+        self.has_only(is_comment)
+    }
+
+    fn has_only<Test>(&self, test: Test) -> bool
+    where
+        Test: Fn(&[u8]) -> bool,
+    {
+        self.bytes.split(|byte| *byte == b'\n').all(test)
     }
 }
 
+fn is_comment(line: &[u8]) -> bool {
+    line.is_empty() || line == b"\r" || line.starts_with(b":")
+}
+
 /// Splits a byte stream into events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -219,7 +219,9 @@
         while let Ok(BodyRead::Data(data)) =
             tokio::time::timeout_at(deadline.into(), read_body(&mut self.source.exchange)).await
         {
-            self.forward_events(&data).await?;
+            if !self.forward_events(&data).await? {
+                break;
+            }
         }
         // The destination sends the incomplete event again.
         let _ = self.splitter.take_partial();
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -237,7 +237,11 @@
     /// Handles the result of a read. Returns the reason if the stream ended.
     async fn handle_read(&mut self, read: BodyRead) -> Option<StreamEnd> {
         match read {
-            BodyRead::Data(data) => self.forward_events(&data).await.err(),
+            BodyRead::Data(data) => match self.forward_events(&data).await {
+                Ok(true) => None,
+                Ok(false) => self.handle_interruption("not an event".to_owned()).await,
+                Err(end) => Some(end),
+            },
             BodyRead::End if self.splitter.has_partial() => {
                 self.handle_interruption("ended within an event".to_owned()).await
             }
@@ -271,15 +275,20 @@
         self.handle_interruption("no event in time".to_owned()).await
     }
 
-    /// Forwards complete events to the client, without those that it has already received.
-    pub(crate) async fn forward_events(&mut self, data: &[u8]) -> Result<(), StreamEnd> {
+    /// Forwards complete events to the client, without those that it has already received. Returns false if
+    /// the source sent something else after them, which is not forwarded.
+    pub(crate) async fn forward_events(&mut self, data: &[u8]) -> Result<bool, StreamEnd> {
         if !self.splitter.push(data) {
             warn!(self.cx.log, "event too large"; "call" => %self.call.id);
             return Err(StreamEnd::Interrupted);
         }
         let mut out = BytesMut::new();
-        let (mut received, mut has_event) = (0, false);
+        let (mut received, mut has_event, mut is_valid) = (0, false, true);
         while let Some(event) = self.splitter.next_event() {
+            if self.last_event_id.is_some() && event.is_foreign() {
+                is_valid = false;
+                break;
+            }
             received += 1;
             has_event |= !event.is_comment();
             if let (Some(id), Some(last)) = (event.id, self.last_event_id) {
@@ -303,7 +312,7 @@
         if has_event {
             self.stall_clock.record_event(Instant::now());
         }
-        Ok(())
+        Ok(is_valid)
     }
 
     /// Sends events to the client. `received` is the number of events that the source has sent since the
