Resume a stopped generation whose final copy has no known result

A migration asks the source to stop a generation and to make a final copy. If the response was late, lost or an error, the copy was freed. A stream without a length then ended as complete in the middle, since its end looks the same when the source stops it; any other stream was broken off.

Change: the relay remembers that it asked for the stop until a response says that the generation runs on or has ended. When the source's stream ends early meanwhile, the generation is resumed from the first copy at the destination or, failing that, at the source. No other migration starts until an event shows that the generation runs on.

All loopback tests pass.

--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -13,7 +13,7 @@
 use crate::sending::{SendPlan, send};
 use crate::stream_relay::{BodyRead, StreamEnd, StreamRelay, read_body, software_name};
 use crate::task::OwnedTask;
-use crate::transfer::{Handover, TransferError, transfer};
+use crate::transfer::{Handover, StopState, TransferError, transfer};
 
 /// Separates the identifiers of migrations from other digests of call IDs.
 const MIGRATION_KEY: &str = "move";
@@ -82,6 +82,11 @@
             reclaim::decide(&state.fleet, spec, from, &reclaimed, now)
         };
         self.review_at = Some(now + REVIEW_INTERVAL);
+        let stop = self.stop.borrow();
+        if stop.as_ref().is_some_and(|stop| !stop.is_refuted(self.last_event_at)) {
+            return;
+        }
+        drop(stop);
         match decision {
             ReclaimDecision::Migrate { to, duration: transfer_duration } => {
                 self.start_transfer(from, to, transfer_duration)
@@ -122,8 +127,9 @@
             "held" => kv_tokens, "takes_ms" => transfer_duration.as_millis() as u64,
             "begins_in_ms" => (plan.start - now).as_millis() as u64);
         self.transfer_to = Some(to);
-        self.transfer =
-            Some(OwnedTask::spawn(transfer(self.cx.clone(), self.call.clone(), plan, kv_tokens)));
+        self.stop = StopState::default();
+        let (cx, call, stop) = (self.cx.clone(), self.call.clone(), self.stop.clone());
+        self.transfer = Some(OwnedTask::spawn(transfer(cx, call, plan, kv_tokens, stop)));
     }
 
     pub(crate) fn handle_transfer_error(&mut self, err: &TransferError) {
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -25,7 +25,7 @@
 use crate::stream_continuation::ORIGIN_ANNOUNCEMENT_INTERVAL;
 use crate::stream_migration::transfer_result;
 use crate::task::OwnedTask;
-use crate::transfer::{Handover, TransferError};
+use crate::transfer::{Handover, StopState, TransferError};
 use crate::upstream::Exchange;
 
 /// Time for which an engine has to write an answer to show that the request does not crash it.
@@ -124,6 +124,8 @@
     pub(crate) transfer: Option<OwnedTask<Result<Handover, TransferError>>>,
     /// Destination of the transfer.
     pub(crate) transfer_to: Option<EndpointIx>,
+    /// Whether the source was asked to stop the generation, without a known result.
+    pub(crate) stop: StopState,
     /// Reason for the lack of a destination that was last logged.
     pub(crate) no_destination: Option<NoDestination>,
     /// Time of the next review of a generation on a draining engine.
@@ -171,6 +173,7 @@
             tried: Vec::new(),
             transfer: None,
             transfer_to: None,
+            stop: StopState::default(),
             no_destination: None,
             first_event_at: None,
             review_at: None,
@@ -239,17 +242,22 @@
         match read {
             BodyRead::Data(data) => match self.forward_events(&data).await {
                 Ok(true) => None,
-                Ok(false) => self.handle_interruption("not an event".to_owned()).await,
+                Ok(false) => self.handle_broken_source("not an event".to_owned()).await,
                 Err(end) => Some(end),
             },
             BodyRead::End if self.splitter.has_partial() => {
-                self.handle_interruption("ended within an event".to_owned()).await
+                self.handle_broken_source("ended within an event".to_owned()).await
             }
             BodyRead::End => {
-                // A response without a length ends the same way when a migration stops it.
                 if let Some(handover) = self.finish_transfer().await {
                     return self.resume_from_copy(handover).await.err();
                 }
+                // A response without a length ends the same way when the source stops the generation.
+                if !self.source.exchange.has_explicit_end() && self.stop.borrow().is_some() {
+                    return self
+                        .handle_broken_source("ended after a request to stop".to_owned())
+                        .await;
+                }
                 self.cx.metrics.sends.with_label_values(&["answered"]).inc();
                 // Without a length, the end of the connection may also be the first sign of a crash.
                 if self.source_event_at.is_some() && self.source.exchange.has_explicit_end() {
@@ -257,7 +265,26 @@
                 }
                 Some(StreamEnd::Complete)
             }
-            BodyRead::Failed(detail) => self.handle_interruption(detail).await,
+            BodyRead::Failed(detail) => self.handle_broken_source(detail).await,
+        }
+    }
+
+    /// Handles the early end of the source's response. A migration in progress, or one whose final copy had
+    /// no known result, may be the cause: the generation was stopped then.
+    async fn handle_broken_source(&mut self, detail: String) -> Option<StreamEnd> {
+        let handover = match self.finish_transfer().await {
+            Some(handover) => Some(handover),
+            None => self.stop.take().map(|stop| Handover {
+                to: stop.to,
+                connection: None,
+                from: self.source.guard.endpoint,
+                copy: stop.copy,
+                events: None,
+            }),
+        };
+        match handover {
+            Some(handover) => self.resume_from_copy(handover).await.err(),
+            None => self.handle_interruption(detail).await,
         }
     }
 
@@ -409,6 +436,7 @@
         self.stall_clock = start_stall_clock(&self.call);
         self.source_changes += 1;
         self.tried.clear();
+        self.stop = StopState::default();
         self.review_at = None;
         self.review();
     }
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -2,6 +2,7 @@
 //! generation runs. The source then stops the generation and makes a final copy of the tokens
 //! generated since, and the generation is resumed at the destination.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,8 @@
 /// Time reserved for the final copy: the first copy must be complete this long before the shutdown
 /// of the engine.
 const FINAL_COPY_MARGIN: Duration = Duration::from_millis(60);
+/// Time after a request to stop a generation in which events that were generated before may arrive.
+const MAX_EVENT_DELAY: Duration = Duration::from_millis(500);
 /// Timeout of the final copy, which contains only the tokens generated since the first.
 const FINAL_COPY_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -46,8 +49,29 @@
     pub events: Option<u64>,
 }
 
+/// Where a generation can be resumed that the source was asked to stop, while the result is not known.
+#[derive(Clone, Debug)]
+pub struct RequestedStop {
+    /// Engine that the copies were made to.
+    pub to: EndpointIx,
+    /// First copy of its KV cache.
+    pub copy: CopySource,
+    /// When it was requested.
+    pub at: Instant,
+}
+
+impl RequestedStop {
+    /// Returns true if an event that was received at `event_at` shows that the generation was not stopped.
+    pub fn is_refuted(&self, event_at: Option<Instant>) -> bool {
+        event_at.is_some_and(|at| at > self.at + MAX_EVENT_DELAY)
+    }
+}
+
+/// The request to stop a generation whose result is not known, if any.
+pub type StopState = Rc<RefCell<Option<RequestedStop>>>;
+
 quick_error! {
-    /// Reason that a migration failed. The generation continues at the source.
+    /// Reason that a migration failed. The generation continues at the source, unless it was asked to stop.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum TransferError {
         /// The destination has no capacity.
@@ -81,7 +105,8 @@
     }
 }
 
-/// Copies a generation as planned and stops it at the source.
+/// Copies a generation as planned and stops it at the source. Records in `stop` whether the source was
+/// asked to stop it.
 ///
 /// # Errors
 ///
@@ -91,6 +116,7 @@
     call: Rc<Call>,
     plan: PlannedMigration,
     kv_tokens: u32,
+    stop: StopState,
 ) -> Result<Handover, TransferError>
 where
     W: Wire,
@@ -124,13 +150,18 @@
     );
     let handle = handle?;
     kv_copy.connection = for_final_copy.ok();
-    let guard = CopyGuard { cx: cx.clone(), from: from.clone(), handle: Some(handle) };
+    let mut guard = CopyGuard { cx: cx.clone(), from: from.clone(), handle: Some(handle.clone()) };
     let first_duration = first_started_at.elapsed();
     let connection = connection.map_err(|_| TransferError::Unreachable)?;
     check_region(&cx, &call, plan.to, connection.via())?;
     let final_started_at = Instant::now();
-    let (handle, events, copied) = kv_copy.copy_final().await?;
-    guard.disarm();
+    let first_copy = CopySource { addr: from.addr, handle };
+    let requested = RequestedStop { to: to_ix, copy: first_copy, at: Instant::now() };
+    let copied = kv_copy.copy_final(requested, &stop).await;
+    if copied.is_ok() || stop.borrow().is_some() {
+        guard.disarm();
+    }
+    let (handle, events, copied) = copied?;
     info!(cx.log, "generation stopped for migration"; "call" => %call.id, "from" => %from.name,
         "to" => %to.name, "first_copy_ms" => first_duration.as_millis() as u64,
         "waited_ms" => (first_started_at - started_at).as_millis() as u64,
@@ -202,7 +233,7 @@
     R: Registry,
 {
     /// Keeps the copy, because it is about to be used.
-    fn disarm(mut self) {
+    fn disarm(&mut self) {
         self.handle = None;
     }
 }
@@ -260,9 +291,10 @@
     W: Wire,
     R: Registry,
 {
+    /// Requests a copy. `stop` is the stop that the final copy begins with, and where it is recorded.
     async fn request_copy(
         &mut self,
-        is_final: bool,
+        stop: Option<(&RequestedStop, &StopState)>,
         request_timeout: Duration,
     ) -> Result<CopyReply, TransferError> {
         let failed = |detail: String| TransferError::Failed(detail);
@@ -275,7 +307,11 @@
                 Some(connection) => (connection, true),
                 None => (connect_source(self.cx, self.from).await?, false),
             };
+            let is_final = stop.is_some();
             let req = self.cx.wire.copy_request(self.from, &self.call.id, self.to.addr, is_final);
+            if let Some((requested, state)) = stop {
+                state.replace(Some(requested.clone()));
+            }
             let response = timeout_at(deadline, connection.fetch(req, MAX_REPLY_BYTES)).await;
             match response.map_err(|_| TransferError::TooLate)? {
                 Ok(response) => break response,
@@ -296,7 +332,7 @@
             if remaining.is_zero() {
                 return Err(TransferError::TooLate);
             }
-            match self.request_copy(false, remaining).await? {
+            match self.request_copy(None, remaining).await? {
                 CopyReply::Copied { handle, .. } => return Ok(handle),
                 // The generation has not produced its first token yet.
                 CopyReply::NoSuchRun | CopyReply::Busy => sleep(RETRY_INTERVAL).await,
@@ -310,10 +346,19 @@
 
     /// Stops the generation and copies the rest. Returns the handle, the number of generated events
     /// if reported, and whether the destination has the copy.
-    async fn copy_final(&mut self) -> Result<(CopyHandle, Option<u64>, bool), TransferError> {
+    async fn copy_final(
+        &mut self,
+        requested: RequestedStop,
+        stop: &StopState,
+    ) -> Result<(CopyHandle, Option<u64>, bool), TransferError> {
         const MAX_ATTEMPTS: u32 = 5;
         for _ in 0..MAX_ATTEMPTS {
-            match self.request_copy(true, FINAL_COPY_TIMEOUT).await? {
+            let reply = self.request_copy(Some((&requested, stop)), FINAL_COPY_TIMEOUT).await?;
+            if matches!(reply, CopyReply::NoSuchRun | CopyReply::Busy) {
+                // It was not stopped by this request.
+                stop.take();
+            }
+            match reply {
                 CopyReply::Copied { handle, events } => return Ok((handle, Some(events), true)),
                 CopyReply::Refused { handle: Some(handle) } => return Ok((handle, None, false)),
                 CopyReply::Refused { handle: None } => return Err(TransferError::Refused),
