Do not take the end of an endpoint's process for the end of a response

The operating system closes the connections of a process that ends with FIN. A response without a length that was cut off in this way looked complete: streams ended early with their last chunk, calls got a part of their body and status 200.

Change: after the end of a response without a length the host connects to the endpoint. If it accepts no connection, the response counts as cut short. A streamed body to a client is now complete only after an explicit end; if the relaying task fails, the body is interrupted, where it ended as complete before.

response_ends_with_the_process_of_its_endpoint failed without the check (direct, two of five events, complete), and passes over a direct connection and through another host. stream_whose_sender_is_dropped_is_interrupted covers the explicit end; the interface before had none.

--- a/crates/host/src/connecting.rs
+++ b/crates/host/src/connecting.rs
@@ -13,7 +13,7 @@
 use crate::boundary::{Registry, Wire};
 use crate::context::{Host, State};
 use crate::tunnel::{self, TunnelError};
-use crate::upstream::{ExchangeError, HttpConnection, connect_stream, start_http};
+use crate::upstream::{Exchange, ExchangeError, HttpConnection, connect_stream, start_http};
 
 /// Margin added to the connect timeout for a listener under load.
 const CONNECT_TIMEOUT_MARGIN: Duration = Duration::from_millis(150);
@@ -37,6 +37,17 @@
     connect_to(cx, ix, &Residency::UNRESTRICTED, MAX_PROBE_TIME).await.is_ok()
 }
 
+/// Returns true if a response ended because its endpoint did: it has no length, and the endpoint accepts no
+/// connection any more. The operating system closes the connections of a process that ends, which for such
+/// a response looks like its end.
+pub async fn is_cut_short<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx, exchange: &Exchange) -> bool
+where
+    W: Wire,
+    R: Registry,
+{
+    !exchange.has_explicit_end() && !probe_endpoint(cx, ix).await
+}
+
 /// Connects to an endpoint within `left` and records the result. A host that is cut off from the
 /// endpoints connects through another one, in a region that `residency` allows.
 ///
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -21,7 +21,7 @@
 
 use crate::boundary::{Registry, ResponseKind, Wire};
 use crate::call::Call;
-use crate::connecting::connect_to;
+use crate::connecting::{connect_to, is_cut_short};
 use crate::context::Host;
 use crate::local_response::local_response;
 use crate::queued_request::QueuedRequest;
@@ -431,7 +431,11 @@
         Err(ExchangeError::Unanswered(_)) => return AttemptResult::Lost,
     };
     let mut memory = cx.response_bodies.share();
-    match upstream.exchange.read_within(MAX_RESPONSE_BYTES, &mut memory).await {
+    let mut result = upstream.exchange.read_within(MAX_RESPONSE_BYTES, &mut memory).await;
+    if result.is_ok() && is_cut_short(cx, endpoint, &upstream.exchange).await {
+        result = Err(ExchangeError::Unanswered("the endpoint is gone".to_owned()));
+    }
+    match result {
         Ok(body) => {
             let duration = upstream.sent_at.elapsed();
             if let Some(endpoint) = cx.state.borrow_mut().fleet.get_mut(endpoint) {
--- a/crates/host/src/response_body.rs
+++ b/crates/host/src/response_body.rs
@@ -29,10 +29,22 @@
 /// While the channel is full, nothing is read from the endpoint.
 pub const STREAM_CHANNEL_CAPACITY: usize = 16;
 
+/// Part of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BodyPart {
+    /// Bytes.
+    Data(Bytes),
+    /// The end of a complete stream.
+    End,
+}
+
+/// Sender of the parts of a stream.
+pub type PartSender = mpsc::Sender<Result<BodyPart, BodyError>>;
+
 #[derive(Debug)]
 enum Content {
     Full(Option<Bytes>),
-    Stream(mpsc::Receiver<Result<Bytes, BodyError>>, Option<Rc<StreamBuffer>>),
+    Stream(mpsc::Receiver<Result<BodyPart, BodyError>>, Option<Rc<StreamBuffer>>),
 }
 
 /// Body of a response. Notifies its connection when the response ends.
@@ -52,17 +64,15 @@
         Self::new(Content::Full(Some(bytes)))
     }
 
-    /// Builds a body that is sent as its parts arrive. It is complete when the sender is dropped
-    /// without having sent an error.
-    pub fn stream() -> (mpsc::Sender<Result<Bytes, BodyError>>, Self) {
+    /// Builds a body that is sent as its parts arrive. It is interrupted if the sender is dropped without
+    /// having sent the end, for example because its task failed.
+    pub fn stream() -> (PartSender, Self) {
         let (tx, rx) = mpsc::channel(STREAM_CHANNEL_CAPACITY);
         (tx, Self::new(Content::Stream(rx, None)))
     }
 
     /// Like [`Self::stream`], with parts held in a buffer until the client takes them.
-    pub fn buffered_stream(
-        buffer: Rc<StreamBuffer>,
-    ) -> (mpsc::Sender<Result<Bytes, BodyError>>, Self) {
+    pub fn buffered_stream(buffer: Rc<StreamBuffer>) -> (PartSender, Self) {
         let (tx, rx) = mpsc::channel(MAX_PARTS);
         (tx, Self::new(Content::Stream(rx, Some(buffer))))
     }
@@ -111,22 +121,23 @@
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
             Content::Stream(rx, buffer) => {
-                let part = match rx.poll_recv(cx) {
-                    Poll::Ready(Some(Err(err))) => {
+                let Poll::Ready(part) = rx.poll_recv(cx) else { return Poll::Pending };
+                match part.unwrap_or(Err(BodyError::Interrupted)) {
+                    Ok(BodyPart::Data(bytes)) => {
+                        if let Some(buffer) = buffer {
+                            buffer.take(bytes.len());
+                        }
+                        Poll::Ready(Some(Ok(Frame::data(bytes))))
+                    }
+                    Ok(BodyPart::End) => Poll::Ready(None),
+                    Err(err) => {
                         // The HTTP library drops what it has buffered when a body fails, and sends it while
                         // the body is pending.
                         self.error = Some(err);
                         cx.waker().wake_by_ref();
-                        return Poll::Pending;
+                        Poll::Pending
                     }
-                    Poll::Ready(Some(Ok(part))) => part,
-                    Poll::Ready(None) => return Poll::Ready(None),
-                    Poll::Pending => return Poll::Pending,
-                };
-                if let Some(buffer) = buffer {
-                    buffer.take(part.len());
                 }
-                Poll::Ready(Some(Ok(Frame::data(part))))
             }
         }
     }
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -10,16 +10,17 @@
 use camphorloft_types::prelude::*;
 use http_body_util::BodyExt;
 use slog::{info, warn};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout_at};
 
 use crate::boundary::{Registry, Wire};
 use crate::call::Call;
+use crate::connecting::is_cut_short;
 use crate::context::Host;
 use crate::event_splitter::EventSplitter;
 use crate::gap_window::GapWindow;
 use crate::generation_call::Placement;
-use crate::response_body::BodyError;
+use crate::response_body::{BodyError, BodyPart, PartSender};
 use crate::sending::{RunGuard, UpstreamResponse};
 use crate::stream_buffer::StreamBuffer;
 use crate::stream_continuation::ORIGIN_ANNOUNCEMENT_INTERVAL;
@@ -90,7 +91,7 @@
     pub(crate) cx: Rc<Host<W, R>>,
     pub(crate) call: Rc<Call>,
     pub(crate) source: Source<W, R>,
-    pub(crate) tx: mpsc::Sender<Result<Bytes, BodyError>>,
+    pub(crate) tx: PartSender,
     /// Size of what the client has not taken, if the host keeps reading while the client is slow.
     pub(crate) buffer: Option<Rc<StreamBuffer>>,
     /// Software version that began the stream; `None` before its first event, or if unknown.
@@ -144,7 +145,7 @@
         call: Rc<Call>,
         source: Source<W, R>,
         software: Option<SoftwareVersion>,
-        (tx, buffer): (mpsc::Sender<Result<Bytes, BodyError>>, Option<Rc<StreamBuffer>>),
+        (tx, buffer): (PartSender, Option<Rc<StreamBuffer>>),
     ) -> Self {
         let fleet_changes = cx.subscribe_fleet();
         let last_event_id = call.last_event_id;
@@ -189,10 +190,12 @@
         // The run ends before the client has taken the rest.
         let (tx, buffer) = (self.tx.clone(), self.buffer.take());
         drop(self);
-        if matches!(end, StreamEnd::Interrupted | StreamEnd::TimedOut | StreamEnd::ClientTooSlow) {
-            // Sending fails if the client has disconnected.
-            let _ = tx.send(Err(BodyError::Interrupted)).await;
-        }
+        let last = match end {
+            StreamEnd::Complete => Ok(BodyPart::End),
+            _ => Err(BodyError::Interrupted),
+        };
+        // Sending fails if the client has disconnected.
+        let _ = tx.send(last).await;
         drop(tx);
         if let Some(buffer) = buffer
             && !buffer.drained().await
@@ -252,12 +255,17 @@
                 if let Some(handover) = self.finish_transfer().await {
                     return self.resume_from_copy(handover).await.err();
                 }
-                // A response without a length ends the same way when the source stops the generation.
+                // A response without a length ends the same way when the source stops the generation, or when
+                // its process ends.
                 if !self.source.exchange.has_explicit_end() && self.stop.borrow().is_some() {
                     return self
                         .handle_broken_source("ended after a request to stop".to_owned())
                         .await;
                 }
+                let endpoint = self.source.guard.endpoint;
+                if is_cut_short(&self.cx, endpoint, &self.source.exchange).await {
+                    return self.handle_broken_source("the endpoint is gone".to_owned()).await;
+                }
                 self.cx.metrics.sends.with_label_values(&["answered"]).inc();
                 // Without a length, the end of the connection may also be the first sign of a crash.
                 if self.source_event_at.is_some() && self.source.exchange.has_explicit_end() {
@@ -362,7 +370,8 @@
         if self.tx.capacity() == 0 {
             self.observe_slow_client();
         }
-        let sent = timeout_at(self.call.deadline.into(), self.tx.send(Ok(events))).await;
+        let sent =
+            timeout_at(self.call.deadline.into(), self.tx.send(Ok(BodyPart::Data(events)))).await;
         match sent {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(StreamEnd::ClientDisconnected),
