Reset interrupted streams of clients that know no chunks

A client of HTTP/1.0 gets a stream without chunks, which ends with its connection. An interrupted one was closed with FIN and looked complete.

Change: such a connection is reset when a response on it was interrupted.

--- a/crates/host/src/connection.rs
+++ b/crates/host/src/connection.rs
@@ -8,6 +8,8 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_serving::prelude::ClientLimits;
+use http::Version;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -32,6 +34,10 @@
     is_write_blocked: Cell<bool>,
     /// Time until which the client has to take the response that is being sent.
     response_deadline: Cell<Option<Instant>>,
+    /// Whether the client takes the end of the connection for the end of a response without a length.
+    ends_with_connection: Cell<bool>,
+    /// Whether a response was interrupted.
+    is_interrupted: Cell<bool>,
 }
 
 impl Phase {
@@ -41,6 +47,8 @@
             waiting: Cell::new(Waiting::Request(Instant::now())),
             is_write_blocked: Cell::new(false),
             response_deadline: Cell::new(None),
+            ends_with_connection: Cell::new(false),
+            is_interrupted: Cell::new(false),
         }
     }
 
@@ -60,7 +68,8 @@
     }
 
     /// Records that a complete request head was received.
-    pub(crate) fn head_arrived(&self) {
+    pub(crate) fn head_arrived(&self, version: Version) {
+        self.ends_with_connection.set(version <= Version::HTTP_10);
         self.response_deadline.set(None);
         self.waiting.set(Waiting::Response);
     }
@@ -75,6 +84,11 @@
         self.waiting.set(Waiting::Request(Instant::now()));
     }
 
+    /// Records that a response was interrupted.
+    pub(crate) fn response_interrupted(&self) {
+        self.is_interrupted.set(true);
+    }
+
     /// Records that the response is given up because its client is too slow.
     pub(crate) fn abort(&self) {
         self.waiting.set(Waiting::Aborted);
@@ -133,6 +147,16 @@
     }
 }
 
+impl Drop for WatchedStream {
+    fn drop(&mut self) {
+        if self.phase.ends_with_connection.get() && self.phase.is_interrupted.get() {
+            // Without chunks, only a reset shows that the response is not complete. A socket that does not
+            // support the option has already failed.
+            let _ = SockRef::from(&self.inner).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for WatchedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/host/src/listener.rs
+++ b/crates/host/src/listener.rs
@@ -95,7 +95,7 @@
     let service = service_fn(|req: Request<Incoming>| {
         let (cx, phase) = (cx.clone(), phase.clone());
         async move {
-            phase.head_arrived();
+            phase.head_arrived(req.version());
             let mut response = intake::serve(cx.clone(), req).await;
             response.body_mut().attach(phase);
             if cx.stage() != Stage::Serving {
--- a/crates/host/src/response_body.rs
+++ b/crates/host/src/response_body.rs
@@ -113,6 +113,9 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(err) = self.error.take() {
+            if let Some(phase) = &self.phase {
+                phase.response_interrupted();
+            }
             return Poll::Ready(Some(Err(err)));
         }
         match &mut self.content {
