Notice clients that leave while their streams are resumed

Change: the relay ends when the client leaves while a stream is resumed on another engine or from a copy. The request to the engine is abandoned, which closes its connection.

client_leaves_while_its_stream_is_resumed failed before: the engine still had the request after 5 s.

--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -184,8 +184,11 @@
                 priority: Some(EnginePriority::Resumed),
                 resume: Some(resume.clone()),
             };
-            let upstream =
-                timeout(RESUME_TIMEOUT, send(&self.cx, &self.call, plan, connection)).await;
+            let sent = timeout(RESUME_TIMEOUT, send(&self.cx, &self.call, plan, connection));
+            let upstream = tokio::select! {
+                upstream = sent => upstream,
+                () = self.tx.closed() => return Err(StreamEnd::ClientDisconnected),
+            };
             if let Ok(Ok(upstream)) = upstream
                 && upstream.kind == ResponseKind::Success
             {
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -485,7 +485,12 @@
             self.counted_sends,
         );
         let after = self.last_event_id.unwrap_or(0);
-        match placement.resume(after).await {
+        let resumed = tokio::select! {
+            resumed = placement.resume(after) => resumed,
+            // The engine that was asked stops when its connection closes.
+            () = self.tx.closed() => return Some(StreamEnd::ClientDisconnected),
+        };
+        match resumed {
             Some(upstream) => {
                 info!(self.cx.log, "stream resumed"; "call" => %self.call.id,
                     "endpoint" => %upstream.name, "after_event" => after,
