Count sends before the first event when a stream is resumed

Change: a placement counts the sends that may have run and hands the number to the relay, also after each resumption.

--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -45,6 +45,8 @@
     /// Software version that must continue the stream; `None` if it starts anew.
     software: Option<SoftwareVersion>,
     sends: u32,
+    /// Number of sends that did not succeed and may have run.
+    failed_runs: u32,
     /// Whether an engine may have run it.
     may_have_run: bool,
     wait_logged: bool,
@@ -74,6 +76,7 @@
         tried: Vec::new(),
         software: None,
         sends: 0,
+        failed_runs: 0,
         may_have_run: false,
         wait_logged: false,
         residency: Residency::UNRESTRICTED,
@@ -118,6 +121,7 @@
             tried,
             software,
             sends,
+            failed_runs: sends,
             may_have_run: true,
             wait_logged: false,
             residency: Residency::UNRESTRICTED,
@@ -143,7 +147,7 @@
                 Ok(Err(ExchangeError::NotSent(_))) => {}
                 Ok(Err(ExchangeError::Unanswered(_))) => {
                     self.sends += 1;
-                    self.may_have_run = true;
+                    self.record_failed_run();
                     self.check_retry("broken_answer")?;
                 }
                 Ok(Ok(upstream)) => {
@@ -152,11 +156,11 @@
                         ResponseKind::Success => return Ok(upstream),
                         ResponseKind::NotRun { .. } => "refused_by_engine",
                         ResponseKind::Mismatched => {
-                            self.may_have_run = true;
+                            self.record_failed_run();
                             "foreign_answer"
                         }
                         ResponseKind::Failed => {
-                            self.may_have_run = true;
+                            self.record_failed_run();
                             if self.check_retry("failed").is_err() {
                                 return Ok(upstream);
                             }
@@ -170,6 +174,11 @@
         }
     }
 
+    fn record_failed_run(&mut self) {
+        self.failed_runs += 1;
+        self.may_have_run = true;
+    }
+
     /// Returns an error if the generation must not be sent again.
     fn check_retry(&mut self, reason: &'static str) -> Result<(), PlacementFailure> {
         let route = self.call.route();
@@ -421,7 +430,8 @@
         *response.status_mut() = upstream.exchange.head.status;
         *response.headers_mut() = self.cx.wire.client_headers(&upstream.exchange.head);
         let source = Source::from(upstream);
-        let relay = StreamRelay::new(self.cx, self.call, source, self.software, (tx, buffer));
+        let begun = (self.software, self.failed_runs);
+        let relay = StreamRelay::new(self.cx, self.call, source, begun, (tx, buffer));
         tokio::task::spawn_local(relay.run());
         response
     }
@@ -466,11 +476,11 @@
     }
 
     /// Resumes an interrupted generation on another engine, after event `after`. Returns the
-    /// response if the engine continues the stream.
-    pub async fn resume(mut self, after: u64) -> Option<UpstreamResponse<W, R>> {
+    /// response if the engine continues the stream, and the number of sends that may have run before.
+    pub async fn resume(mut self, after: u64) -> Option<(UpstreamResponse<W, R>, u32)> {
         self.check_retry("broken_stream").ok()?;
         let upstream = self.send(Some(Resume { after, copy: None })).await.ok()?;
-        (upstream.kind == ResponseKind::Success).then_some(upstream)
+        (upstream.kind == ResponseKind::Success).then_some((upstream, self.failed_runs))
     }
 }
 
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -138,18 +138,20 @@
     W: Wire,
     R: Registry,
 {
-    /// Builds the relay of a generation whose response head has been received. `software` is the
-    /// version that began the stream, if the client takes it up again.
+    /// Builds the relay of a generation whose response head has been received. `begun` is the version that
+    /// began the stream, if the client takes it up again, and the number of earlier sends of this attempt
+    /// that may have run.
     pub fn new(
         cx: Rc<Host<W, R>>,
         call: Rc<Call>,
         source: Source<W, R>,
-        software: Option<SoftwareVersion>,
+        begun: (Option<SoftwareVersion>, u32),
         (tx, buffer): (PartSender, Option<Rc<StreamBuffer>>),
     ) -> Self {
         let fleet_changes = cx.subscribe_fleet();
         let last_event_id = call.last_event_id;
         let stall_clock = start_stall_clock(&call);
+        let (software, counted_sends) = begun;
         Self {
             cx,
             call,
@@ -170,7 +172,7 @@
             longest_pause: Duration::ZERO,
             longest_pause_before: 0,
             source_changes: 0,
-            counted_sends: 0,
+            counted_sends,
             tried: Vec::new(),
             transfer: None,
             transfer_to: None,
@@ -491,7 +493,8 @@
             () = self.tx.closed() => return Some(StreamEnd::ClientDisconnected),
         };
         match resumed {
-            Some(upstream) => {
+            Some((upstream, counted_sends)) => {
+                self.counted_sends = counted_sends;
                 info!(self.cx.log, "stream resumed"; "call" => %self.call.id,
                     "endpoint" => %upstream.name, "after_event" => after,
                     "software" => software_name(&self.cx, upstream.guard.endpoint));
