Remember that a process leaves when it is listed again

An endpoint that said that it leaves, and was removed from the list, got requests again when the store came back from an older copy.

Cause: a process that is listed again got a new slot without what was known of it, and a statement that arrives after the removal was dropped.

Change: the new slot takes over from the former one that the process leaves and until when it wants no request; statements of endpoints that are no longer listed are recorded.

--- a/crates/dispatch/src/endpoint.rs
+++ b/crates/dispatch/src/endpoint.rs
@@ -267,6 +267,22 @@
         }
     }
 
+    /// Returns when the endpoint announced that it leaves, if it did before it was removed.
+    fn announced_leaving_at(&self) -> Option<Instant> {
+        let announced = |since: &Instant| self.entry.draining || self.removed_at != Some(*since);
+        self.draining_since().filter(announced)
+    }
+
+    /// Takes over what the same process stated before its entry was removed and listed again: that it leaves,
+    /// which is final, and until when it wants no request.
+    pub(crate) fn restore_statements(&mut self, former: &Endpoint) {
+        if let Some(since) = former.announced_leaving_at() {
+            self.state = EndpointState::Draining { since };
+            self.entry.draining = true;
+        }
+        self.hold_off_until = former.hold_off_until;
+    }
+
     /// Records a request whose connection broke, possibly the first sign of a crash.
     pub fn record_broken_request(&mut self, features: &Rc<[RequestFeature]>, now: Instant) {
         const MAX_SUSPECTS: usize = 64;
--- a/crates/dispatch/src/fleet.rs
+++ b/crates/dispatch/src/fleet.rs
@@ -199,7 +199,12 @@
             self.remove(&entry.name, now, changes);
         }
         let (name, digest) = (entry.name.clone(), entry.digest());
+        // The registry may have come back from an older copy.
+        let former = self.find_digest(digest).and_then(|ix| self.get(ix)).cloned();
         let ix = self.insert(entry, now);
+        if let (Some(former), Some(endpoint)) = (former, self.get_mut(ix)) {
+            endpoint.restore_statements(&former);
+        }
         self.by_name.insert(name, ix);
         self.by_digest.insert(digest, ix);
         changes.push(FleetChange::Joined(ix));
@@ -267,11 +272,11 @@
 
     /// Records that an endpoint states that it is draining. Appends to `changes` if that is new.
     pub fn mark_draining(&mut self, ix: EndpointIx, now: Instant, changes: &mut Vec<FleetChange>) {
-        if let Some(endpoint) = self.get_mut(ix)
-            && endpoint.state == EndpointState::Ready
-        {
+        let Some(endpoint) = self.get_mut(ix) else { return };
+        // One that is no longer listed may be listed again.
+        endpoint.entry.draining = true;
+        if endpoint.state == EndpointState::Ready {
             endpoint.state = EndpointState::Draining { since: now };
-            endpoint.entry.draining = true;
             changes.push(FleetChange::Draining(ix));
         }
     }
