--- a/crates/host/src/connecting.rs
+++ b/crates/host/src/connecting.rs
@@ -19,8 +19,6 @@
 const CONNECT_TIMEOUT_MARGIN: Duration = Duration::from_millis(150);
 /// Connect timeout as a multiple of the endpoint's average connect time.
 const CONNECT_TIMEOUT_FACTOR: u32 = 4;
-/// Time after a connect in which a proxy closes the connection if the endpoint behind it is gone.
-const CLOSE_DETECTION_TIME: Duration = Duration::from_millis(50);
 /// Time within which an endpoint or a link that is probed has to respond.
 const MAX_PROBE_TIME: Duration = Duration::from_secs(1);
 
@@ -40,22 +38,14 @@
 }
 
 /// Returns true if a response ended because its endpoint did: it has no length, and the endpoint accepts no
-/// connection any more, or closes it at once, as a proxy does in front of an endpoint that is gone. The
-/// operating system closes the connections of a process that ends, which for such a response looks like its
-/// end.
+/// connection any more. The operating system closes the connections of a process that ends, which for such
+/// a response looks like its end.
 pub async fn is_cut_short<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx, exchange: &Exchange) -> bool
 where
     W: Wire,
     R: Registry,
 {
-    if exchange.has_explicit_end() {
-        return false;
-    }
-    // Like a probe, the connection carries no request.
-    match connect_to(cx, ix, &Residency::UNRESTRICTED, MAX_PROBE_TIME).await {
-        Ok(connection) => connection.closes_within(CLOSE_DETECTION_TIME).await,
-        Err(_) => true,
-    }
+    !exchange.has_explicit_end() && !probe_endpoint(cx, ix).await
 }
 
 /// Connects to an endpoint within `left` and records the result. A host that is cut off from the
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -201,11 +201,6 @@
         self.via.as_ref()
     }
 
-    /// Returns true if the peer closes the connection within a time, without a request.
-    pub async fn closes_within(self, duration: Duration) -> bool {
-        timeout(duration, self.task).await.is_ok()
-    }
-
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
