--- a/review/rig-2/client.rs
+++ b/review/rig-2/client.rs
@@ -12,6 +12,8 @@
     pub id: String,
     pub path: &'static str,
     pub tokens: String,
+    /// `Length-Hint`.
+    pub hint: Option<u32>,
     /// Size of the body, in bytes.
     pub body: usize,
     /// `Deadline-Ms`.
@@ -91,8 +93,9 @@
 
 fn read_response(connection: &mut Connection, asked: &Asked, seen: &mut Seen) -> io::Result<()> {
     let body = "x".repeat(asked.body);
+    let hint = asked.hint.map_or(String::new(), |hint| format!("Length-Hint: {hint}\r\n"));
     let request = format!(
-        "POST {} HTTP/1.1\r\nHost: calls.example\r\nAttempt-Id: {}\r\nModel: m\r\nToken-Usage: {}\r\nPrompt-Prefix: 5c1e07a2:48,{:x}:1200\r\nDeadline-Ms: {}\r\nAuthorization: Token key-1\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST {} HTTP/1.1\r\nHost: calls.example\r\nAttempt-Id: {}\r\nModel: m\r\nToken-Usage: {}\r\nPrompt-Prefix: 5c1e07a2:48,{:x}:1200\r\nDeadline-Ms: {}\r\n{hint}Authorization: Token key-1\r\nContent-Length: {}\r\n\r\n{body}",
         asked.path,
         asked.id,
         asked.tokens,
--- a/review/rig-2/engine.rs
+++ b/review/rig-2/engine.rs
@@ -28,14 +28,6 @@
 /// Fixed time of a copy.
 const COPY_SETUP: Duration = Duration::from_micros(310);
 
-/// How a replica answers streams.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answers {
-    Normal,
-    /// Status 500: the head and the first half of the body, and then nothing. The channel stays open.
-    HalfFailure,
-}
-
 struct Run {
     prompt: u64,
     events: u64,
@@ -91,9 +83,10 @@
     pub addr: SocketAddr,
     pub zone: String,
     born_ms: u64,
-    answers: Mutex<Answers>,
     state: Mutex<State>,
     gone: AtomicBool,
+    /// Whether it turns away requests for the last copy of a run, without having read them.
+    sheds_last_copies: AtomicBool,
     fleet: Arc<Fleet>,
     record: Arc<Record>,
 }
@@ -107,9 +100,9 @@
             addr: listener.local_addr().expect("an address"),
             zone: zone.to_owned(),
             born_ms: now.expect("a time after 1970").as_millis() as u64,
-            answers: Mutex::new(Answers::Normal),
             state: Mutex::default(),
             gone: AtomicBool::new(false),
+            sheds_last_copies: AtomicBool::new(false),
             fleet: fleet.clone(),
             record: record.clone(),
         });
@@ -130,8 +123,8 @@
         engine
     }
 
-    pub fn set_answers(&self, answers: Answers) {
-        *self.answers.lock().expect("not poisoned") = answers;
+    pub fn set_sheds_last_copies(&self, sheds: bool) {
+        self.sheds_last_copies.store(sheds, Ordering::SeqCst);
     }
 
     /// Returns the entry in the store.
@@ -163,6 +156,11 @@
         at.map(|at| at.saturating_duration_since(Instant::now()))
     }
 
+    /// Returns true if its process has ended.
+    pub fn has_left(&self) -> bool {
+        self.gone.load(Ordering::SeqCst)
+    }
+
     /// Number of requests that run.
     pub fn running(&self) -> usize {
         self.state.lock().expect("not poisoned").runs.len()
@@ -190,7 +188,15 @@
                     connection.respond("200 OK", &headers, &self.report())?;
                 }
                 "/-/kv-move" => {
-                    let (status, body) = self.copy(&json::parse(&request.body));
+                    let call = json::parse(&request.body);
+                    if call.get("last").is_true() && self.sheds_last_copies.load(Ordering::SeqCst) {
+                        let text = call.get("id").text();
+                        self.record.line(&format!("{text}: {} sheds the last move", self.id));
+                        let headers = format!("{own}Not-Executed: 1\r\n");
+                        connection.respond("503 Service Unavailable", &headers, "")?;
+                        continue;
+                    }
+                    let (status, body) = self.copy(&call);
                     let headers = format!("{own}Content-Type: application/json\r\n");
                     connection.respond(status, &headers, &body)?;
                 }
@@ -345,11 +351,7 @@
         };
         thread::sleep(first_at.saturating_duration_since(Instant::now()));
         self.record.line(&format!("{id}: {} runs it, after event {after}", self.id));
-        let answers = *self.answers.lock().expect("not poisoned");
-        let ended = match answers {
-            Answers::Normal => self.write_events(&mut connection, &id, &own),
-            Answers::HalfFailure => self.write_half_failure(&mut connection, &id, &own),
-        };
+        let ended = self.write_events(&mut connection, &id, &own);
         self.state.lock().expect("not poisoned").runs.remove(&id);
         let how = match &ended {
             Ok(how) => (*how).to_owned(),
@@ -400,22 +402,4 @@
             }
         }
     }
-
-    fn write_half_failure(
-        &self,
-        connection: &mut Connection,
-        id: &str,
-        own: &str,
-    ) -> io::Result<&'static str> {
-        let body = "x".repeat(512);
-        let head = format!(
-            "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: {id}\r\nReplica-Seal: {}.{id}\r\n{own}Content-Length: {}\r\n\r\n{body}",
-            self.id,
-            2 * body.len()
-        );
-        connection.stream.write_all(head.as_bytes())?;
-        // Until the caller closes the channel.
-        connection.body(1)?;
-        Ok("failed")
-    }
 }
--- a/review/rig-2/host.rs
+++ b/review/rig-2/host.rs
@@ -12,6 +12,8 @@
 
 pub const TERM: i32 = 15;
 pub const KILL: i32 = 9;
+pub const STOP: i32 = 19;
+pub const CONT: i32 = 18;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -22,6 +24,7 @@
     readiness: SocketAddr,
     child: Child,
     dir: PathBuf,
+    pub started_at: Instant,
 }
 
 /// Returns addresses of `count` consecutive free ports.
@@ -134,7 +137,7 @@
         );
         fs::write(&settings, text)?;
         let child = spawn(&settings, log)?;
-        Ok(Self { front, readiness, child, dir })
+        Ok(Self { front, readiness, child, dir, started_at: Instant::now() })
     }
 
     /// Starts the program again, as the platform does when a process has ended.
--- a/review/rig-2/left_engine.rs
+++ b/review/rig-2/left_engine.rs
@@ -52,6 +52,7 @@
                     id,
                     path: "/rationale/x",
                     tokens: "1500,1000".to_owned(),
+                    hint: None,
                     body: 2_600,
                     limit: Duration::from_secs(39),
                     patience: PATIENCE,
