--- a/review/rig-2/bodies.rs
+++ b/review/rig-2/bodies.rs
@@ -21,7 +21,7 @@
 const ENGINES: usize = 4;
 /// Events of each stream: about four seconds.
 const EVENTS: u64 = 120;
-const ROUNDS: u32 = 3;
+const ROUNDS: u32 = 5;
 /// Streams per second in ordinary times.
 const RATE: f64 = 5.0;
 /// `x` and `for_s` of the burst.
@@ -31,7 +31,7 @@
 const BEFORE: f64 = 5.0;
 const AFTER: f64 = 1.0;
 /// Time between two rounds, in which all streams end.
-const PAUSE: Duration = Duration::from_secs(6);
+const PAUSE: Duration = Duration::from_secs(5);
 const LOG: &str = "target/review-2/bodies.log";
 
 pub fn run(folder: &Path, trouble: bool) -> std::io::Result<Outcome> {
--- a/review/rig-2/crash_unseen.rs
+++ b/review/rig-2/crash_unseen.rs
@@ -27,18 +27,31 @@
 
 type Slot = Arc<Mutex<Option<Replica>>>;
 
+/// Ends the processes of the replicas when dropped.
+#[derive(Default)]
+struct Replicas(Vec<Slot>);
+
+impl Drop for Replicas {
+    fn drop(&mut self) {
+        for slot in &self.0 {
+            // Dropping a replica kills its process.
+            slot.lock().expect("not poisoned").take();
+        }
+    }
+}
+
 pub fn run(folder: &Path, trouble: bool) -> std::io::Result<Outcome> {
     let only = std::env::var("ONLY").unwrap_or_default();
     let record = Arc::new(Record::create(&folder.join("record.txt"))?);
     let store = Store::start();
     store.put("op", "config", Some(&config(6_000)));
-    let mut replicas = Vec::new();
+    let mut replicas = Replicas::default();
     for number in 0..REPLICAS {
         let id = format!("i-{number}");
         let replica = Replica::start(&id, free_addr(), &record)?;
         let slot: Slot = Arc::new(Mutex::new(Some(replica)));
         beat(&store, &id, &slot);
-        replicas.push(slot);
+        replicas.0.push(slot);
     }
     let host = Host::start(store.addr, Path::new("target/review-2/crash-unseen.log"))?;
     if !host.wait_until_ready(Duration::from_secs(15)) {
@@ -80,14 +93,14 @@
     }
     if trouble && only != "freeze" {
         thread::sleep(CRASHES_AFTER);
-        let mut slot = replicas[0].lock().expect("not poisoned");
+        let mut slot = replicas.0[0].lock().expect("not poisoned");
         let addr = slot.as_ref().expect("a process").addr;
         // Dropping it kills the process.
         *slot = None;
         drop(slot);
         record.line("i-0 crashes");
         thread::sleep(DOWN);
-        *replicas[0].lock().expect("not poisoned") = Some(Replica::start("i-0", addr, &record)?);
+        *replicas.0[0].lock().expect("not poisoned") = Some(Replica::start("i-0", addr, &record)?);
         record.line("i-0 is back");
     }
     thread::sleep(wakes_at.saturating_duration_since(Instant::now()));
--- a/review/rig-2/replica.rs
+++ b/review/rig-2/replica.rs
@@ -26,6 +26,7 @@
     pub fn start(id: &str, addr: SocketAddr, record: &Arc<Record>) -> io::Result<Self> {
         let mut child = Command::new(std::env::current_exe()?)
             .args(["replica", &addr.port().to_string(), id])
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()?;
         let (output, record) = (child.stdout.take(), record.clone());
@@ -63,6 +64,11 @@
 pub fn run(port: &str, id: &str) -> io::Result<()> {
     let port: u16 = port.parse().map_err(io::Error::other)?;
     let listener = TcpListener::bind(("127.0.0.1", port))?;
+    // The input ends with the process that started this one.
+    thread::spawn(|| {
+        let _ = io::copy(&mut io::stdin(), &mut io::sink());
+        std::process::exit(0);
+    });
     for stream in listener.incoming().flatten() {
         let id = id.to_owned();
         thread::spawn(move || serve(stream, &id));
