End a finished stream without waiting for its migration

Clients saw all events of a stream and not its end, until they left or the host was stopped (review/6, LOST).

Cause: at the end of the response of an engine, the relay awaited the result of the migration in progress. That may still wait for its turn on the links of the engine, or ask for a first copy again until the engine leaves.

Change: a complete response with a length or chunks shows that the generation was not stopped, so that the migration is abandoned and its place on the links is freed. A response without a length, or one that is broken off, waits only if the engine was asked to stop the generation, since only then can the stop be the reason for its end.

--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use crate::boundary::{EnginePriority, Registry, ResponseKind, Resume, Wire};
+use crate::call::Call;
 use crate::sending::{SendPlan, send};
 use crate::stream_relay::{BodyRead, StreamEnd, StreamRelay, read_body, software_name};
 use crate::task::OwnedTask;
@@ -111,7 +112,7 @@
 
     fn start_transfer(&mut self, from: EndpointIx, to: EndpointIx, transfer_duration: Duration) {
         let now = Instant::now();
-        let key = rendezvous::score(self.call.id.as_str(), MIGRATION_KEY);
+        let key = migration_key(&self.call);
         let (name, kv_tokens, plan) = {
             let mut guard = self.cx.state.borrow_mut();
             let fleet = &mut guard.fleet;
@@ -237,6 +238,28 @@
         Ok(())
     }
 
+    /// Abandons a transfer in progress, which the generation does not need any more.
+    pub(crate) fn abandon_transfer(&mut self) {
+        if self.transfer.take().is_none() {
+            return;
+        }
+        self.transfer_to = None;
+        let key = migration_key(&self.call);
+        self.cx.state.borrow_mut().fleet.migrations.cancel(key);
+        self.cx.metrics.migrations.with_label_values(&["abandoned"]).inc();
+        info!(self.cx.log, "migration abandoned"; "call" => %self.call.id,
+            "from" => %self.source.name, "events" => self.events);
+    }
+
+    /// Waits for a transfer in progress if the source was asked to stop the generation, which may be why
+    /// its response has ended, and abandons any other. Returns the handover if the generation was stopped.
+    pub(crate) async fn finish_stop(&mut self) -> Option<Handover> {
+        if self.stop.borrow().is_none() {
+            self.abandon_transfer();
+        }
+        self.finish_transfer().await
+    }
+
     /// Waits for a transfer in progress. Returns the handover if the generation was stopped for it.
     pub(crate) async fn finish_transfer(&mut self) -> Option<Handover> {
         let task = self.transfer.take()?;
@@ -255,6 +278,11 @@
     }
 }
 
+/// Returns the identifier of the migration of a generation.
+fn migration_key(call: &Call) -> u64 {
+    rendezvous::score(call.id.as_str(), MIGRATION_KEY)
+}
+
 /// Waits for the result of a transfer, or forever if there is none.
 pub(crate) async fn transfer_result(
     transfer: &mut Option<OwnedTask<Result<Handover, TransferError>>>,
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -254,7 +254,9 @@
                 self.handle_broken_source("ended within an event".to_owned()).await
             }
             BodyRead::End => {
-                if let Some(handover) = self.finish_transfer().await {
+                if self.source.exchange.has_explicit_end() {
+                    self.abandon_transfer();
+                } else if let Some(handover) = self.finish_stop().await {
                     return self.resume_from_copy(handover).await.err();
                 }
                 // A response without a length ends the same way when the source stops the generation, or when
@@ -282,7 +284,7 @@
     /// Handles the early end of the source's response. A migration in progress, or one whose final copy had
     /// no known result, may be the cause: the generation was stopped then.
     async fn handle_broken_source(&mut self, detail: String) -> Option<StreamEnd> {
-        let handover = match self.finish_transfer().await {
+        let handover = match self.finish_stop().await {
             Some(handover) => Some(handover),
             None => self.stop.take().map(|stop| Handover {
                 to: stop.to,
