Limit each wait for a response by its deadline and the grace period

Clients got no end of their response at its deadline, or none at all when the host was stopped: a stream that an engine was asked to resume ended up to twelve seconds late, a failure response that stops halfway never, and what ran at the end of the grace period was cut off by the end of the process.

Cause: each wait had its own limit or none. The relay of a stream looked at the deadline and the client between two reads only, and the grace period limited nothing but the process.

Endpoints are handed no more time than that. A stream that ends so is logged as "host_stopped".

--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use camphorloft_dispatch::prelude::*;
@@ -78,11 +78,6 @@
         parts.join(",")
     }
 
-    /// Returns the time until the deadline.
-    pub fn time_left(&self, now: Instant) -> Duration {
-        self.deadline.saturating_duration_since(now)
-    }
-
     /// Returns the expected number of output tokens. The client's estimate is right at the median
     /// but often far off, so it is raised by a factor that accounts for the long tail.
     pub fn expected_tokens(&self) -> u32 {
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -10,7 +10,7 @@
 use http::{Response, StatusCode};
 use rand::Rng;
 use slog::info;
-use tokio::time::{sleep, sleep_until, timeout_at};
+use tokio::time::{sleep, sleep_until};
 
 use crate::boundary::{EnginePriority, Registry, ResponseKind, Resume, Wire};
 use crate::call::Call;
@@ -133,24 +133,23 @@
         &mut self,
         resume: Option<Resume>,
     ) -> Result<UpstreamResponse<W, R>, PlacementFailure> {
-        let deadline = self.call.deadline.into();
         loop {
             let (choice, reservation) = self.place(resume.as_ref()).await?;
             self.tried.push(choice.endpoint);
             let send_plan = self.send_plan(&choice, reservation, resume.clone());
-            let upstream = timeout_at(deadline, send(&self.cx, &self.call, send_plan, None)).await;
-            match upstream {
-                Err(_) => {
+            let sending = send(&self.cx, &self.call, send_plan, None);
+            match self.cx.within_response(&self.call, sending).await {
+                None => {
                     self.may_have_run = true;
                     return Err(self.timed_out());
                 }
-                Ok(Err(ExchangeError::NotSent(_))) => {}
-                Ok(Err(ExchangeError::Unanswered(_))) => {
+                Some(Err(ExchangeError::NotSent(_))) => {}
+                Some(Err(ExchangeError::Unanswered(_))) => {
                     self.sends += 1;
                     self.record_failed_run();
                     self.check_retry("broken_answer")?;
                 }
-                Ok(Ok(upstream)) => {
+                Some(Ok(upstream)) => {
                     self.sends += 1;
                     let result = match upstream.kind {
                         ResponseKind::Success => return Ok(upstream),
@@ -187,7 +186,7 @@
             true => route.retry_mode.is_retryable() && self.cx.may_resend(&self.call),
             false => true,
         };
-        let in_time = !self.call.time_left(now).is_zero();
+        let in_time = !self.cx.time_left(&self.call, now).is_zero();
         let allowed = retryable && in_time && self.sends < route.max_sends;
         let service = &self.call.service().name;
         if allowed && self.cx.state.borrow_mut().quota.try_acquire(service, now) {
@@ -257,10 +256,10 @@
                 }
                 Admission::Wait => {
                     self.log_wait();
-                    sleep(ADMISSION_INTERVAL.min(self.call.time_left(now))).await;
+                    sleep(ADMISSION_INTERVAL.min(self.cx.time_left(&self.call, now))).await;
                 }
             }
-            if self.call.time_left(Instant::now()).is_zero() {
+            if self.cx.time_left(&self.call, Instant::now()).is_zero() {
                 return Err(self.timed_out());
             }
         }
@@ -440,9 +439,10 @@
     async fn forward_failure(self, mut upstream: UpstreamResponse<W, R>) -> Response<ResponseBody> {
         let status = upstream.exchange.head.status;
         let mut memory = self.cx.response_bodies.share();
-        let body = upstream.exchange.read_within(MAX_FAILURE_BYTES, &mut memory).await;
+        let body = upstream.exchange.read_within(MAX_FAILURE_BYTES, &mut memory);
+        let body = self.cx.within_response(&self.call, body).await;
         drop(memory);
-        let (false, Ok(body)) = (self.cx.wire.guarantees_not_run(status), body) else {
+        let (false, Some(Ok(body))) = (self.cx.wire.guarantees_not_run(status), body) else {
             return self.respond_failure(PlacementFailure {
                 status: StatusCode::BAD_GATEWAY,
                 reason: "failed",
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`call`]: an accepted request.
 //! - [`local_response`]: responses that the host generates itself.
 //! - [`response_body`]: bodies of responses to clients.
+//! - [`response_end`]: latest end of a response.
 //! - [`upstream`]: HTTP client connections to endpoints.
 //! - [`tunnel`]: connections to endpoints through other hosts.
 //! - [`tunnel_bytes`]: bytes of an endpoint that another host forwards, with a mark at their end.
@@ -91,6 +92,7 @@
 pub mod report_poll;
 pub mod residency;
 pub mod response_body;
+pub mod response_end;
 pub mod sending;
 pub mod serving_watch;
 pub mod settings;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -22,8 +22,6 @@
 /// Time after the termination signal for which the host still accepts requests; then it closes idle
 /// connections. By then the load balancer has detected that the host is not ready.
 pub const DRAIN_ACCEPT_PERIOD: Duration = Duration::from_millis(2500);
-/// Margin before the end of the grace period at which the process exits by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(300);
 /// Time between two checks whether the last request has ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of such checks in a row that find no request before the process ends. Connections that wait to be
@@ -89,7 +87,7 @@
     cx.with_link(|link, out| link.leave(out));
     info!(cx.log, "draining"; "callers" => Rc::strong_count(&clients) - 1,
         "grace_ms" => cx.grace.get().as_millis() as u64);
-    let deadline = signalled_at + cx.grace.get().saturating_sub(GRACE_MARGIN);
+    let deadline = cx.exit_at(signalled_at);
     sleep(DRAIN_ACCEPT_PERIOD.min(cx.grace.get() / 2)).await;
     let is_busy = || Rc::strong_count(&clients) > 1 || cx.open_tunnels.get() > 0;
     let mut idle_checks = 0;
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -5,6 +5,7 @@
 //! gets a well-formed error response.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -117,9 +118,10 @@
     W: Wire,
     R: Registry,
 {
-    /// Runs attempts until one succeeds, none may be started any more, or the deadline passes.
+    /// Runs attempts until one succeeds, none may be started any more, or the response has to end.
     async fn run(&mut self) -> Option<BufferedResponse> {
-        let deadline = self.call.deadline.into();
+        let cx = self.cx.clone();
+        let mut ended = pin!(cx.wait_for_response_end(self.call.deadline));
         let mut hedge_at = Instant::now() + self.hedge_delay();
         // A call to an engine, unlike a generation, has no known memory needs.
         let is_queued = self.cx.settings.prioritised && self.call.service().engine.is_none();
@@ -149,7 +151,7 @@
                     self.record_overdue();
                     self.start_attempt();
                 }
-                () = sleep_until(deadline) => {
+                () = &mut ended => {
                     self.record_overdue();
                     return None;
                 }
@@ -351,7 +353,7 @@
             return self.forward(last_failure);
         }
         if self.may_have_run || self.is_unresolved() {
-            let (status, reason) = match self.call.time_left(Instant::now()).is_zero() {
+            let (status, reason) = match self.cx.time_left(&self.call, Instant::now()).is_zero() {
                 true => (StatusCode::GATEWAY_TIMEOUT, "timeout"),
                 false => (StatusCode::BAD_GATEWAY, "broken_answer"),
             };
@@ -413,7 +415,7 @@
     W: Wire,
     R: Registry,
 {
-    let left = call.time_left(Instant::now());
+    let left = cx.time_left(call, Instant::now());
     let Ok(connection) = connect_to(cx, endpoint, &cx.residency(call), left).await else {
         return AttemptResult::NotSent;
     };
--- a/crates/host/src/queued_request.rs
+++ b/crates/host/src/queued_request.rs
@@ -169,8 +169,7 @@
     /// Waits for the decision. Returns it with the reservation of the engine if the generation starts,
     /// or `None` at the deadline.
     pub async fn decision(mut self) -> Option<(Admission, Option<SendReservation<W, R>>)> {
-        let time_left = self.call.time_left(Instant::now());
-        let decision = timeout(time_left, &mut self.rx).await.ok()?.ok()?;
+        let decision = self.cx.within_response(&self.call, &mut self.rx).await?.ok()?;
         let label = match decision.admission {
             Admission::Start(_) => "start",
             Admission::Wait | Admission::Refuse { .. } => "refuse",
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -164,7 +164,7 @@
     let connection = match connection {
         Some(connection) => connection,
         None => {
-            let left = call.time_left(Instant::now());
+            let left = cx.time_left(call, Instant::now());
             let result = connect_to(cx, ix, &cx.residency(call), left).await;
             result.inspect_err(|err| log_failure(cx, call, ix, err))?
         }
@@ -242,7 +242,7 @@
     let context = OutboundContext {
         endpoint: name,
         organisation: call.organisation_name(),
-        remaining: call.time_left(now),
+        remaining: cx.time_left(call, now),
         priority: plan.priority,
         resume: plan.resume.clone(),
     };
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -186,11 +186,7 @@
                 resume: Some(resume.clone()),
             };
             let sent = timeout(RESUME_TIMEOUT, send(&self.cx, &self.call, plan, connection));
-            let upstream = tokio::select! {
-                upstream = sent => upstream,
-                () = self.tx.closed() => return Err(StreamEnd::ClientDisconnected),
-            };
-            if let Ok(Ok(upstream)) = upstream
+            if let Ok(Ok(upstream)) = sent.await
                 && upstream.kind == ResponseKind::Success
             {
                 let result = if endpoint == handover.from { "back" } else { "moved" };
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use slog::{info, warn};
 use tokio::sync::watch;
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::sleep_until;
 
 use crate::boundary::{Registry, Wire};
 use crate::call::Call;
@@ -54,6 +54,8 @@
     /// The client did not take events for too long.
     ClientTooSlow,
     TimedOut,
+    /// The process ends.
+    HostStopped,
     Interrupted,
 }
 
@@ -64,6 +66,7 @@
             StreamEnd::ClientDisconnected => "caller_left",
             StreamEnd::ClientTooSlow => "caller_too_slow",
             StreamEnd::TimedOut => "timeout",
+            StreamEnd::HostStopped => "host_stopped",
             StreamEnd::Interrupted => "broken_off",
         }
     }
@@ -74,6 +77,7 @@
             StreamEnd::ClientDisconnected
             | StreamEnd::ClientTooSlow
             | StreamEnd::TimedOut
+            | StreamEnd::HostStopped
             | StreamEnd::Interrupted => Outcome::Unknown,
         }
     }
@@ -206,15 +210,27 @@
         }
     }
 
+    /// Relays events until the stream ends, its client disconnects, or the response has to end. Nothing that
+    /// the relay waits for outlasts these.
     async fn relay_events(&mut self) -> StreamEnd {
-        let deadline = self.call.deadline.into();
+        let (cx, call, tx) = (self.cx.clone(), self.call.clone(), self.tx.clone());
+        tokio::select! {
+            biased;
+            end = self.relay_to_end() => end,
+            () = tx.closed() => StreamEnd::ClientDisconnected,
+            () = cx.wait_for_response_end(call.deadline) => match Instant::now() < call.deadline {
+                true => StreamEnd::HostStopped,
+                false => StreamEnd::TimedOut,
+            },
+        }
+    }
+
+    async fn relay_to_end(&mut self) -> StreamEnd {
         self.review();
         loop {
             let review_at = self.review_at.unwrap_or(self.call.deadline).into();
             tokio::select! {
                 biased;
-                () = self.tx.closed() => return StreamEnd::ClientDisconnected,
-                () = sleep_until(deadline) => return StreamEnd::TimedOut,
                 transferred = transfer_result(&mut self.transfer) => {
                     self.transfer = None;
                     match transferred {
@@ -361,26 +377,16 @@
         self.observe_gaps(received, Instant::now());
         self.record_origin();
         if let Some(buffer) = &self.buffer {
-            let has_room = tokio::select! {
-                has_room = timeout_at(self.call.deadline.into(), buffer.room()) => has_room,
-                () = self.tx.closed() => return Err(StreamEnd::ClientDisconnected),
-            };
-            match has_room {
-                Ok(true) => buffer.add(events.len()),
-                Ok(false) => return Err(StreamEnd::ClientTooSlow),
-                Err(_) => return Err(StreamEnd::TimedOut),
+            match buffer.room().await {
+                true => buffer.add(events.len()),
+                false => return Err(StreamEnd::ClientTooSlow),
             }
         }
         if self.tx.capacity() == 0 {
             self.observe_slow_client();
         }
-        let sent =
-            timeout_at(self.call.deadline.into(), self.tx.send(Ok(BodyPart::Data(events)))).await;
-        match sent {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(StreamEnd::ClientDisconnected),
-            Err(_) => Err(StreamEnd::TimedOut),
-        }
+        let sent = self.tx.send(Ok(BodyPart::Data(events))).await;
+        sent.map_err(|_| StreamEnd::ClientDisconnected)
     }
 
     /// Records which software version began the stream. A client may take up only a stream that can be
@@ -489,12 +495,7 @@
             self.counted_sends,
         );
         let after = self.last_event_id.unwrap_or(0);
-        let resumed = tokio::select! {
-            resumed = placement.resume(after) => resumed,
-            // The engine that was asked stops when its connection closes.
-            () = self.tx.closed() => return Some(StreamEnd::ClientDisconnected),
-        };
-        match resumed {
+        match placement.resume(after).await {
             Some((upstream, counted_sends)) => {
                 self.counted_sends = counted_sends;
                 info!(self.cx.log, "stream resumed"; "call" => %self.call.id,
