Accept only the statuses of a final response

Clients got responses with a status that HTTP does not have, from 600 to 999, or with 101, which switches protocols. Status 000, which the users report of other systems, did not reach clients.

Cause: the HTTP library accepts any status from 100 to 999, and the host forwarded these as failures of the endpoint. For its health they counted as sound, and heads that cannot be read counted as nothing.

Change: HttpConnection accepts a final status from 200 to 599, on all paths. Other heads are a new kind of error, after which the request may have run; it counts as a failure of the endpoint.

--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -144,7 +144,7 @@
                     return Err(self.timed_out());
                 }
                 Some(Err(ExchangeError::NotSent(_))) => {}
-                Some(Err(ExchangeError::Unanswered(_))) => {
+                Some(Err(ExchangeError::Unanswered(_) | ExchangeError::Invalid(_))) => {
                     self.sends += 1;
                     self.record_failed_run();
                     self.check_retry("broken_answer")?;
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -430,7 +430,9 @@
     let mut upstream = match send(cx, call, plan, Some(connection)).await {
         Ok(upstream) => upstream,
         Err(ExchangeError::NotSent(_)) => return AttemptResult::NotSent,
-        Err(ExchangeError::Unanswered(_)) => return AttemptResult::Lost,
+        Err(ExchangeError::Unanswered(_) | ExchangeError::Invalid(_)) => {
+            return AttemptResult::Lost;
+        }
     };
     let mut memory = cx.response_bodies.share();
     let mut result = upstream.exchange.read_within(MAX_RESPONSE_BYTES, &mut memory).await;
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -170,6 +170,7 @@
             }
         }
         Ok(Err(err)) => {
+            cx.record_invalid_response(ix, &err);
             debug!(cx.log, "engine speed unknown"; "endpoint" => %entry.name, "error" => %err);
             "failed"
         }
@@ -203,6 +204,7 @@
             }
         }
         Ok(Err(err)) => {
+            cx.record_invalid_response(ix, &err);
             debug!(cx.log, "engine report failed"; "endpoint" => %entry.name, "error" => %err);
             "failed"
         }
--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -212,15 +212,27 @@
             Ok(UpstreamResponse { guard, name, kind, exchange, sent_at })
         }
         Err(err) => {
-            if let ExchangeError::Unanswered(_) = &err {
+            if !matches!(err, ExchangeError::NotSent(_)) {
                 cx.record_broken_request(call, ix);
             }
+            cx.record_invalid_response(ix, &err);
             log_failure(cx, call, ix, &err);
             Err(err)
         }
     }
 }
 
+impl<W, R> Host<W, R> {
+    /// Counts a response that is none of the protocol against the health of its endpoint.
+    pub(crate) fn record_invalid_response(&self, ix: EndpointIx, err: &ExchangeError) {
+        if let ExchangeError::Invalid(_) = err
+            && let Some(endpoint) = self.state.borrow_mut().fleet.get_mut(ix)
+        {
+            endpoint.health.record_answer(false, Instant::now());
+        }
+    }
+}
+
 /// Waits until the endpoint list is up to date after a pause of this process.
 async fn catch_up<W, R>(cx: &Rc<Host<W, R>>) {
     let until = Instant::now() + CATCH_UP_TIME;
@@ -293,6 +305,7 @@
     let result = match err {
         ExchangeError::NotSent(_) => "not_sent",
         ExchangeError::Unanswered(_) => "unanswered",
+        ExchangeError::Invalid(_) => "invalid",
     };
     cx.metrics.sends.with_label_values(&[result]).inc();
     let state = cx.state.borrow();
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -317,7 +317,10 @@
                 Ok(response) => break response,
                 // The source closed the connection while it was not in use.
                 Err(ExchangeError::NotSent(_)) if opened_ahead => {}
-                Err(err) => return Err(failed(err.to_string())),
+                Err(err) => {
+                    self.cx.record_invalid_response(self.from_ix, &err);
+                    return Err(failed(err.to_string()));
+                }
             }
         };
         self.cx.record_own_call_directives(self.from_ix, self.from, &head);
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -7,6 +7,7 @@
 use std::fmt::Display;
 use std::io;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -38,6 +39,8 @@
 
 /// Maximum size of a response head, in bytes, and of what is read ahead of a body.
 const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Statuses of a final response.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Size of the socket receive buffer and of the read buffer for paced responses, in bytes each:
 /// about 25 ms on the slowest link currently in use, 10 Mbit/s.
 const PACED_BUFFER_BYTES: u32 = 32 << 10;
@@ -56,6 +59,10 @@
         Unanswered(detail: String) {
             display("the request was sent, but no complete response arrived: {}", detail)
         }
+        /// The request was sent, and what arrived is no response of the protocol.
+        Invalid(detail: String) {
+            display("the request was sent, but what arrived is no response: {}", detail)
+        }
     }
 }
 
@@ -264,13 +271,19 @@
     ) -> Result<Response<Incoming>, ExchangeError> {
         let ready = self.sender.ready().await;
         ready.map_err(|err| ExchangeError::NotSent(err.to_string()))?;
-        self.sender.try_send_request(req).await.map_err(|mut err| {
+        let response = self.sender.try_send_request(req).await.map_err(|mut err| {
             let detail = err.error().to_string();
             match err.take_message() {
                 Some(_) => ExchangeError::NotSent(detail),
+                None if err.error().is_parse() => ExchangeError::Invalid(detail),
                 None => ExchangeError::Unanswered(detail),
             }
-        })
+        })?;
+        // The HTTP library accepts any status of three digits, and one that switches protocols.
+        match FINAL_STATUSES.contains(&response.status().as_u16()) {
+            true => Ok(response),
+            false => Err(ExchangeError::Invalid(format!("status {}", response.status().as_u16()))),
+        }
     }
 }
 
