Limit what is received before the head of a response

Cause: the HTTP library skips any number of interim responses and reads on in one turn of the thread, as long as more has arrived.

Change: a stream below HTTP counts what is received before the final head, and fails after 128 KB, on all paths. The endpoint's health counts a failure, and the request may have run. Heads have up to 16 KB instead of 64 KB.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`response_body`]: bodies of responses to clients.
 //! - [`response_end`]: latest end of a response.
 //! - [`upstream`]: HTTP client connections to endpoints.
+//! - [`head_limit`]: limit of what is received before the head of a response is complete.
 //! - [`tunnel`]: connections to endpoints through other hosts.
 //! - [`tunnel_bytes`]: bytes of an endpoint that another host forwards, with a mark at their end.
 //! - [`frame_stream`]: connections between hosts that carry authenticated frames.
@@ -72,6 +73,7 @@
 pub mod frame_stream;
 pub mod gap_window;
 pub mod generation_call;
+pub mod head_limit;
 pub mod intake;
 pub mod lifecycle;
 pub mod listener;
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -24,6 +24,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::boundary::FullBody;
+use crate::head_limit::{HeadLimit, LimitedStream};
 use crate::memory_budget::BudgetShare;
 use crate::pace::Pace;
 use crate::task::OwnedTask;
@@ -37,8 +38,12 @@
 /// Time after which unacknowledged sent data closes a connection to an endpoint or a host.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Maximum size of a response head, in bytes, and of what is read ahead of a body.
-const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Maximum size of a response head, in bytes, and of what is read ahead of a body. Each connection may use
+/// some multiple of it.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Maximum number of bytes received before a response head is complete: interim responses, the head itself
+/// and what is read ahead of the body.
+const MAX_BYTES_BEFORE_BODY: usize = 8 * MAX_HEAD_BYTES;
 /// Statuses of a final response.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Size of the socket receive buffer and of the read buffer for paced responses, in bytes each:
@@ -70,6 +75,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     sender: SendRequest<FullBody>,
+    head_limit: HeadLimit,
     /// The host that forwards the connection, if it is not a direct one.
     via: Option<HostName>,
     task: OwnedTask<()>,
@@ -189,12 +195,14 @@
 where
     Io: AsyncRead + AsyncWrite + Unpin + 'static,
 {
-    let (sender, connection) = options.handshake(TokioIo::new(stream)).await.map_err(not_sent)?;
+    let head_limit = HeadLimit::new(MAX_BYTES_BEFORE_BODY);
+    let io = TokioIo::new(LimitedStream::new(stream, head_limit.clone()));
+    let (sender, connection) = options.handshake(io).await.map_err(not_sent)?;
     let task = OwnedTask::spawn(async move {
         // The request or the body read reports the error.
         let _ = connection.await;
     });
-    Ok(HttpConnection { sender, via: None, task })
+    Ok(HttpConnection { sender, head_limit, via: None, task })
 }
 
 impl HttpConnection {
@@ -275,10 +283,13 @@
             let detail = err.error().to_string();
             match err.take_message() {
                 Some(_) => ExchangeError::NotSent(detail),
-                None if err.error().is_parse() => ExchangeError::Invalid(detail),
+                None if err.error().is_parse() || self.head_limit.is_reached() => {
+                    ExchangeError::Invalid(detail)
+                }
                 None => ExchangeError::Unanswered(detail),
             }
         })?;
+        self.head_limit.head_arrived();
         // The HTTP library accepts any status of three digits, and one that switches protocols.
         match FINAL_STATUSES.contains(&response.status().as_u16()) {
             true => Ok(response),
@@ -308,7 +319,7 @@
     }
     match buf.len() <= max_bytes {
         true => Ok(()),
-        false => Err(ExchangeError::Unanswered("the response is too large".to_owned())),
+        false => Err(ExchangeError::Invalid("the response is too large".to_owned())),
     }
 }
 
@@ -325,7 +336,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`ExchangeError::Unanswered`] if the body is incomplete or too large.
+    /// Returns [`ExchangeError::Unanswered`] if the body is incomplete, and [`ExchangeError::Invalid`] if it is
+    /// too large.
     pub async fn read_to_end(&mut self, max_bytes: usize) -> Result<Bytes, ExchangeError> {
         read_to_end(&mut self.body, max_bytes).await
     }
