Limit the memory of responses until their clients have them

Hosts that call a faulty endpoint could exceed their memory and end, with the requests of all their clients (LOST on other systems).

Cause: a stream was limited alone. Incomplete events of up to 256 KB, and sixteen parts of any size that waited for a slow client, were not counted together. The body of a call was counted only while it was read.

Change: incomplete events and complete bodies share the memory of responses, the bodies until the last byte is written. A part of a stream waits for as many free places of its channel as it has kilobytes. Bodies and events that are too large count against the health of their endpoint. An incomplete event is scanned once.

--- a/crates/host/src/event_splitter.rs
+++ b/crates/host/src/event_splitter.rs
@@ -60,7 +60,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
-    /// Number of bytes at the start of the buffer known not to contain the end of an event.
+    /// Offset of the line that is not complete yet. The lines before it do not end an event.
+    line_start: usize,
+    /// Number of bytes at the start of the buffer after whose `line_start` there is no end of a line.
     scanned: usize,
 }
 
@@ -84,7 +86,7 @@
     pub fn next_event(&mut self) -> Option<Event> {
         let end = self.find_end()?;
         let bytes = self.buf.split_to(end).freeze();
-        self.scanned = 0;
+        (self.line_start, self.scanned) = (0, 0);
         let id = event_id(&bytes);
         Some(Event { bytes, id })
     }
@@ -96,21 +98,27 @@
 
     /// Removes and returns the bytes of the incomplete event.
     pub fn take_partial(&mut self) -> Bytes {
-        self.scanned = 0;
+        (self.line_start, self.scanned) = (0, 0);
         self.buf.split().freeze()
     }
 
-    /// Returns the offset after the first blank line.
+    /// Returns the number of bytes of the incomplete event.
+    pub fn partial_len(&self) -> usize {
+        self.buf.len()
+    }
+
+    /// Returns the offset after the first blank line. Each byte is scanned once, however few arrive at a time.
     fn find_end(&mut self) -> Option<usize> {
-        let mut line_start = self.scanned;
-        while let Some(length) = self.buf[line_start..].iter().position(|byte| *byte == b'\n') {
-            let line = &self.buf[line_start..line_start + length];
-            line_start += length + 1;
-            if line.is_empty() || line == b"\r" {
-                return Some(line_start);
+        while let Some(length) = self.buf[self.scanned..].iter().position(|byte| *byte == b'\n') {
+            let line_end = self.scanned + length;
+            let line = &self.buf[self.line_start..line_end];
+            let is_blank = line.is_empty() || line == b"\r";
+            (self.line_start, self.scanned) = (line_end + 1, line_end + 1);
+            if is_blank {
+                return Some(self.scanned);
             }
-            self.scanned = line_start;
         }
+        self.scanned = self.buf.len();
         None
     }
 }
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -438,10 +438,12 @@
     /// Forwards the failure response of an engine.
     async fn forward_failure(self, mut upstream: UpstreamResponse<W, R>) -> Response<ResponseBody> {
         let status = upstream.exchange.head.status;
-        let mut memory = self.cx.response_bodies.share();
-        let body = upstream.exchange.read_within(MAX_FAILURE_BYTES, &mut memory);
+        let memory = self.cx.response_bodies.share();
+        let body = upstream.exchange.read_within(MAX_FAILURE_BYTES, memory);
         let body = self.cx.within_response(&self.call, body).await;
-        drop(memory);
+        if let Some(Err(err)) = &body {
+            self.cx.record_invalid_response(upstream.guard.endpoint, err);
+        }
         let (false, Some(Ok(body))) = (self.cx.wire.guarantees_not_run(status), body) else {
             return self.respond_failure(PlacementFailure {
                 status: StatusCode::BAD_GATEWAY,
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -110,7 +110,7 @@
     head: request::Parts,
     body: Incoming,
     decoded: DecodedHead,
-    memory: &mut BudgetShare<'_>,
+    memory: &mut BudgetShare,
 ) -> Result<Call, Refusal>
 where
     W: Wire,
@@ -214,7 +214,7 @@
     limits: &ClientLimits,
     mut body: Incoming,
     deadline: Instant,
-    memory: &mut BudgetShare<'_>,
+    memory: &mut BudgetShare,
 ) -> Result<Bytes, Refusal> {
     let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
     if body.size_hint().lower() > limits.max_body.0 {
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -434,8 +434,8 @@
             return AttemptResult::Lost;
         }
     };
-    let mut memory = cx.response_bodies.share();
-    let mut result = upstream.exchange.read_within(MAX_RESPONSE_BYTES, &mut memory).await;
+    let memory = cx.response_bodies.share();
+    let mut result = upstream.exchange.read_within(MAX_RESPONSE_BYTES, memory).await;
     if result.is_ok() && is_cut_short(cx, endpoint, &upstream.exchange).await {
         result = Err(ExchangeError::Unanswered("the endpoint is gone".to_owned()));
     }
@@ -459,6 +459,7 @@
         }
         Err(err) => {
             cx.record_broken_request(call, endpoint);
+            cx.record_invalid_response(endpoint, &err);
             cx.metrics.sends.with_label_values(&["broken"]).inc();
             info!(cx.log, "response interrupted"; "call" => %call.id, "endpoint" => %upstream.name,
                 "error" => %err);
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -20,6 +20,7 @@
 use crate::event_splitter::EventSplitter;
 use crate::gap_window::GapWindow;
 use crate::generation_call::Placement;
+use crate::memory_budget::BudgetShare;
 use crate::response_body::{BodyError, BodyPart, PartSender};
 use crate::sending::{RunGuard, UpstreamResponse};
 use crate::stream_buffer::StreamBuffer;
@@ -27,7 +28,7 @@
 use crate::stream_migration::transfer_result;
 use crate::task::OwnedTask;
 use crate::transfer::{Handover, StopState, TransferError};
-use crate::upstream::Exchange;
+use crate::upstream::{Exchange, ExchangeError};
 
 /// Time for which an engine has to write an answer to show that the request does not crash it.
 const PROVEN_AFTER: Duration = Duration::from_secs(2);
@@ -103,6 +104,8 @@
     /// When the version was last announced to the other hosts.
     pub(crate) origin_announced_at: Option<Instant>,
     pub(crate) splitter: EventSplitter,
+    /// Memory of the incomplete event.
+    partial_memory: BudgetShare,
     pub(crate) fleet_changes: watch::Receiver<u64>,
     /// ID of the last event sent to the client.
     pub(crate) last_event_id: Option<u64>,
@@ -156,6 +159,7 @@
         let last_event_id = call.last_event_id;
         let stall_clock = start_stall_clock(&call);
         let (software, counted_sends) = begun;
+        let partial_memory = cx.response_bodies.share();
         Self {
             cx,
             call,
@@ -165,6 +169,7 @@
             software,
             origin_announced_at: None,
             splitter: EventSplitter::default(),
+            partial_memory,
             fleet_changes,
             last_event_id,
             events: 0,
@@ -335,6 +340,8 @@
     pub(crate) async fn forward_events(&mut self, data: &[u8]) -> Result<bool, StreamEnd> {
         if !self.splitter.push(data) {
             warn!(self.cx.log, "event too large"; "call" => %self.call.id);
+            let err = ExchangeError::Invalid("an event is too large".to_owned());
+            self.cx.record_invalid_response(self.source.guard.endpoint, &err);
             return Err(StreamEnd::Interrupted);
         }
         let mut out = BytesMut::new();
@@ -360,6 +367,10 @@
             self.events += 1;
             out.extend_from_slice(&event.bytes);
         }
+        if !self.partial_memory.resize(self.splitter.partial_len()) {
+            warn!(self.cx.log, "incomplete events fill the memory"; "call" => %self.call.id);
+            return Err(StreamEnd::Interrupted);
+        }
         if !out.is_empty() {
             self.send_events(out.freeze(), received).await?;
         }
@@ -385,8 +396,25 @@
         if self.tx.capacity() == 0 {
             self.observe_slow_client();
         }
-        let sent = self.tx.send(Ok(BodyPart::Data(events))).await;
-        sent.map_err(|_| StreamEnd::ClientDisconnected)
+        let places = self.places_for(events.len());
+        let reserved = self.tx.reserve_many(places).await;
+        let mut permits = reserved.map_err(|_| StreamEnd::ClientDisconnected)?;
+        // The other places limit how much waits: a large part is sent only when little waits before it.
+        if let Some(permit) = permits.next() {
+            permit.send(Ok(BodyPart::Data(events)));
+        }
+        Ok(())
+    }
+
+    /// Returns the number of places in the channel to the client that have to be free for a part.
+    fn places_for(&self, bytes: usize) -> usize {
+        /// Size of a part for which one place is enough, in bytes.
+        const PLACE_BYTES: usize = 1 << 10;
+        match self.buffer {
+            // The buffer limits the size of what waits.
+            Some(_) => 1,
+            None => bytes.div_ceil(PLACE_BYTES).clamp(1, self.tx.max_capacity()),
+        }
     }
 
     /// Records which software version began the stream. A client may take up only a stream that can be
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -342,15 +342,17 @@
         read_to_end(&mut self.body, max_bytes).await
     }
 
-    /// Reads the rest of the body, of up to `max_bytes`, into the memory of a share.
+    /// Reads the rest of the body, of up to `max_bytes`, into the memory of a share, which the returned bytes
+    /// keep.
     ///
     /// # Errors
     ///
-    /// Returns [`ExchangeError::Unanswered`] if the body is incomplete or too large.
+    /// Returns [`ExchangeError::Unanswered`] if the body is incomplete or the memory does not suffice, and
+    /// [`ExchangeError::Invalid`] if it is too large.
     pub async fn read_within(
         &mut self,
         max_bytes: usize,
-        memory: &mut BudgetShare<'_>,
+        mut memory: BudgetShare,
     ) -> Result<Bytes, ExchangeError> {
         let mut buf = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
@@ -360,6 +362,6 @@
             }
             append(&mut buf, frame, max_bytes)?;
         }
-        Ok(buf.freeze())
+        Ok(memory.hold(buf.freeze()))
     }
 }
