Continue streams of unknown origin only after a confirmation of the list

Cause: a host that knows one version of a service assumed it for such a stream while its endpoint list counted as current: for 1.5 s after a read of the list ended. Versions may join in that time, and what is read after a pause of the process was asked for before it.

Change: the assumption needs a list that was asked for after the client returned, by this host or by a reader that has the same list and states when it asked. Responses that are read after a pause count from when they were asked for, and datagrams from the begin of the pause, also those that are forwarded.

--- a/crates/dispatch/src/pause.rs
+++ b/crates/dispatch/src/pause.rs
@@ -69,6 +69,42 @@
         self.ticks.is_overdue(now) || !self.is_informed && woke_recently
     }
 
+    /// Returns the time from which the datagrams may be that are received now: `now`, or the begin of a pause
+    /// whose datagrams are received.
+    ///
+    /// ```
+    /// use camphorloft_dispatch::pause::PauseDetector;
+    /// use std::time::{Duration, Instant};
+    /// let (start, ms) = (Instant::now(), Duration::from_millis);
+    /// let mut pauses = PauseDetector::default();
+    /// pauses.record_tick(start);
+    /// assert_eq!(pauses.earliest_arrival(start + ms(50)), start + ms(50));
+    /// assert_eq!(pauses.earliest_arrival(start + ms(3_000)), start, "no tick since");
+    /// pauses.record_tick(start + ms(3_000));
+    /// assert_eq!(pauses.earliest_arrival(start + ms(3_050)), start);
+    /// assert_eq!(pauses.earliest_arrival(start + ms(3_150)), start + ms(3_150));
+    /// ```
+    pub fn earliest_arrival(&self, now: Instant) -> Instant {
+        let backlog_since = now.checked_sub(BACKLOG_TIME).unwrap_or(now);
+        self.ticks.paused_at(backlog_since, now).unwrap_or(now)
+    }
+
+    /// Returns the time as of which a response holds that was asked for at `asked_at` and is read now. It may
+    /// have waited to be read while the process was paused.
+    ///
+    /// ```
+    /// use camphorloft_dispatch::pause::PauseDetector;
+    /// use std::time::{Duration, Instant};
+    /// let (start, ms) = (Instant::now(), Duration::from_millis);
+    /// let mut pauses = PauseDetector::default();
+    /// pauses.record_tick(start);
+    /// assert_eq!(pauses.as_of(start, start + ms(50)), start + ms(50));
+    /// assert_eq!(pauses.as_of(start + ms(10), start + ms(3_000)), start + ms(10));
+    /// ```
+    pub fn as_of(&self, asked_at: Instant, now: Instant) -> Instant {
+        if self.was_paused_since(asked_at, now) { asked_at } else { now }
+    }
+
     /// Returns true if the process was paused since `at`.
     pub fn was_paused_since(&self, at: Instant, now: Instant) -> bool {
         self.ticks.paused_since(at, now)
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -116,6 +116,10 @@
     pub grace: Cell<Duration>,
     /// Time at which this host's own read last confirmed that the endpoint list is complete.
     pub list_read_at: Cell<Option<Instant>>,
+    /// Time at which this host asked for the changes of the endpoint list that it last read itself.
+    pub list_asked_at: Cell<Option<Instant>>,
+    /// Notified when a request waits for a newer confirmation of the endpoint list.
+    pub list_wanted: Notify,
     /// Time at which this host's own read last confirmed that the version in force is the latest.
     pub version_read_at: Cell<Option<Instant>>,
     /// Notified when updates of other hosts are to be forwarded.
@@ -185,6 +189,8 @@
             ),
             open_tunnels: Cell::new(0),
             list_read_at: Cell::new(None),
+            list_asked_at: Cell::new(None),
+            list_wanted: Notify::new(),
             version_read_at: Cell::new(None),
             updates_buffered: Notify::new(),
             waits_after_pause: Cell::new(false),
@@ -294,6 +300,18 @@
         self.has_read_list(now) || self.state.borrow().peers.is_list_confirmed(now)
     }
 
+    /// Returns the time as of which the endpoint list is known, by what was asked for then. What is newer may
+    /// be missing from it.
+    pub fn list_known_as_of(&self) -> Option<Instant> {
+        self.list_asked_at.get().max(self.state.borrow().peers.list_asked_at())
+    }
+
+    /// Returns the time as of which a response of the registry holds that was asked for at `asked_at` and is
+    /// read now.
+    pub(crate) fn as_of(&self, asked_at: Instant) -> Instant {
+        self.state.borrow().pauses.as_of(asked_at, Instant::now())
+    }
+
     /// Returns true when this host's own read of the list is recent.
     pub(crate) fn has_read_list(&self, now: Instant) -> bool {
         const FRESH: Duration = Duration::from_millis(1500);
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -95,6 +95,7 @@
     R: Registry,
 {
     let mut list = ListState::default();
+    let mut wait = LONG_POLL_WAIT;
     start_reads::wait_to_read(&cx, || cx.is_list_confirmed()).await;
     loop {
         if cx.is_list_maintained() {
@@ -109,19 +110,30 @@
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        let asked_at = Instant::now();
         let result = match list.revision {
             None => read_all(&cx, &mut list).await,
-            Some(after) => read_changes(&cx, &mut list, after).await,
+            Some(after) => tokio::select! {
+                result = read_changes(&cx, &mut list, after, wait) => result,
+                // A request waits for what is asked for after it arrived.
+                () = cx.list_wanted.notified(), if !wait.is_zero() => {
+                    wait = Duration::ZERO;
+                    continue;
+                }
+            },
         };
         let label = if result.is_ok() { "ok" } else { "failed" };
         cx.metrics.registry_calls.with_label_values(&["endpoints", label]).inc();
         remove_expired(&cx, &mut list);
         match result {
             Ok(()) => {
-                cx.list_read_at.set(Some(Instant::now()));
+                cx.list_read_at.set(Some(cx.as_of(asked_at)));
+                cx.list_asked_at.set(Some(asked_at));
                 cx.state.borrow_mut().peers.clear_list_mismatch();
                 let saw_draining = std::mem::take(&mut list.saw_draining);
-                sleep(cx.list_interval(saw_draining)).await;
+                let interval = cx.list_interval(saw_draining);
+                let is_wanted = timeout(interval, cx.list_wanted.notified()).await.is_ok();
+                wait = if is_wanted { Duration::ZERO } else { LONG_POLL_WAIT };
             }
             Err(RegistryError::HistoryLost) => {
                 info!(cx.log, "reloading the endpoint list"; "reason" => "history lost");
@@ -272,12 +284,13 @@
     cx: &Rc<Host<W, R>>,
     list: &mut ListState,
     after: Revision,
+    wait: Duration,
 ) -> Result<(), RegistryError>
 where
     R: Registry,
 {
-    let call = cx.registry.await_endpoints(after, LONG_POLL_WAIT);
-    let Listing { revision, items } = with_timeout(LONG_POLL_WAIT + RESPONSE_TIMEOUT, call).await?;
+    let call = cx.registry.await_endpoints(after, wait);
+    let Listing { revision, items } = with_timeout(wait + RESPONSE_TIMEOUT, call).await?;
     let now = Instant::now();
     let mut changes = Vec::new();
     for change in items {
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -82,7 +82,7 @@
         wait_logged: false,
         residency: Residency::UNRESTRICTED,
     };
-    match placement.cx.required_software(&placement.call, Instant::now()) {
+    match placement.cx.required_software(&placement.call).await {
         Ok(software) => placement.software = software,
         Err(ContinuationError::UnknownVersion) => {
             info!(placement.cx.log, "software version of a stream not known";
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -316,7 +316,9 @@
     R: Registry,
 {
     let datagram = &received.datagram;
-    cx.receive_for_others(received, now);
+    // What waited to be read while the process was paused is as old as the pause.
+    let arrived_at = cx.state.borrow().pauses.earliest_arrival(now);
+    cx.receive_for_others(received, arrived_at);
     for crash in &datagram.crashes {
         cx.receive_crash(crash, now);
     }
@@ -356,7 +358,7 @@
         }
     }
     for wire in &datagram.reports {
-        let (report, as_of) = report_from_wire(wire, now);
+        let (report, as_of) = report_from_wire(wire, arrived_at);
         let ix = cx.state.borrow().fleet.find_digest(wire.endpoint);
         if let Some(ix) = ix {
             cx.apply_report(ix, report, as_of, "host");
@@ -392,7 +394,7 @@
         let mut guard = cx.state.borrow_mut();
         let state = &mut *guard;
         let digest = state.fleet.list_digest();
-        if state.peers.record_registry_state(&reader, registry, digest, now) {
+        if state.peers.record_registry_state(&reader, registry, digest, arrived_at) {
             state.pauses.record_registry_state(now);
         }
     }
--- a/crates/host/src/peer_updates.rs
+++ b/crates/host/src/peer_updates.rs
@@ -249,6 +249,7 @@
                 version_age_ms: age(version_at),
                 reader: self.settings.host.to_string(),
                 evacuations: state.fleet.evacuations().latest().map(evacuations_to_wire),
+                list_asked_age_ms: self.list_asked_at.get().map(|at| age(Some(at))),
             };
             let endpoint_changes = state.peers.changes_to_send(Vec::new(), now);
             Updates { registry: vec![registry], endpoint_changes, ..Updates::default() }
--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -104,6 +104,8 @@
     failed_readers: BTreeMap<HostName, Instant>,
     /// When a reader last confirmed that the list is complete.
     list_known_at: Option<Instant>,
+    /// When a reader asked for the list that this host has as well.
+    list_asked_at: Option<Instant>,
     /// When the list started to differ from the reader's.
     mismatch_since: Option<Instant>,
     /// When a reader last confirmed that the version in force is the latest.
@@ -132,6 +134,7 @@
             own_failed_at: None,
             failed_readers: BTreeMap::new(),
             list_known_at: None,
+            list_asked_at: None,
             mismatch_since: None,
             version_known_at: None,
             recent_changes: VecDeque::new(),
@@ -281,8 +284,8 @@
         is_fresh(self.reader_seen_at, READER_TIMEOUT, now)
     }
 
-    /// Records a reader's view of the registry. `own_digest` is the digest of this host's list. Returns
-    /// false if the reader does not reach the registry.
+    /// Records a reader's view of the registry, as of `now`. `own_digest` is the digest of this host's list.
+    /// Returns false if the reader does not reach the registry.
     pub fn record_registry_state(
         &mut self,
         reader: &HostName,
@@ -304,12 +307,19 @@
         self.version_known_at = newer(self.version_known_at, at(state.version_age_ms));
         if state.list_digest == own_digest {
             self.mismatch_since = None;
+            let asked_at = state.list_asked_age_ms.and_then(at);
+            self.list_asked_at = newer(self.list_asked_at, asked_at);
         } else if self.mismatch_since.is_none() {
             self.mismatch_since = Some(now);
         }
         true
     }
 
+    /// Returns when a reader asked for the list that this host has as well, if known.
+    pub fn list_asked_at(&self) -> Option<Instant> {
+        self.list_asked_at
+    }
+
     /// Returns true while a reader keeps this host's endpoint list up to date.
     pub fn is_list_maintained(&self, now: Instant) -> bool {
         let fresh = is_fresh(self.list_known_at, LIST_RELIANCE_LIMIT, now);
--- a/crates/host/src/serving_watch.rs
+++ b/crates/host/src/serving_watch.rs
@@ -53,6 +53,7 @@
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
+        let asked_at = Instant::now();
         let response = read_or_await(&cx, read.as_ref().map(|read| read.revision)).await;
         let result = if response.is_ok() { "ok" } else { "failed" };
         cx.metrics.registry_calls.with_label_values(&["serving", result]).inc();
@@ -60,7 +61,7 @@
             Ok(listing) => {
                 record_available(&cx, &mut outage);
                 let is_first = read.is_none();
-                apply_listing(&cx, read.get_or_insert_default(), listing);
+                apply_listing(&cx, read.get_or_insert_default(), listing, cx.as_of(asked_at));
                 if is_first && cx.registry_read_scope(Instant::now()).is_none() {
                     sleep(READER_STATE_WAIT).await;
                 }
@@ -81,11 +82,13 @@
     }
 }
 
-/// Applies what was read after `read`, or all of it if nothing was, and tells other hosts.
+/// Applies what was read after `read`, or all of it if nothing was, and tells other hosts. It holds as of
+/// `as_of`.
 fn apply_listing<W, R>(
     cx: &Rc<Host<W, R>>,
     read: &mut Evacuations,
     listing: Listing<OperatorChange>,
+    as_of: Instant,
 ) where
     W: Wire,
     R: Registry,
@@ -99,8 +102,10 @@
         }
     }
     read.revision = read.revision.max(listing.revision);
-    cx.version_read_at.set(Some(now));
-    cx.state.borrow_mut().pauses.record_registry_state(now);
+    cx.version_read_at.set(Some(as_of));
+    if as_of == now {
+        cx.state.borrow_mut().pauses.record_registry_state(now);
+    }
     // Evacuations apply before the first request is served under a version.
     if cx.apply_evacuations(read, "registry", now) {
         cx.announce_evacuations(now);
--- a/crates/host/tests/common/mod.rs
+++ b/crates/host/tests/common/mod.rs
@@ -25,6 +25,7 @@
         version_age_ms: age_ms,
         reader: "h2".to_owned(),
         evacuations: None,
+        list_asked_age_ms: Some(age_ms),
     }
 }
 
--- a/crates/host/tests/peers.rs
+++ b/crates/host/tests/peers.rs
@@ -62,6 +62,18 @@
     assert!(!peers.is_list_confirmed(now + Duration::from_secs(2)));
 }
 
+/// A list is as old as when its reader asked for it, and known to be the same only then.
+#[test]
+fn a_list_is_as_old_as_when_its_reader_asked_for_it() {
+    let (mut peers, now) = (peers(), Instant::now() + Duration::from_secs(10));
+    peers.record_registry_state(&reader(), &state(8, 100), 7, now);
+    assert_eq!(peers.list_asked_at(), None, "the lists differ");
+    peers.record_registry_state(&reader(), &state(7, 100), 7, now);
+    assert_eq!(peers.list_asked_at(), Some(now - Duration::from_millis(100)));
+    peers.record_registry_state(&reader(), &state(7, 900), 7, now);
+    assert_eq!(peers.list_asked_at(), Some(now - Duration::from_millis(100)));
+}
+
 #[test]
 fn a_change_is_resent_until_a_newer_one_replaces_it() {
     let (mut peers, now) = (peers(), Instant::now());
--- a/crates/peer/src/updates.rs
+++ b/crates/peer/src/updates.rs
@@ -163,6 +163,8 @@
         for state in &mut self.registry {
             state.list_age_ms = state.list_age_ms.saturating_add(held_ms);
             state.version_age_ms = state.version_age_ms.saturating_add(held_ms);
+            state.list_asked_age_ms =
+                state.list_asked_age_ms.map(|age| age.saturating_add(held_ms));
         }
     }
 
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -325,6 +325,10 @@
     /// Evacuated zones; absent if the reader does not know them.
     #[prost(message, optional, tag = "5")]
     pub evacuations: Option<WireEvacuations>,
+    /// Time since the reader asked for what it last learnt of the list, in milliseconds. The list is at
+    /// least as new as that. Absent from earlier releases.
+    #[prost(uint32, optional, tag = "6")]
+    pub list_asked_age_ms: Option<u32>,
 }
 
 /// The limit of requests that an endpoint stated.
