Confirm the process of an endpoint after a silent response without a length

Cause: whether a response without a length was cut short was decided by whether the address accepts a connection. After a pause of the host it does, for another process.

Change: if nothing was received for half a second, in which an endpoint can be back, the endpoint list has to confirm the process as well, asked for when its successor would be listed. Without a confirmation the response counts as cut short.

--- a/crates/host/src/crash_check.rs
+++ b/crates/host/src/crash_check.rs
@@ -287,7 +287,7 @@
     false
 }
 
-fn endpoint_name<W, R>(cx: &Host<W, R>, ix: EndpointIx) -> Option<String> {
+pub(crate) fn endpoint_name<W, R>(cx: &Host<W, R>, ix: EndpointIx) -> Option<String> {
     cx.state.borrow().fleet.get(ix).map(|endpoint| endpoint.entry.name.to_string())
 }
 
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -8,14 +8,13 @@
 use camphorloft_dispatch::prelude::*;
 use camphorloft_dispatch::stall_clock::StallClock;
 use camphorloft_types::prelude::*;
-use http_body_util::BodyExt;
 use slog::{info, warn};
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 
 use crate::boundary::{Registry, Wire};
 use crate::call::Call;
-use crate::connecting::is_cut_short;
+use crate::connecting::{MIN_RESTART_TIME, is_cut_short};
 use crate::context::Host;
 use crate::event_splitter::EventSplitter;
 use crate::gap_window::GapWindow;
@@ -287,8 +286,9 @@
                         .handle_broken_source("ended after a request to stop".to_owned())
                         .await;
                 }
-                let endpoint = self.source.guard.endpoint;
-                if is_cut_short(&self.cx, endpoint, &self.source.exchange).await {
+                let Source { guard, exchange, .. } = &self.source;
+                let has_paused = exchange.longest_silence() >= MIN_RESTART_TIME;
+                if is_cut_short(&self.cx, guard.endpoint, exchange, has_paused).await {
                     return self.handle_broken_source("the endpoint is gone".to_owned()).await;
                 }
                 self.cx.metrics.sends.with_label_values(&["answered"]).inc();
@@ -560,7 +560,7 @@
 /// Reads the next part of a body.
 pub(crate) async fn read_body(exchange: &mut Exchange) -> BodyRead {
     loop {
-        match exchange.body.frame().await {
+        match exchange.next_frame().await {
             None => return BodyRead::End,
             Some(Err(err)) => return BodyRead::Failed(err.to_string()),
             Some(Ok(frame)) => {
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -8,7 +8,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use camphorloft_types::prelude::HostName;
@@ -21,7 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 use crate::boundary::FullBody;
 use crate::head_limit::{HeadLimit, LimitedStream};
@@ -88,6 +88,10 @@
     pub head: response::Parts,
     /// Response body.
     pub body: Incoming,
+    /// When the last part of the response was received.
+    read_at: Instant,
+    /// Longest time since the head without a further part.
+    longest_silence: Duration,
     /// Drives the connection and closes it when dropped.
     _task: OwnedTask<()>,
 }
@@ -223,7 +227,8 @@
     /// Returns [`ExchangeError`], which says whether the endpoint may have run the request.
     pub async fn send(mut self, req: Request<FullBody>) -> Result<Exchange, ExchangeError> {
         let (head, body) = self.try_send(req).await?.into_parts();
-        Ok(Exchange { head, body, _task: self.task })
+        let (read_at, longest_silence) = (Instant::now(), Duration::ZERO);
+        Ok(Exchange { head, body, read_at, longest_silence, _task: self.task })
     }
 
     /// Sends a request and reads the complete response body, of up to `max_bytes`. The connection is used up:
@@ -332,6 +337,25 @@
             || headers.contains_key(header::TRANSFER_ENCODING)
     }
 
+    /// Reads the next part of the body, and records for how long none was received.
+    pub async fn next_frame(&mut self) -> Option<hyper::Result<Frame<Bytes>>> {
+        let frame = self.body.frame().await;
+        let now = Instant::now();
+        self.longest_silence = self.longest_silence.max(now - self.read_at);
+        self.read_at = now;
+        frame
+    }
+
+    /// Returns when the last part of the response was received.
+    pub fn read_at(&self) -> Instant {
+        self.read_at
+    }
+
+    /// Returns the longest time after the head in which nothing was received.
+    pub fn longest_silence(&self) -> Duration {
+        self.longest_silence
+    }
+
     /// Reads the rest of the body, of up to `max_bytes`.
     ///
     /// # Errors
@@ -355,7 +379,7 @@
         mut memory: BudgetShare,
     ) -> Result<Bytes, ExchangeError> {
         let mut buf = BytesMut::new();
-        while let Some(frame) = self.body.frame().await {
+        while let Some(frame) = self.next_frame().await {
             let length = frame.as_ref().ok().and_then(Frame::data_ref).map_or(0, Bytes::len);
             if !memory.grow(length) {
                 return Err(ExchangeError::Unanswered("responses fill the memory".to_owned()));
