Do not resume a generation in the slot of another endpoint

Cause: the request to stop a generation stayed recorded when the engine turned it away, was used however old it was, and named the destination by its slot, which another endpoint gets later.

Change: the record is removed when the engine turns the request away, and not used once events refute it. A generation is resumed at the destination only if the slot has its name, and no request is sent to an endpoint of another service.

--- a/crates/host/src/sending.rs
+++ b/crates/host/src/sending.rs
@@ -169,9 +169,20 @@
             result.inspect_err(|err| log_failure(cx, call, ix, err))?
         }
     };
-    let Some(name) = cx.state.borrow().fleet.get(ix).map(|e| e.entry.name.clone()) else {
+    let listed = {
+        let state = cx.state.borrow();
+        let entry = state.fleet.get(ix).map(|endpoint| &endpoint.entry);
+        entry.map(|entry| (entry.name.clone(), entry.service == call.service().name))
+    };
+    let Some((name, is_of_service)) = listed else {
         return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
     };
+    // The slot of an endpoint that left may belong to one of another service.
+    if !is_of_service {
+        let err = ExchangeError::NotSent("the endpoint belongs to another service".to_owned());
+        log_failure(cx, call, ix, &err);
+        return Err(err);
+    }
     if plan.reservation.as_ref().is_some_and(|reservation| !reservation.is_valid()) {
         let err = ExchangeError::NotSent("the placement is out of date".to_owned());
         log_failure(cx, call, ix, &err);
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -83,11 +83,9 @@
             reclaim::decide(&state.fleet, spec, from, &reclaimed, now)
         };
         self.review_at = Some(now + REVIEW_INTERVAL);
-        let stop = self.stop.borrow();
-        if stop.as_ref().is_some_and(|stop| !stop.is_refuted(self.last_event_at)) {
+        if self.may_have_stopped() {
             return;
         }
-        drop(stop);
         match decision {
             ReclaimDecision::Migrate { to, duration: transfer_duration } => {
                 self.start_transfer(from, to, transfer_duration)
@@ -170,8 +168,17 @@
         let started_at = Instant::now();
         let copy = Some(handover.copy.clone());
         let resume = Resume { after, copy };
-        let mut candidates = vec![(handover.to, handover.connection)];
-        if handover.to != handover.from {
+        // The slot of an engine that left may belong to another endpoint, even of another service.
+        let is_listed = {
+            let state = self.cx.state.borrow();
+            let endpoint = state.fleet.get(handover.to);
+            endpoint.is_some_and(|endpoint| endpoint.entry.name == handover.to_name)
+        };
+        let mut candidates = Vec::new();
+        if is_listed {
+            candidates.push((handover.to, handover.connection));
+        }
+        if handover.to != handover.from || !is_listed {
             candidates.push((handover.from, None));
         }
         for (endpoint, connection) in candidates {
@@ -250,7 +257,7 @@
     /// Waits for a transfer in progress if the source was asked to stop the generation, which may be why
     /// its response has ended, and abandons any other. Returns the handover if the generation was stopped.
     pub(crate) async fn finish_stop(&mut self) -> Option<Handover> {
-        if self.stop.borrow().is_none() {
+        if !self.may_have_stopped() {
             self.abandon_transfer();
         }
         self.finish_transfer().await
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -26,7 +26,7 @@
 use crate::stream_continuation::ORIGIN_ANNOUNCEMENT_INTERVAL;
 use crate::stream_migration::transfer_result;
 use crate::task::OwnedTask;
-use crate::transfer::{Handover, StopState, TransferError};
+use crate::transfer::{Handover, RequestedStop, StopState, TransferError};
 use crate::upstream::{Exchange, ExchangeError};
 
 /// Time for which an engine has to write an answer to show that the request does not crash it.
@@ -281,7 +281,7 @@
                 }
                 // A response without a length ends the same way when the source stops the generation, or when
                 // its process ends.
-                if !self.source.exchange.has_explicit_end() && self.stop.borrow().is_some() {
+                if !self.source.exchange.has_explicit_end() && self.may_have_stopped() {
                     return self
                         .handle_broken_source("ended after a request to stop".to_owned())
                         .await;
@@ -302,13 +302,25 @@
         }
     }
 
+    /// Returns true if the source was asked to stop the generation and may have done so.
+    pub(crate) fn may_have_stopped(&self) -> bool {
+        let stop = self.stop.borrow();
+        stop.as_ref().is_some_and(|stop| !stop.is_refuted(self.last_event_at))
+    }
+
+    /// Returns the request to stop the generation, unless an event since shows that it was not stopped.
+    fn take_requested_stop(&mut self) -> Option<RequestedStop> {
+        self.stop.take().filter(|stop| !stop.is_refuted(self.last_event_at))
+    }
+
     /// Handles the early end of the source's response. A migration in progress, or one whose final copy had
     /// no known result, may be the cause: the generation was stopped then.
     async fn handle_broken_source(&mut self, detail: String) -> Option<StreamEnd> {
         let handover = match self.finish_stop().await {
             Some(handover) => Some(handover),
-            None => self.stop.take().map(|stop| Handover {
+            None => self.take_requested_stop().map(|stop| Handover {
                 to: stop.to,
+                to_name: stop.to_name,
                 connection: None,
                 from: self.source.guard.endpoint,
                 copy: stop.copy,
--- a/crates/host/src/transfer.rs
+++ b/crates/host/src/transfer.rs
@@ -14,7 +14,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout, timeout_at};
 
-use crate::boundary::{CopyHandle, CopyReply, CopySource, Registry, Wire};
+use crate::boundary::{CopyHandle, CopyReply, CopySource, Registry, ResponseKind, Wire};
 use crate::call::Call;
 use crate::connecting::connect_to;
 use crate::context::Host;
@@ -39,6 +39,8 @@
 pub struct Handover {
     /// Engine to resume on.
     pub to: EndpointIx,
+    /// Name of that engine. Another one may be listed under the index since.
+    pub to_name: EndpointName,
     /// Connection to that engine.
     pub connection: Option<HttpConnection>,
     /// Engine at which it stopped.
@@ -54,6 +56,8 @@
 pub struct RequestedStop {
     /// Engine that the copies were made to.
     pub to: EndpointIx,
+    /// Its name.
+    pub to_name: EndpointName,
     /// First copy of its KV cache.
     pub copy: CopySource,
     /// When it was requested.
@@ -156,7 +160,8 @@
     check_region(&cx, &call, plan.to, connection.via())?;
     let final_started_at = Instant::now();
     let first_copy = CopySource { addr: from.addr, handle };
-    let requested = RequestedStop { to: to_ix, copy: first_copy, at: Instant::now() };
+    let (to_name, at) = (to.name.clone(), Instant::now());
+    let requested = RequestedStop { to: to_ix, to_name, copy: first_copy, at };
     let copied = kv_copy.copy_final(requested, &stop).await;
     if copied.is_ok() || stop.borrow().is_some() {
         guard.disarm();
@@ -167,12 +172,12 @@
         "waited_ms" => (first_started_at - started_at).as_millis() as u64,
         "last_copy_ms" => final_started_at.elapsed().as_millis() as u64, "copied" => copied,
         "events" => events);
-    let (to, connection) = match copied {
-        true => (plan.to, Some(connection)),
-        false => (plan.from, None),
+    let (to, to_name, connection) = match copied {
+        true => (plan.to, to.name.clone(), Some(connection)),
+        false => (plan.from, from.name.clone(), None),
     };
     let copy = CopySource { addr: from.addr, handle };
-    Ok(Handover { to, connection, from: plan.from, copy, events })
+    Ok(Handover { to, to_name, connection, from: plan.from, copy, events })
 }
 
 /// Returns an error if a generation may no longer be resumed on an engine, through another host if given.
@@ -324,6 +329,12 @@
             }
         };
         self.cx.record_own_call_directives(self.from_ix, self.from, &head);
+        // An engine that turns the request away has not stopped the generation.
+        if let (Some((_, state)), ResponseKind::NotRun { .. }) =
+            (stop, self.cx.wire.response_kind(&head, &self.call.id))
+        {
+            state.take();
+        }
         Ok(self.cx.wire.decode_copy_response(head.status, &body))
     }
 
