Count the bodies of requests for as long as they are kept

Cause: the share of a body was returned when its stream began, but the body was kept until the stream ended.

Change: a body keeps its share until the last reference is gone. One that does not fit is refused before any of it is kept; the rest is read and dropped, so that the client receives the refusal. Bodies may use 45% of the memory instead of 30%.

--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -28,7 +28,7 @@
 /// Maximum number of requests that wait for the start of this host.
 const MAX_START_WAITS: usize = 64;
 /// Fraction of the memory limit of the process that buffered request bodies may use.
-const REQUEST_BODY_FRACTION: f64 = 0.3;
+const REQUEST_BODY_FRACTION: f64 = 0.45;
 /// Fraction of the memory limit of the process that buffered responses may use.
 const RESPONSE_BODY_FRACTION: f64 = 0.2;
 /// Fraction of the memory limit of the process that events may use which clients have not taken.
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -78,8 +78,7 @@
         }
     };
     let id = decoded.call.clone();
-    let mut memory = cx.request_bodies.share();
-    let call = match admit(&cx, arrived_at, head, body, decoded, &mut memory).await {
+    let call = match admit(&cx, arrived_at, head, body, decoded).await {
         Ok(call) => Rc::new(call),
         Err(refusal) => {
             cx.metrics.refusals.with_label_values(&[refusal.reason]).inc();
@@ -110,7 +109,6 @@
     head: request::Parts,
     body: Incoming,
     decoded: DecodedHead,
-    memory: &mut BudgetShare,
 ) -> Result<Call, Refusal>
 where
     W: Wire,
@@ -150,7 +148,7 @@
     let mut stages = cx.stages();
     let body = tokio::select! {
         biased;
-        body = read_body(&serving.limits, body, deadline, memory) => body?,
+        body = read_body(&serving.limits, body, deadline, cx.request_bodies.share()) => body?,
         // The rest of the body may arrive only after the end of the process.
         () = wait_for_accept_end(cx, &mut stages) => {
             return Err(Refusal::unavailable("draining", DRAINING_RETRY_AFTER));
@@ -212,22 +210,32 @@
     Ok(())
 }
 
+/// Reads the body of a request into the memory of a share, which the returned bytes keep. A body that the memory
+/// does not suffice for is not kept, if its length is stated from its begin.
 async fn read_body(
     limits: &ClientLimits,
     mut body: Incoming,
     deadline: Instant,
-    memory: &mut BudgetShare,
+    mut memory: BudgetShare,
 ) -> Result<Bytes, Refusal> {
     let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-    if body.size_hint().lower() > limits.max_body.0 {
+    let no_memory = || Refusal::unavailable("bodies_fill_memory", MEMORY_RETRY_AFTER);
+    let stated = body.size_hint().lower();
+    if stated > limits.max_body.0 {
         return Err(too_large());
     }
-    let mut buf = BytesMut::new();
+    // Bodies that were all read in part would leave memory for none of them.
+    let mut reserved = stated as usize;
+    if !memory.grow(reserved) {
+        discard(body, limits, deadline).await;
+        return Err(no_memory());
+    }
+    let mut buf = BytesMut::with_capacity(reserved);
     loop {
         let frame = timeout_at(deadline.into(), body.frame()).await;
         let frame = match frame {
             Err(_) => return Err(Refusal::unavailable("body_too_slow", Duration::ZERO)),
-            Ok(None) => return Ok(buf.freeze()),
+            Ok(None) => return Ok(memory.hold(buf.freeze())),
             Ok(Some(Err(_))) => return Err(Refusal::new(StatusCode::BAD_REQUEST, "broken_body")),
             Ok(Some(Ok(frame))) => frame,
         };
@@ -235,9 +243,27 @@
         if (buf.len() + data.len()) as u64 > limits.max_body.0 {
             return Err(too_large());
         }
-        if !memory.grow(data.len()) {
-            return Err(Refusal::unavailable("bodies_fill_memory", MEMORY_RETRY_AFTER));
-        }
         buf.extend_from_slice(&data);
+        if buf.len() > reserved {
+            if !memory.grow(buf.len() - reserved) {
+                drop((buf, memory));
+                discard(body, limits, deadline).await;
+                return Err(no_memory());
+            }
+            reserved = buf.len();
+        }
+    }
+}
+
+/// Reads the rest of a body without keeping it. A client that still sends it when its connection closes would not
+/// receive the response.
+async fn discard(mut body: Incoming, limits: &ClientLimits, deadline: Instant) {
+    let mut left = limits.max_body.0;
+    while let Ok(Some(Ok(frame))) = timeout_at(deadline.into(), body.frame()).await {
+        let length = frame.data_ref().map_or(0, Bytes::len) as u64;
+        if length > left {
+            return;
+        }
+        left -= length;
     }
 }
