--- a/crates/host/src/event_splitter.rs
+++ b/crates/host/src/event_splitter.rs
@@ -62,7 +62,7 @@
     buf: BytesMut,
     /// Offset of the line that is not complete yet. The lines before it do not end an event.
     line_start: usize,
-    /// Number of bytes at the start of the buffer after whose `line_start` there is no end of a line.
+    /// Offset up to which the end of that line was not found.
     scanned: usize,
 }
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`response_end`]: latest end of a response.
 //! - [`upstream`]: HTTP client connections to endpoints.
 //! - [`head_limit`]: limit of what is received before the head of a response is complete.
+//! - [`limited_stream`]: a stream to an endpoint with that limit.
 //! - [`tunnel`]: connections to endpoints through other hosts.
 //! - [`tunnel_bytes`]: bytes of an endpoint that another host forwards, with a mark at their end.
 //! - [`frame_stream`]: connections between hosts that carry authenticated frames.
@@ -76,6 +77,7 @@
 pub mod head_limit;
 pub mod intake;
 pub mod lifecycle;
+pub mod limited_stream;
 pub mod listener;
 pub mod local_response;
 pub mod memory_budget;
--- a/crates/host/src/upstream.rs
+++ b/crates/host/src/upstream.rs
@@ -24,7 +24,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::boundary::FullBody;
-use crate::head_limit::{HeadLimit, LimitedStream};
+use crate::head_limit::HeadLimit;
+use crate::limited_stream::LimitedStream;
 use crate::memory_budget::BudgetShare;
 use crate::pace::Pace;
 use crate::task::OwnedTask;
