Share the wait for a confirmed list, and remove repetitions

Taking up a stream and doubting the end of a response each had a loop that waits until the endpoint list is confirmed; the take-up went through all endpoints before it looked for a known origin; stand-ins wrote the same entry twice; a branch, a counter and a second test for pauses were not needed.

Change: Host::confirm_list serves both, with a check every 20 ms, which was 50 ms for ends. A known origin is found first. The silence of a response is judged in is_cut_short alone, and DRAINING_RETRY_AFTER lies with the other rules of a stop. Bounds and tests are as they were.

--- a/crates/dispatch/src/tick_monitor.rs
+++ b/crates/dispatch/src/tick_monitor.rs
@@ -75,6 +75,6 @@
 
     /// Returns true if the process was paused since `at`.
     pub fn paused_since(&self, at: Instant, now: Instant) -> bool {
-        self.is_overdue(now) || self.woke_at.is_some_and(|woke_at| woke_at > at)
+        self.paused_at(at, now).is_some()
     }
 }
--- a/crates/host/src/connecting.rs
+++ b/crates/host/src/connecting.rs
@@ -9,11 +9,11 @@
 use slog::info;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
 
 use crate::boundary::{Registry, Wire};
 use crate::context::{Host, State};
 use crate::crash_check::endpoint_name;
+use crate::list_confirmation::MAX_CONFIRMATION_TIME;
 use crate::tunnel::{self, TunnelError};
 use crate::upstream::{Exchange, ExchangeError, HttpConnection, connect_stream, start_http};
 
@@ -22,13 +22,9 @@
 /// Connect timeout as a multiple of the endpoint's average connect time.
 const CONNECT_TIMEOUT_FACTOR: u32 = 4;
 /// Shortest time in which an endpoint that ended is back.
-pub const MIN_RESTART_TIME: Duration = Duration::from_millis(500);
+const MIN_RESTART_TIME: Duration = Duration::from_millis(500);
 /// Time in which an endpoint that has started is listed, which writes to the registry about once a second.
 const LISTING_TIME: Duration = Duration::from_millis(1500);
-/// Time after that in which the list is confirmed, by this host or a reader.
-const MAX_CONFIRMATION_TIME: Duration = Duration::from_millis(1500);
-/// Time between two checks for it.
-const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time within which an endpoint or a link that is probed has to respond.
 const MAX_PROBE_TIME: Duration = Duration::from_secs(1);
 
@@ -49,13 +45,13 @@
 
 /// Returns true if a response ended because its endpoint did. The operating system closes the connections of a
 /// process that ends, which looks like the end of a response without a length. An endpoint that
-/// accepts no connection has ended. If nothing was received for a while (`has_paused`), it may also have
-/// started again meanwhile, which its entry in the list shows.
+/// accepts no connection has ended. If nothing was received for a while, or this process `was_paused`, it may
+/// also have started again meanwhile, which its entry in the list shows.
 pub async fn is_cut_short<W, R>(
     cx: &Rc<Host<W, R>>,
     ix: EndpointIx,
     exchange: &Exchange,
-    has_paused: bool,
+    was_paused: bool,
 ) -> bool
 where
     W: Wire,
@@ -64,8 +60,9 @@
     if exchange.has_explicit_end() {
         return false;
     }
+    let is_doubtful = was_paused || exchange.longest_silence() >= MIN_RESTART_TIME;
     !probe_endpoint(cx, ix).await
-        || has_paused && !is_same_process(cx, ix, exchange.read_at()).await
+        || is_doubtful && !is_same_process(cx, ix, exchange.read_at()).await
 }
 
 /// Returns true if the endpoint list confirms that the process of an endpoint ran at `at`. One that started
@@ -76,24 +73,16 @@
     R: Registry,
 {
     let listed_by = at + LISTING_TIME;
-    let mut is_wanted = false;
-    while !was_replaced(cx, ix) {
-        let now = Instant::now();
-        if cx.list_known_as_of().is_some_and(|as_of| as_of >= listed_by) {
-            return true;
-        }
-        if now >= listed_by + MAX_CONFIRMATION_TIME {
-            info!(cx.log, "end of a response not confirmed"; "endpoint" => endpoint_name(cx, ix));
-            return false;
-        }
-        if now >= listed_by && !is_wanted {
-            is_wanted = true;
-            cx.list_wanted.notify_one();
-        }
-        sleep(CONFIRMATION_CHECK_INTERVAL).await;
+    let until = listed_by + MAX_CONFIRMATION_TIME;
+    let is_confirmed = cx.confirm_list(listed_by, until, || !was_replaced(cx, ix)).await;
+    if was_replaced(cx, ix) {
+        info!(cx.log, "endpoint was replaced"; "endpoint" => endpoint_name(cx, ix));
+        return false;
+    }
+    if !is_confirmed {
+        info!(cx.log, "end of a response not confirmed"; "endpoint" => endpoint_name(cx, ix));
     }
-    info!(cx.log, "endpoint was replaced"; "endpoint" => endpoint_name(cx, ix));
-    false
+    is_confirmed
 }
 
 /// Returns true if another process is listed under the name or the address of an endpoint.
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -300,12 +300,6 @@
         self.has_read_list(now) || self.state.borrow().peers.is_list_confirmed(now)
     }
 
-    /// Returns the time as of which the endpoint list is known, by what was asked for then. What is newer may
-    /// be missing from it.
-    pub fn list_known_as_of(&self) -> Option<Instant> {
-        self.list_asked_at.get().max(self.state.borrow().peers.list_asked_at())
-    }
-
     /// Returns the time as of which a response of the registry holds that was asked for at `asked_at` and is
     /// read now.
     pub(crate) fn as_of(&self, asked_at: Instant) -> Instant {
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -23,13 +23,11 @@
 use crate::local_response::local_response;
 use crate::memory_budget::BudgetShare;
 use crate::response_body::ResponseBody;
+use crate::response_end::DRAINING_RETRY_AFTER;
 use crate::{generation_call, plain_call};
 
 /// Interval at which a request that waits for the start of the host checks whether it has ended.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// Retry delay sent by a draining host. It is short because the load balancer sends the retry to
-/// another host.
-pub(crate) const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Retry delay sent when buffered request bodies have used up their part of the memory limit.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -44,6 +44,7 @@
 //! - [`endpoint_watch`]: keeps the endpoint list up to date.
 //! - [`evacuations`]: records which zones are evacuated and keeps requests from their endpoints.
 //! - [`endpoint_directives`]: records what endpoints state about themselves.
+//! - [`list_confirmation`]: waits for a confirmation of the endpoint list.
 //! - [`start_reads`]: when a starting host reads the registry by itself.
 //! - [`registry_outage`]: detection of registry outages.
 //! - [`report_poll`]: polls engines for load reports.
@@ -78,6 +79,7 @@
 pub mod intake;
 pub mod lifecycle;
 pub mod limited_stream;
+pub mod list_confirmation;
 pub mod listener;
 pub mod local_response;
 pub mod memory_budget;
--- a/crates/host/src/plain_call.rs
+++ b/crates/host/src/plain_call.rs
@@ -22,12 +22,12 @@
 
 use crate::boundary::{Registry, ResponseKind, Wire};
 use crate::call::Call;
-use crate::connecting::{MIN_RESTART_TIME, connect_to, is_cut_short};
+use crate::connecting::{connect_to, is_cut_short};
 use crate::context::Host;
-use crate::intake::DRAINING_RETRY_AFTER;
 use crate::local_response::local_response;
 use crate::queued_request::QueuedRequest;
 use crate::response_body::ResponseBody;
+use crate::response_end::DRAINING_RETRY_AFTER;
 use crate::sending::{SendPlan, SendReservation, send};
 use crate::upstream::ExchangeError;
 
@@ -448,12 +448,9 @@
     };
     let memory = cx.response_bodies.share();
     let mut result = upstream.exchange.read_within(MAX_RESPONSE_BYTES, memory).await;
-    let has_paused = {
-        let pauses = cx.state.borrow().pauses;
-        upstream.exchange.longest_silence() >= MIN_RESTART_TIME
-            || pauses.was_paused_since(upstream.sent_at, Instant::now())
-    };
-    if result.is_ok() && is_cut_short(cx, endpoint, &upstream.exchange, has_paused).await {
+    let pauses = cx.state.borrow().pauses;
+    let was_paused = pauses.was_paused_since(upstream.sent_at, Instant::now());
+    if result.is_ok() && is_cut_short(cx, endpoint, &upstream.exchange, was_paused).await {
         result = Err(ExchangeError::Unanswered("the endpoint is gone".to_owned()));
     }
     match result {
--- a/crates/host/src/queued_request.rs
+++ b/crates/host/src/queued_request.rs
@@ -167,7 +167,7 @@
     }
 
     /// Waits for the decision. Returns it with the reservation of the engine if the generation starts,
-    /// or `None` at the deadline.
+    /// or `None` if the response has to end before.
     pub async fn decision(mut self) -> Option<(Admission, Option<SendReservation<W, R>>)> {
         let decision = self.cx.within_response(&self.call, &mut self.rx).await?.ok()?;
         let label = match decision.admission {
--- a/crates/host/src/response_end.rs
+++ b/crates/host/src/response_end.rs
@@ -20,6 +20,9 @@
 const ACCEPT_FRACTION: f64 = 0.5;
 /// Time in which a call to a plain service is expected to end, as a multiple of its latency objective.
 const EXPECTED_OBJECTIVES: u32 = 4;
+/// Retry delay sent by a draining host. It is short because the load balancer sends the retry to
+/// another host.
+pub const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 impl<W, R> Host<W, R> {
     /// Returns when the process ends by itself if the host began to drain at `since`.
--- a/crates/host/src/stream_continuation.rs
+++ b/crates/host/src/stream_continuation.rs
@@ -7,19 +7,14 @@
 use camphorloft_types::prelude::*;
 use quick_error::quick_error;
 use slog::warn;
-use tokio::time::sleep;
 
 use crate::call::Call;
 use crate::context::{Host, State};
+use crate::list_confirmation::MAX_CONFIRMATION_TIME;
 
 /// Interval at which the origin of a running stream is announced to the other hosts, which may have
 /// started since or missed a datagram.
 pub const ORIGIN_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(2);
-/// Maximum time for which a client that takes up a stream waits for a confirmation of the endpoint list. A
-/// reader asks for changes once in 700 ms, and tells other hosts every 200 ms.
-const MAX_CONFIRMATION_TIME: Duration = Duration::from_millis(1500);
-/// Time between two checks for it.
-const CONFIRMATION_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 quick_error! {
     /// Error for a stream that cannot be continued.
@@ -48,34 +43,23 @@
         if !has_events && call.resumes.is_none() {
             return Ok(None);
         }
-        let until = self.response_end(call.deadline).min(Instant::now() + MAX_CONFIRMATION_TIME);
-        let mut is_wanted = false;
-        loop {
+        let service = &call.service().name;
+        let find_origin = || {
+            let first = call.resumes.as_ref()?;
+            self.state.borrow().origins.find(first.into(), Instant::now())
+        };
+        let find_only_version = || {
             let now = Instant::now();
             self.observe_versions(now);
-            let (origin, only_version) = {
-                let origins = &self.state.borrow().origins;
-                let origin =
-                    call.resumes.as_ref().and_then(|first| origins.find(first.into(), now));
-                (origin, origins.only_version(&call.service().name, now))
-            };
-            if origin.is_some() {
-                return Ok(origin);
-            }
-            // The stream may have begun at a version that joined before the client returned, and that a
-            // list which was asked for before does not have.
-            let is_confirmed = self.list_known_as_of().is_some_and(|at| at >= call.arrived_at);
-            match only_version {
-                Some(version) if is_confirmed => return Ok(Some(version)),
-                Some(_) if now < until && !is_wanted => {
-                    is_wanted = true;
-                    self.list_wanted.notify_one();
-                }
-                Some(_) if now < until => {}
-                Some(_) | None => return Err(ContinuationError::UnknownVersion),
-            }
-            sleep(CONFIRMATION_CHECK_INTERVAL).await;
-        }
+            self.state.borrow().origins.only_version(service, now)
+        };
+        // The stream may have begun at a version that joined before the client returned, and that a list
+        // which was asked for before does not have.
+        let until = self.response_end(call.deadline).min(Instant::now() + MAX_CONFIRMATION_TIME);
+        let is_needed = || find_origin().is_none() && find_only_version().is_some();
+        let is_confirmed = self.confirm_list(call.arrived_at, until, is_needed).await;
+        let only_version = || find_only_version().filter(|_| is_confirmed);
+        find_origin().or_else(only_version).map(Some).ok_or(ContinuationError::UnknownVersion)
     }
 
     /// Records the software version that began the stream of a call, and announces it.
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -168,7 +168,7 @@
         let started_at = Instant::now();
         let copy = Some(handover.copy.clone());
         let resume = Resume { after, copy };
-        // The slot of an engine that left may belong to another endpoint, even of another service.
+        // The run keeps the slot of the source. That of a destination that left may belong to another endpoint, even of another service.
         let is_listed = {
             let state = self.cx.state.borrow();
             let endpoint = state.fleet.get(handover.to);
@@ -178,7 +178,7 @@
         if is_listed {
             candidates.push((handover.to, handover.connection));
         }
-        if handover.to != handover.from || !is_listed {
+        if handover.to != handover.from {
             candidates.push((handover.from, None));
         }
         for (endpoint, connection) in candidates {
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -14,7 +14,7 @@
 
 use crate::boundary::{Registry, Wire};
 use crate::call::Call;
-use crate::connecting::{MIN_RESTART_TIME, is_cut_short};
+use crate::connecting::is_cut_short;
 use crate::context::Host;
 use crate::event_splitter::EventSplitter;
 use crate::gap_window::GapWindow;
@@ -287,8 +287,8 @@
                         .await;
                 }
                 let Source { guard, exchange, .. } = &self.source;
-                let has_paused = exchange.longest_silence() >= MIN_RESTART_TIME;
-                if is_cut_short(&self.cx, guard.endpoint, exchange, has_paused).await {
+                // A pause of this process is a silence of the response as well.
+                if is_cut_short(&self.cx, guard.endpoint, exchange, false).await {
                     return self.handle_broken_source("the endpoint is gone".to_owned()).await;
                 }
                 self.cx.metrics.sends.with_label_values(&["answered"]).inc();
