--- a/review/rig-3/engine.rs
+++ b/review/rig-3/engine.rs
@@ -26,8 +26,11 @@
     /// Difference between the IDs of two events.
     pub step: u64,
     pub count: u64,
-    /// Time before the first event.
+    /// Time in which the prompt is read, before the first event.
     pub prefill: Duration,
+    /// Whether the head of the answer is sent before the prompt is read. Otherwise prompts are read one after
+    /// the other, and the head is sent with the first event.
+    pub is_head_first: bool,
     pub pause: Duration,
 }
 
@@ -53,6 +56,8 @@
     events: Events,
     /// Attempts in progress, with the time at which each was read.
     pub running: Mutex<Vec<(String, Instant)>>,
+    /// Held while a prompt is read.
+    prompt: Mutex<()>,
     channels: Mutex<Vec<TcpStream>>,
     store: Arc<Store>,
     record: Record,
@@ -71,6 +76,7 @@
             has_ended: AtomicBool::new(false),
             events,
             running: Mutex::default(),
+            prompt: Mutex::default(),
             channels: Mutex::default(),
             store: store.clone(),
             record: record.clone(),
@@ -208,8 +214,15 @@
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {attempt}\r\n\
              Replica-Seal: seal-{attempt}\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
-        tx.write_all(head.as_bytes())?;
-        sleep(self.events.prefill);
+        if self.events.is_head_first {
+            tx.write_all(head.as_bytes())?;
+            sleep(self.events.prefill);
+        } else {
+            let prompt = self.prompt.lock().expect("no panic");
+            sleep(self.events.prefill);
+            drop(prompt);
+            tx.write_all(head.as_bytes())?;
+        }
         for id in self.events.ids() {
             if last.is_some_and(|last| id <= last) {
                 continue;
--- a/review/rig-3/event_numbers.rs
+++ b/review/rig-3/event_numbers.rs
@@ -110,7 +110,14 @@
     const ENGINES: usize = 6;
     const STREAMS: usize = 24;
     let ms = Duration::from_millis;
-    let events = Events { first: 0, step: 1, count: 8, prefill: ms(600), pause: ms(40) };
+    let events = Events {
+        first: 0,
+        step: 1,
+        count: 8,
+        prefill: ms(600),
+        is_head_first: true,
+        pause: ms(40),
+    };
     let (engines, host, _store) = start(events, ENGINES, record);
     let crashing = engines[0].clone();
     let crash = thread::spawn(move || {
@@ -152,7 +159,14 @@
     const STREAMS: usize = 24;
     let ms = Duration::from_millis;
     let step = if trouble { 4 } else { 1 };
-    let events = Events { first: step, step, count: 8, prefill: ms(200), pause: ms(40) };
+    let events = Events {
+        first: step,
+        step,
+        count: 8,
+        prefill: ms(200),
+        is_head_first: true,
+        pause: ms(40),
+    };
     let (_engines, host, _store) = start(events, 3, record);
     let all = read_streams(host.clients, "/drafts/2f", STREAMS, record);
     let expected = events.ids();
--- a/review/rig-3/host.rs
+++ b/review/rig-3/host.rs
@@ -89,11 +89,9 @@
         probe().is_some_and(|response| response.head.status() == 200)
     }
 
-    /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args([format!("-{name}"), id]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "the signal was not sent");
+    /// Kills the process, as the platform does when it exceeds its memory.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process is a child");
     }
 
     /// Returns the memory that the process has allocated and uses, in bytes.
--- a/review/rig-3/waiting_heads.rs
+++ b/review/rig-3/waiting_heads.rs
@@ -34,7 +34,9 @@
 enum End {
     Complete,
     Refused,
-    /// The channel closed without a complete answer.
+    /// The channel closed in the middle of the answer.
+    CutOff,
+    /// The channel closed without an answer.
     Closed,
 }
 
@@ -70,8 +72,13 @@
         if head.status() != 200 {
             return Ok(End::Refused);
         }
-        while !read_chunk(rx)?.is_empty() {}
-        Ok::<End, std::io::Error>(End::Complete)
+        loop {
+            match read_chunk(rx) {
+                Ok(chunk) if chunk.is_empty() => return Ok(End::Complete),
+                Ok(_) => {}
+                Err(_) => return Ok::<End, std::io::Error>(End::CutOff),
+            }
+        }
     };
     Some(read().unwrap_or(End::Closed))
 }
@@ -81,7 +88,14 @@
     let ms = Duration::from_millis;
     let store = Store::start();
     store.put("op", "config", &config());
-    let events = Events { first: 1, step: 1, count: 232, prefill: ms(230), pause: ms(40) };
+    let events = Events {
+        first: 1,
+        step: 1,
+        count: 232,
+        prefill: ms(214),
+        is_head_first: false,
+        pause: ms(40),
+    };
     let engines: Vec<_> = (1..=ENGINES)
         .map(|number| Engine::start(&format!("e-{number}"), events, &store, record))
         .collect();
@@ -122,7 +136,7 @@
                 let attempts = engine.running.lock().expect("no panic");
                 running.extend(attempts.iter().map(|(attempt, _)| attempt.clone()));
             }
-            host.lock().expect("no panic").signal("KILL");
+            host.lock().expect("no panic").kill();
             let line =
                 format!("the host uses {} MB of {}: killed", memory >> 20, MACHINE.memory_mb);
             record.line(&line);
@@ -143,10 +157,11 @@
         record.line(&format!("{attempt}: {end:?}"));
     }
     let line = format!(
-        "{requesters} prompts: {} complete, {} refused, {} channels closed without an answer, {cut} of them with a \
-         request that a sound engine runs; {} requesters not served before; at most {} MB in use",
+        "{requesters} prompts: {} complete, {} refused, {} cut off, {} channels closed without an answer, {cut} of them \
+         with a request that a sound engine has; {} requesters not served before; at most {} MB in use",
         count(Some(End::Complete)),
         count(Some(End::Refused)),
+        count(Some(End::CutOff)),
         count(Some(End::Closed)),
         count(None),
         most.load(Ordering::SeqCst) >> 20,
--- a/review/rig-3/watchdog.rs
+++ b/review/rig-3/watchdog.rs
@@ -26,7 +26,7 @@
         sleep(MAX_TIME);
         for id in STARTED.lock().expect("no panic").iter() {
             // The process may end by itself meanwhile.
-            let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+            let _ = Command::new("sh").args(["-c", &format!("kill -KILL {id}")]).status();
         }
         println!("the run took too long");
         std::process::exit(2);
