Resume streams before their first event from the beginning

Clients got complete streams without event 0 when an engine that numbers its events from 0 crashed, or was migrated from, before its first event.

"No event received" was represented as identifier 0, in the resumption after an interruption and in that from a copy, and the next engine was told that the client had event 0. The same confusion let another software version continue a stream taken up after event 0, restarted streams whose events have no identifiers, counted comments as events, and took the number of tokens to read in again from an identifier.

LastEvent now distinguishes no event, events without identifiers, and an identifier. The first is resumed without Last-Event-Id, the second is neither resumed nor migrated. Counts come from the events forwarded.

--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -15,6 +15,8 @@
 use http::{HeaderMap, Request, StatusCode, request, response};
 use quick_error::quick_error;
 
+use crate::event_id::EventId;
+
 /// Decoded head of a client's request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DecodedHead {
@@ -29,7 +31,7 @@
     /// Parts of the prompt that other requests may have too, in order.
     pub shared_parts: Vec<RequestFeature>,
     /// ID of the last event that the client received in an earlier attempt.
-    pub last_event_id: Option<u64>,
+    pub last_event_id: Option<EventId>,
     /// Attempt of the client in which the stream that it takes up again began.
     pub resumes: Option<CallId>,
 }
@@ -63,8 +65,10 @@
 /// Where to resume a generation that started on another engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Resume {
-    /// Last event that was sent to the client.
-    pub after: u64,
+    /// Last event that was sent to the client. If there is none, the generation is resumed from its first event.
+    pub after: Option<EventId>,
+    /// Number of events that were sent to the client in this call.
+    pub events: u64,
     /// Copy of its KV cache, if one exists.
     pub copy: Option<CopySource>,
 }
--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -11,6 +11,8 @@
 use http::request;
 
 use crate::boundary::{EnginePriority, GenerationParams};
+use crate::event_id::EventId;
+use crate::last_event::LastEvent;
 
 /// An accepted request: routed, with its complete body.
 #[derive(Debug)]
@@ -32,7 +34,7 @@
     /// Generation parameters from the request headers.
     pub generation: GenerationParams,
     /// ID of the last event that the client received in an earlier attempt.
-    pub last_event_id: Option<u64>,
+    pub last_event_id: Option<EventId>,
     /// Attempt of the client in which the stream that it takes up again began.
     pub resumes: Option<CallId>,
     /// What it may have in common with other requests: its content, and the shared parts of its prompt.
@@ -56,6 +58,11 @@
         &self.serving.services[self.service]
     }
 
+    /// Returns the last event that the client received in an earlier attempt.
+    pub fn last_event(&self) -> LastEvent {
+        self.last_event_id.into()
+    }
+
     /// Returns the name of the client's organisation.
     pub fn organisation_name(&self) -> Option<&OrganisationName> {
         self.organisation.map(|ix| &self.serving.organisations[ix].name)
--- a/crates/host/src/event_splitter.rs
+++ b/crates/host/src/event_splitter.rs
@@ -2,6 +2,8 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::event_id::EventId;
+
 /// Maximum size of an event, in bytes. An incomplete event is buffered until the rest arrives.
 const MAX_EVENT_BYTES: usize = 1 << 18;
 
@@ -11,7 +13,7 @@
     /// Raw bytes.
     pub bytes: Bytes,
     /// Value of the `id` field, if it is a number.
-    pub id: Option<u64>,
+    pub id: Option<EventId>,
 }
 
 impl Event {
@@ -27,11 +29,25 @@
     /// assert!(splitter.next_event().unwrap().is_foreign());
     /// ```
     pub fn is_foreign(&self) -> bool {
-        self.id.is_none() && !self.has_only(|line| is_comment(line) || line.starts_with(b"retry:"))
+        self.id.is_none() && self.has_data()
+    }
+
+    /// Returns true if it is an event of the stream, and not only comments or a retry delay. Servers send comments
+    /// to keep a connection open, also before the first event.
+    ///
+    /// ```
+    /// use camphorloft_host::event_splitter::EventSplitter;
+    /// let mut splitter = EventSplitter::default();
+    /// splitter.push(b": still here\r\n\r\nretry: 100\n\nid: 7\ndata: a\n\n");
+    /// assert!(!splitter.next_event().unwrap().has_data());
+    /// assert!(!splitter.next_event().unwrap().has_data());
+    /// assert!(splitter.next_event().unwrap().has_data());
+    /// ```
+    pub fn has_data(&self) -> bool {
+        !self.has_only(|line| is_comment(line) || line.starts_with(b"retry:"))
     }
 
-    /// Returns true if it has no field, so that clients ignore it. Servers send comments to keep a
-    /// connection open.
+    /// Returns true if it has no field, so that clients ignore it.
     ///
     /// ```
     /// use camphorloft_host::event_splitter::EventSplitter;
@@ -79,7 +95,7 @@
     /// use camphorloft_host::event_splitter::EventSplitter;
     /// let mut splitter = EventSplitter::default();
     /// splitter.push(b"id: 7\ndata: a\n\nid: 8\nda");
-    /// assert_eq!(splitter.next_event().unwrap().id, Some(7));
+    /// assert_eq!(splitter.next_event().unwrap().id, Some("7".parse().unwrap()));
     /// assert!(splitter.next_event().is_none());
     /// assert!(splitter.has_partial());
     /// ```
@@ -123,7 +139,7 @@
     }
 }
 
-fn event_id(event: &[u8]) -> Option<u64> {
+fn event_id(event: &[u8]) -> Option<EventId> {
     let line = event.split(|byte| *byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
 }
--- a/crates/host/src/generation_call.rs
+++ b/crates/host/src/generation_call.rs
@@ -87,7 +87,7 @@
         Err(ContinuationError::UnknownVersion) => {
             info!(placement.cx.log, "software version of a stream not known";
                 "call" => %placement.call.id, "resumes" => call_name(&placement.call.resumes),
-                "after_event" => placement.call.last_event_id);
+                "after_event" => %placement.call.last_event());
             let failure = placement.failure("stream_version_unknown", RETRY_AFTER_REFUSAL);
             return placement.respond_failure(failure);
         }
@@ -371,7 +371,7 @@
     }
 
     fn token_demand(&self, resume: Option<&Resume>, tokens_per_event: u32) -> TokenDemand {
-        let events = resume.map_or(0, |resume| u32::try_from(resume.after).unwrap_or(u32::MAX));
+        let events = resume.map_or(0, |resume| u32::try_from(resume.events).unwrap_or(u32::MAX));
         let generated = events.saturating_mul(tokens_per_event);
         let context_tokens = self.call.generation.prompt.0.saturating_add(generated);
         let expected = self.call.expected_tokens().saturating_sub(generated).max(tokens_per_event);
@@ -430,7 +430,7 @@
             "route" => %self.call.route().name, "endpoint" => name,
             "parts" => self.call.parts_text(),
             "software" => software, "resumes" => call_name(&self.call.resumes),
-            "after_event" => self.call.last_event_id,
+            "after_event" => %self.call.last_event(),
             "attempt" => self.tried.len() + 1, "version" => %self.call.serving.version,
             "cost_ms" => choice.cost_ms.round(), "fill" => (choice.fill * 100.0).round() / 100.0,
             "unread" => choice.prefill_tokens, "sequences" => choice.sequences,
@@ -502,11 +502,11 @@
             "took_ms" => self.call.arrived_at.elapsed().as_millis() as u64);
     }
 
-    /// Resumes an interrupted generation on another engine, after event `after`. Returns the
-    /// response if the engine continues the stream, and the number of sends that may have run before.
-    pub async fn resume(mut self, after: u64) -> Option<(UpstreamResponse<W, R>, u32)> {
+    /// Resumes an interrupted generation on another engine. Returns the response if the engine continues
+    /// the stream, and the number of sends that may have run before.
+    pub async fn resume(mut self, resume: Resume) -> Option<(UpstreamResponse<W, R>, u32)> {
         self.check_retry("broken_stream").ok()?;
-        let upstream = self.send(Some(Resume { after, copy: None })).await.ok()?;
+        let upstream = self.send(Some(resume)).await.ok()?;
         (upstream.kind == ResponseKind::Success).then_some((upstream, self.failed_runs))
     }
 }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -36,6 +36,8 @@
 //! - [`stream_migration`]: migrates a relayed generation when its engine is draining.
 //! - [`stream_continuation`]: which software version may continue a stream.
 //! - [`transfer`]: copies the KV cache of a running generation to another engine.
+//! - [`event_id`]: identifier of an event of a stream.
+//! - [`last_event`]: the last event of a stream that its client has received.
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
 //! - [`gap_window`]: measures the mean time between the events of a stream.
 //! - [`stall_monitor`]: recognises times in which this process did not run.
@@ -71,12 +73,14 @@
 pub mod endpoint_directives;
 pub mod endpoint_watch;
 pub mod evacuations;
+pub mod event_id;
 pub mod event_splitter;
 pub mod frame_stream;
 pub mod gap_window;
 pub mod generation_call;
 pub mod head_limit;
 pub mod intake;
+pub mod last_event;
 pub mod lifecycle;
 pub mod limited_stream;
 pub mod list_confirmation;
--- a/crates/host/src/stream_continuation.rs
+++ b/crates/host/src/stream_continuation.rs
@@ -39,8 +39,7 @@
         &self,
         call: &Call,
     ) -> Result<Option<SoftwareVersion>, ContinuationError> {
-        let has_events = call.last_event_id.is_some_and(|id| id > 0);
-        if !has_events && call.resumes.is_none() {
+        if call.last_event_id.is_none() && call.resumes.is_none() {
             return Ok(None);
         }
         let service = &call.service().name;
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -83,7 +83,7 @@
             reclaim::decide(&state.fleet, spec, from, &reclaimed, now)
         };
         self.review_at = Some(now + REVIEW_INTERVAL);
-        if self.may_have_stopped() {
+        if self.may_have_stopped() || !self.last_event.can_resume() {
             return;
         }
         match decision {
@@ -164,10 +164,16 @@
     /// Resumes a stopped generation at the destination or, failing that, at the source.
     pub(crate) async fn resume_from_copy(&mut self, handover: Handover) -> Result<(), StreamEnd> {
         self.forward_remaining_events().await?;
-        let after = self.last_event_id.unwrap_or(0);
+        if !self.last_event.can_resume() {
+            self.cx.metrics.migrations.with_label_values(&["lost"]).inc();
+            return match self.resume("the events have no identifiers").await {
+                Some(end) => Err(end),
+                None => Ok(()),
+            };
+        }
         let started_at = Instant::now();
         let copy = Some(handover.copy.clone());
-        let resume = Resume { after, copy };
+        let resume = Resume { copy, ..self.resume_point() };
         // The run keeps the slot of the source. That of a destination that left may belong to another endpoint, even of another service.
         let is_listed = {
             let state = self.cx.state.borrow();
@@ -199,9 +205,9 @@
                 let result = if endpoint == handover.from { "back" } else { "moved" };
                 self.cx.metrics.migrations.with_label_values(&[result]).inc();
                 info!(self.cx.log, "generation resumed from copy"; "call" => %self.call.id,
-                    "from" => %self.source.name, "to" => %upstream.name, "after_event" => after,
+                    "from" => %self.source.name, "to" => %upstream.name, "after_event" => %self.last_event,
                     "software" => software_name(&self.cx, upstream.guard.endpoint),
-                    "stopped_at_event" => handover.events,
+                    "events_at_stop" => handover.events,
                     "took_ms" => started_at.elapsed().as_millis() as u64);
                 self.replace_source(upstream);
                 return Ok(());
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -12,13 +12,14 @@
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 
-use crate::boundary::{Registry, Wire};
+use crate::boundary::{Registry, Resume, Wire};
 use crate::call::Call;
 use crate::connecting::is_cut_short;
 use crate::context::Host;
 use crate::event_splitter::EventSplitter;
 use crate::gap_window::GapWindow;
 use crate::generation_call::Placement;
+use crate::last_event::LastEvent;
 use crate::memory_budget::BudgetShare;
 use crate::response_body::{BodyError, BodyPart, PartSender};
 use crate::sending::{RunGuard, UpstreamResponse};
@@ -106,8 +107,9 @@
     /// Memory of the incomplete event.
     partial_memory: BudgetShare,
     pub(crate) fleet_changes: watch::Receiver<u64>,
-    /// ID of the last event sent to the client.
-    pub(crate) last_event_id: Option<u64>,
+    /// Last event sent to the client.
+    pub(crate) last_event: LastEvent,
+    /// Number of events sent to the client.
     pub(crate) events: u64,
     pub(crate) first_event_at: Option<Instant>,
     pub(crate) last_event_at: Option<Instant>,
@@ -155,7 +157,7 @@
         (tx, buffer): (PartSender, Option<Rc<StreamBuffer>>),
     ) -> Self {
         let fleet_changes = cx.subscribe_fleet();
-        let last_event_id = call.last_event_id;
+        let last_event = call.last_event();
         let stall_clock = start_stall_clock(&call);
         let (software, counted_sends) = begun;
         let partial_memory = cx.response_bodies.share();
@@ -170,7 +172,7 @@
             splitter: EventSplitter::default(),
             partial_memory,
             fleet_changes,
-            last_event_id,
+            last_event,
             events: 0,
             last_event_at: None,
             source_event_at: None,
@@ -358,24 +360,29 @@
         }
         let mut out = BytesMut::new();
         let (mut received, mut has_event, mut is_valid) = (0, false, true);
+        let sent_before = self.events;
         while let Some(event) = self.splitter.next_event() {
-            if self.last_event_id.is_some() && event.is_foreign() {
+            if self.last_event.id().is_some() && event.is_foreign() {
                 is_valid = false;
                 break;
             }
-            received += 1;
             has_event |= !event.is_comment();
-            if let (Some(id), Some(last)) = (event.id, self.last_event_id) {
+            if !event.has_data() {
+                out.extend_from_slice(&event.bytes);
+                continue;
+            }
+            received += 1;
+            if let (Some(id), Some(last)) = (event.id, self.last_event.id()) {
                 if id <= last {
                     continue;
                 }
-                if id > last.saturating_add(1) {
+                if id.distance_from(last) > 1 {
                     warn!(self.cx.log, "events missing"; "call" => %self.call.id,
-                        "last" => last, "next" => id, "endpoint" => %self.source.name);
+                        "last" => %last, "next" => %id, "endpoint" => %self.source.name);
                     return Err(StreamEnd::Interrupted);
                 }
             }
-            self.last_event_id = event.id.or(self.last_event_id);
+            self.last_event.record(event.id);
             self.events += 1;
             out.extend_from_slice(&event.bytes);
         }
@@ -384,6 +391,7 @@
             return Err(StreamEnd::Interrupted);
         }
         if !out.is_empty() {
+            let received = if self.events > sent_before { received } else { 0 };
             self.send_events(out.freeze(), received).await?;
         }
         // The time for which a slow client delays the relay does not count against the source.
@@ -394,11 +402,13 @@
     }
 
     /// Sends events to the client. `received` is the number of events that the source has sent since the
-    /// last call.
+    /// last call, and zero if there are only comments to send.
     async fn send_events(&mut self, events: Bytes, received: u32) -> Result<(), StreamEnd> {
-        self.record_events();
-        self.observe_gaps(received, Instant::now());
-        self.record_origin();
+        if received > 0 {
+            self.record_events();
+            self.observe_gaps(received, Instant::now());
+            self.record_origin();
+        }
         if let Some(buffer) = &self.buffer {
             match buffer.room().await {
                 true => buffer.add(events.len()),
@@ -511,14 +521,19 @@
         self.resume(&detail).await
     }
 
+    /// Returns where the generation is to be resumed, without the KV cache.
+    pub(crate) fn resume_point(&self) -> Resume {
+        Resume { after: self.last_event.id(), events: self.events, copy: None }
+    }
+
     /// Resumes on another engine without the KV cache, if the route allows it.
     pub(crate) async fn resume(&mut self, detail: &str) -> Option<StreamEnd> {
         let resumable = self.call.route().retry_mode.is_retryable();
         info!(self.cx.log, "stream interrupted"; "call" => %self.call.id,
             "endpoint" => %self.source.name, "error" => detail, "events" => self.events,
             "parts" => self.call.parts_text(), "resumable" => resumable);
-        let has_begun = self.last_event_id.is_some() || self.events > 0;
-        if !resumable || has_begun && self.software.is_none() {
+        let has_begun = !self.last_event.is_none();
+        if !resumable || !self.last_event.can_resume() || has_begun && self.software.is_none() {
             return Some(StreamEnd::Interrupted);
         }
         let endpoint = self.source.guard.endpoint;
@@ -534,12 +549,11 @@
             self.software.clone(),
             self.counted_sends,
         );
-        let after = self.last_event_id.unwrap_or(0);
-        match placement.resume(after).await {
+        match placement.resume(self.resume_point()).await {
             Some((upstream, counted_sends)) => {
                 self.counted_sends = counted_sends;
                 info!(self.cx.log, "stream resumed"; "call" => %self.call.id,
-                    "endpoint" => %upstream.name, "after_event" => after,
+                    "endpoint" => %upstream.name, "after_event" => %self.last_event,
                     "software" => software_name(&self.cx, upstream.guard.endpoint));
                 self.replace_source(upstream);
                 None
--- a/crates/host/tests/event_splitter.rs
+++ b/crates/host/tests/event_splitter.rs
@@ -1,10 +1,11 @@
 //! Checks that a stream is split into the same events regardless of how its bytes are chunked.
 
+use camphorloft_host::event_id::EventId;
 use camphorloft_host::event_splitter::EventSplitter;
 use proptest::prelude::*;
 
 /// Bytes and ID of an event.
-type Split = (Vec<u8>, Option<u64>);
+type Split = (Vec<u8>, Option<EventId>);
 
 /// Splits `bytes`, pushed in chunks that end at `cuts`. Returns the events and the incomplete rest.
 fn split(bytes: &[u8], cuts: &[usize]) -> (Vec<Split>, Vec<u8>) {
