Judge gaps in event numbers only where a stream changes engines

Clients of sound engines that number events by tokens (4, 8, 12) got the head of the response and one event, then a closed connection.

forward_events took any identifier beyond the last one plus one for a sign of missing events, also within one answer, where nothing can be missing.

EventOrder accepts any larger identifier within an answer. At the first event of another engine's answer it compares the difference with the steps that the stream has shown. What they do not explain is kept until later events do, or until equal steps show that events are missing. Unequal steps show nothing and cut nothing off.

--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -38,7 +38,9 @@
 //! - [`transfer`]: copies the KV cache of a running generation to another engine.
 //! - [`event_id`]: identifier of an event of a stream.
 //! - [`last_event`]: the last event of a stream that its client has received.
+//! - [`event_order`]: which events of a stream are sent to the client, and whether some are missing.
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
+//! - [`event_steps`]: the steps by which the identifiers of a stream's events increase.
 //! - [`gap_window`]: measures the mean time between the events of a stream.
 //! - [`stall_monitor`]: recognises times in which this process did not run.
 //! - [`speed_observation`]: observes how fast engines are.
@@ -74,7 +76,9 @@
 pub mod endpoint_watch;
 pub mod evacuations;
 pub mod event_id;
+pub mod event_order;
 pub mod event_splitter;
+pub mod event_steps;
 pub mod frame_stream;
 pub mod gap_window;
 pub mod generation_call;
--- a/crates/host/src/stream_migration.rs
+++ b/crates/host/src/stream_migration.rs
@@ -83,7 +83,7 @@
             reclaim::decide(&state.fleet, spec, from, &reclaimed, now)
         };
         self.review_at = Some(now + REVIEW_INTERVAL);
-        if self.may_have_stopped() || !self.last_event.can_resume() {
+        if self.may_have_stopped() || !self.order.last().can_resume() {
             return;
         }
         match decision {
@@ -164,7 +164,7 @@
     /// Resumes a stopped generation at the destination or, failing that, at the source.
     pub(crate) async fn resume_from_copy(&mut self, handover: Handover) -> Result<(), StreamEnd> {
         self.forward_remaining_events().await?;
-        if !self.last_event.can_resume() {
+        if !self.order.last().can_resume() {
             self.cx.metrics.migrations.with_label_values(&["lost"]).inc();
             return match self.resume("the events have no identifiers").await {
                 Some(end) => Err(end),
@@ -205,7 +205,7 @@
                 let result = if endpoint == handover.from { "back" } else { "moved" };
                 self.cx.metrics.migrations.with_label_values(&[result]).inc();
                 info!(self.cx.log, "generation resumed from copy"; "call" => %self.call.id,
-                    "from" => %self.source.name, "to" => %upstream.name, "after_event" => %self.last_event,
+                    "from" => %self.source.name, "to" => %upstream.name, "after_event" => %self.order.last(),
                     "software" => software_name(&self.cx, upstream.guard.endpoint),
                     "events_at_stop" => handover.events,
                     "took_ms" => started_at.elapsed().as_millis() as u64);
--- a/crates/host/src/stream_relay.rs
+++ b/crates/host/src/stream_relay.rs
@@ -16,10 +16,11 @@
 use crate::call::Call;
 use crate::connecting::is_cut_short;
 use crate::context::Host;
+use crate::event_id::EventId;
+use crate::event_order::{EventOrder, EventVerdict};
 use crate::event_splitter::EventSplitter;
 use crate::gap_window::GapWindow;
 use crate::generation_call::Placement;
-use crate::last_event::LastEvent;
 use crate::memory_budget::BudgetShare;
 use crate::response_body::{BodyError, BodyPart, PartSender};
 use crate::sending::{RunGuard, UpstreamResponse};
@@ -104,11 +105,12 @@
     /// When the version was last announced to the other hosts.
     pub(crate) origin_announced_at: Option<Instant>,
     pub(crate) splitter: EventSplitter,
-    /// Memory of the incomplete event.
+    /// Events that are kept until a later one shows whether others are missing before them.
+    kept: Vec<Bytes>,
+    /// Memory of the incomplete event and those that are kept.
     partial_memory: BudgetShare,
     pub(crate) fleet_changes: watch::Receiver<u64>,
-    /// Last event sent to the client.
-    pub(crate) last_event: LastEvent,
+    pub(crate) order: EventOrder,
     /// Number of events sent to the client.
     pub(crate) events: u64,
     pub(crate) first_event_at: Option<Instant>,
@@ -157,7 +159,7 @@
         (tx, buffer): (PartSender, Option<Rc<StreamBuffer>>),
     ) -> Self {
         let fleet_changes = cx.subscribe_fleet();
-        let last_event = call.last_event();
+        let order = EventOrder::from(call.last_event());
         let stall_clock = start_stall_clock(&call);
         let (software, counted_sends) = begun;
         let partial_memory = cx.response_bodies.share();
@@ -170,9 +172,10 @@
             software,
             origin_announced_at: None,
             splitter: EventSplitter::default(),
+            kept: Vec::new(),
             partial_memory,
             fleet_changes,
-            last_event,
+            order,
             events: 0,
             last_event_at: None,
             source_event_at: None,
@@ -298,7 +301,7 @@
                 if self.source_event_at.is_some() && self.source.exchange.has_explicit_end() {
                     self.record_proven();
                 }
-                Some(StreamEnd::Complete)
+                Some(self.send_kept().await.err().unwrap_or(StreamEnd::Complete))
             }
             BodyRead::Failed(detail) => self.handle_broken_source(detail).await,
         }
@@ -362,7 +365,7 @@
         let (mut received, mut has_event, mut is_valid) = (0, false, true);
         let sent_before = self.events;
         while let Some(event) = self.splitter.next_event() {
-            if self.last_event.id().is_some() && event.is_foreign() {
+            if self.order.last().id().is_some() && event.is_foreign() {
                 is_valid = false;
                 break;
             }
@@ -372,21 +375,18 @@
                 continue;
             }
             received += 1;
-            if let (Some(id), Some(last)) = (event.id, self.last_event.id()) {
-                if id <= last {
-                    continue;
-                }
-                if id.distance_from(last) > 1 {
-                    warn!(self.cx.log, "events missing"; "call" => %self.call.id,
-                        "last" => %last, "next" => %id, "endpoint" => %self.source.name);
-                    return Err(StreamEnd::Interrupted);
+            match self.order.check(event.id) {
+                EventVerdict::Send => {
+                    self.kept.push(event.bytes);
+                    self.move_kept(&mut out);
                 }
+                EventVerdict::Keep => self.kept.push(event.bytes),
+                EventVerdict::Drop => {}
+                EventVerdict::Missing(next) => return Err(self.events_missing(next)),
             }
-            self.last_event.record(event.id);
-            self.events += 1;
-            out.extend_from_slice(&event.bytes);
         }
-        if !self.partial_memory.resize(self.splitter.partial_len()) {
+        let kept: usize = self.kept.iter().map(Bytes::len).sum();
+        if !self.partial_memory.resize(self.splitter.partial_len() + kept) {
             warn!(self.cx.log, "incomplete events fill the memory"; "call" => %self.call.id);
             return Err(StreamEnd::Interrupted);
         }
@@ -401,6 +401,32 @@
         Ok(is_valid)
     }
 
+    /// Moves the events that are kept to `out`.
+    fn move_kept(&mut self, out: &mut BytesMut) {
+        self.events += self.kept.len() as u64;
+        self.kept.drain(..).for_each(|event| out.extend_from_slice(&event));
+    }
+
+    /// Sends the events that are kept, if there are any, at the end of a complete response.
+    async fn send_kept(&mut self) -> Result<(), StreamEnd> {
+        match self.order.end_answer() {
+            EventVerdict::Send => {
+                let (mut out, received) = (BytesMut::new(), self.kept.len() as u32);
+                self.move_kept(&mut out);
+                self.send_events(out.freeze(), received).await
+            }
+            EventVerdict::Missing(next) => Err(self.events_missing(next)),
+            EventVerdict::Keep | EventVerdict::Drop => Ok(()),
+        }
+    }
+
+    /// Ends a stream in which events are missing before `next`.
+    fn events_missing(&self, next: EventId) -> StreamEnd {
+        warn!(self.cx.log, "events missing"; "call" => %self.call.id,
+            "last" => %self.order.last(), "next" => %next, "endpoint" => %self.source.name);
+        StreamEnd::Interrupted
+    }
+
     /// Sends events to the client. `received` is the number of events that the source has sent since the
     /// last call, and zero if there are only comments to send.
     async fn send_events(&mut self, events: Bytes, received: u32) -> Result<(), StreamEnd> {
@@ -502,6 +528,8 @@
         self.is_proven = false;
         self.gap_window = None;
         self.splitter = EventSplitter::default();
+        self.kept.clear();
+        self.order.begin_answer();
         self.stall_clock = start_stall_clock(&self.call);
         self.source_changes += 1;
         self.tried.clear();
@@ -523,7 +551,7 @@
 
     /// Returns where the generation is to be resumed, without the KV cache.
     pub(crate) fn resume_point(&self) -> Resume {
-        Resume { after: self.last_event.id(), events: self.events, copy: None }
+        Resume { after: self.order.last().id(), events: self.events, copy: None }
     }
 
     /// Resumes on another engine without the KV cache, if the route allows it.
@@ -532,8 +560,8 @@
         info!(self.cx.log, "stream interrupted"; "call" => %self.call.id,
             "endpoint" => %self.source.name, "error" => detail, "events" => self.events,
             "parts" => self.call.parts_text(), "resumable" => resumable);
-        let has_begun = !self.last_event.is_none();
-        if !resumable || !self.last_event.can_resume() || has_begun && self.software.is_none() {
+        let has_begun = !self.order.last().is_none();
+        if !resumable || !self.order.last().can_resume() || has_begun && self.software.is_none() {
             return Some(StreamEnd::Interrupted);
         }
         let endpoint = self.source.guard.endpoint;
@@ -553,7 +581,7 @@
             Some((upstream, counted_sends)) => {
                 self.counted_sends = counted_sends;
                 info!(self.cx.log, "stream resumed"; "call" => %self.call.id,
-                    "endpoint" => %upstream.name, "after_event" => %self.last_event,
+                    "endpoint" => %upstream.name, "after_event" => %self.order.last(),
                     "software" => software_name(&self.cx, upstream.guard.endpoint));
                 self.replace_source(upstream);
                 None
