Use an entry or a message only if each documented field is valid

Clients got the 404 of a process that an incomplete entry of another writer named as an endpoint, and hosts took the row of another writer for their shared secret.

Optional fields, and ranges left to the types, let such entries through; each reader decided by itself what to do with the others, silently.

Members and endpoints that other hosts send are checked alike.

--- a/crates/host/src/boundary.rs
+++ b/crates/host/src/boundary.rs
@@ -62,6 +62,17 @@
     }
 }
 
+quick_error! {
+    /// Error of a load report that does not have the documented form.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum InvalidReport {
+        /// A field is missing, of another type or out of range.
+        Malformed(detail: String) {
+            display("{}", detail)
+        }
+    }
+}
+
 /// Where to resume a generation that started on another engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Resume {
@@ -196,8 +207,12 @@
     /// Builds the request for an engine's load report.
     fn report_request(&self, endpoint: &EndpointEntry) -> Request<FullBody>;
 
-    /// Decodes an engine's load report. Returns `None` when it is malformed.
-    fn decode_report_response(&self, status: StatusCode, body: &[u8]) -> Option<LoadReport>;
+    /// Decodes an engine's load report.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`InvalidReport`] when a field is missing, of another type or out of range.
+    fn decode_report(&self, body: &[u8]) -> Result<LoadReport, InvalidReport>;
 
     /// Builds the request to copy the KV cache of a running generation to another engine. `last`
     /// marks the final copy before the handover.
--- a/crates/host/src/config_exchange.rs
+++ b/crates/host/src/config_exchange.rs
@@ -18,9 +18,7 @@
 use crate::context::{Host, State};
 use crate::endpoint_watch;
 use crate::frame_stream::FrameStream;
-use crate::peer_convert::{
-    change_from_wire, change_to_wire, evacuations_from_wire, evacuations_to_wire,
-};
+use crate::peer_convert::{change_to_wire, evacuations_from_wire, evacuations_to_wire};
 use crate::tunnel;
 
 /// Timeout of an exchange; a version is at most 1 MB.
@@ -181,7 +179,7 @@
         .and_then(|list| WireEndpointList::decode(list.as_slice()).map_err(io::Error::other));
     match list {
         Ok(list) => {
-            let changes = list.endpoints.iter().filter_map(change_from_wire);
+            let changes = list.endpoints.iter().filter_map(|wire| cx.endpoint_change(wire));
             endpoint_watch::apply_changes(cx, changes, Instant::now(), "host");
             cx.has_full_list.set(true);
         }
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::boundary::Registry;
+use crate::invalid_inputs::InvalidInputs;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::peers::{Peers, UpdateScope};
@@ -92,6 +93,8 @@
     pub registry: R,
     /// Log.
     pub log: Logger,
+    /// Messages that were left out.
+    pub invalid_inputs: InvalidInputs,
     /// Metrics.
     pub metrics: Metrics,
     /// Recognises times in which the process did not run.
@@ -174,6 +177,7 @@
             settings,
             wire,
             registry,
+            invalid_inputs: InvalidInputs::new(log.clone()),
             log,
             metrics: Metrics::default(),
             stalls: StallMonitor::new(Instant::now()),
--- a/crates/host/src/endpoint_watch.rs
+++ b/crates/host/src/endpoint_watch.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
+use camphorloft_peer::wire::WireEndpointChange;
 use camphorloft_types::prelude::*;
 use rand::Rng;
 use slog::{info, warn};
@@ -16,6 +17,7 @@
 
 use crate::boundary::{EndpointChange, Listing, Registry, RegistryError, Revision, Wire};
 use crate::context::Host;
+use crate::peer_convert::change_from_wire;
 use crate::registry_outage::RegistryOutage;
 use crate::start_reads;
 
@@ -208,6 +210,21 @@
     }
 }
 
+impl<W, R> Host<W, R> {
+    /// Converts a change of the endpoint list from its wire form. Returns `None` if it is not valid.
+    pub(crate) fn endpoint_change(&self, wire: &WireEndpointChange) -> Option<EndpointChange> {
+        let change = change_from_wire(wire);
+        if change.is_none() {
+            self.invalid_inputs.record(
+                "endpoint of a host",
+                &wire.name,
+                &"a field is out of range",
+            );
+        }
+        change
+    }
+}
+
 /// Applies changes of the endpoint list received from another host. A host that reads the list itself uses
 /// only what they say about endpoints that it knows: a late change of a former reader could otherwise bring
 /// back an endpoint that left, and the store would not state its removal again. Other hosts notice that
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -37,6 +37,7 @@
 //! - [`stream_continuation`]: which software version may continue a stream.
 //! - [`transfer`]: copies the KV cache of a running generation to another engine.
 //! - [`event_id`]: identifier of an event of a stream.
+//! - [`invalid_inputs`]: logs rows and messages that are left out.
 //! - [`last_event`]: the last event of a stream that its client has received.
 //! - [`event_order`]: which events of a stream are sent to the client, and whether some are missing.
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
@@ -84,6 +85,7 @@
 pub mod generation_call;
 pub mod head_limit;
 pub mod intake;
+pub mod invalid_inputs;
 pub mod last_event;
 pub mod lifecycle;
 pub mod limited_stream;
--- a/crates/host/src/peer_convert.rs
+++ b/crates/host/src/peer_convert.rs
@@ -1,5 +1,6 @@
 //! Conversions of endpoint data to and from peer messages.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use camphorloft_dispatch::prelude::*;
@@ -45,7 +46,7 @@
     Some(EndpointChange::Listed(EndpointEntry {
         name,
         process_start: ProcessStart(entry.born),
-        addr: entry.addr.parse().ok()?,
+        addr: entry.addr.parse().ok().filter(|addr: &SocketAddr| addr.port() != 0)?,
         service: entry.service.parse().ok()?,
         software: match entry.software.as_str() {
             "" => None,
--- a/crates/host/src/peer_link.rs
+++ b/crates/host/src/peer_link.rs
@@ -25,7 +25,7 @@
 use crate::endpoint_watch;
 use crate::listener::bind;
 use crate::peer_convert::{
-    change_from_wire, evacuations_from_wire, migration_from_wire, report_from_wire, speed_from_wire,
+    evacuations_from_wire, migration_from_wire, report_from_wire, speed_from_wire,
 };
 use crate::peer_secret;
 
@@ -367,7 +367,7 @@
             }
         }
     }
-    let changes = datagram.endpoint_changes.iter().filter_map(change_from_wire);
+    let changes = datagram.endpoint_changes.iter().filter_map(|wire| cx.endpoint_change(wire));
     endpoint_watch::apply_changes(cx, changes, now, "host");
     for origin in &datagram.stream_origins {
         cx.receive_stream_origin(origin, now);
--- a/crates/host/src/report_poll.rs
+++ b/crates/host/src/report_poll.rs
@@ -5,6 +5,7 @@
 
 use camphorloft_dispatch::prelude::*;
 use camphorloft_types::prelude::*;
+use http::StatusCode;
 use slog::debug;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
@@ -195,11 +196,16 @@
     let result = match response {
         Ok(Ok((head, body))) => {
             cx.record_own_call_directives(ix, &entry, &head);
-            match cx.wire.decode_report_response(head.status, &body) {
-                Some(report) => {
+            let decoded = (head.status == StatusCode::OK).then(|| cx.wire.decode_report(&body));
+            match decoded {
+                Some(Ok(report)) => {
                     apply_and_send(&cx, ix, &entry, report, now);
                     "ok"
                 }
+                Some(Err(err)) => {
+                    cx.invalid_inputs.record("report", entry.name.as_str(), &err);
+                    "not_understood"
+                }
                 None => "not_understood",
             }
         }
--- a/crates/peer/src/convert.rs
+++ b/crates/peer/src/convert.rs
@@ -81,7 +81,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`FrameError::Malformed`] when the sender is missing or any part is not valid.
+/// Returns [`FrameError::Malformed`] when the sender is missing, or it or the kind is not valid. Updates that are
+/// not valid are left out.
 pub fn message_from_wire(wire: &WireDatagram) -> Result<Message, FrameError> {
     let kind = match &wire.kind {
         Some(WireKind::Ping(id)) => MessageKind::Ping(ProbeId(*id)),
@@ -94,11 +95,11 @@
         None => MessageKind::Updates,
     };
     let sender = wire.sender.as_ref().ok_or(FrameError::Malformed)?;
-    let updates = wire.updates.iter().map(member_from_wire);
+    let updates = wire.updates.iter().filter_map(|update| member_from_wire(update).ok());
     Ok(Message {
         kind,
         sender: member_from_wire(sender)?,
         config_version: ConfigVersion(wire.config_version),
-        updates: updates.collect::<Result<_, _>>()?,
+        updates: updates.collect(),
     })
 }
