Close an idle client connection to make room for a new one

New clients got no answer from a host that said it was ready, for as long as other clients kept their connections open.

The listener stops accepting at a third of the descriptors, and connections that are idle count like busy ones. None was closed before the idle timeout of the configuration.

--- a/crates/host/src/connection.rs
+++ b/crates/host/src/connection.rs
@@ -12,6 +12,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// What a connection is waiting for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +23,8 @@
     Head(Instant),
     /// The end of a response.
     Response,
+    /// The end of the connection, which makes room for another.
+    Close,
     /// Nothing any more: the client is too slow.
     Aborted,
 }
@@ -38,6 +41,8 @@
     ends_with_connection: Cell<bool>,
     /// Whether a response was interrupted.
     is_interrupted: Cell<bool>,
+    /// Notified when the connection is to close if it is idle.
+    close_requested: Notify,
 }
 
 impl Phase {
@@ -49,12 +54,13 @@
             response_deadline: Cell::new(None),
             ends_with_connection: Cell::new(false),
             is_interrupted: Cell::new(false),
+            close_requested: Notify::new(),
         }
     }
 
     /// Records that bytes were received.
     fn bytes_arrived(&self) {
-        if let Waiting::Request(_) = self.waiting.get() {
+        if let Waiting::Request(_) | Waiting::Close = self.waiting.get() {
             self.waiting.set(Waiting::Head(Instant::now()));
         }
     }
@@ -96,7 +102,31 @@
 
     /// Returns true if the connection is waiting for a new request, and the client has taken all responses.
     pub fn is_idle(&self) -> bool {
-        matches!(self.waiting.get(), Waiting::Request(_)) && !self.is_write_blocked.get()
+        self.idle_since().is_some()
+    }
+
+    /// Returns since when the connection has been idle, or `None` if it is not.
+    pub fn idle_since(&self) -> Option<Instant> {
+        match self.waiting.get() {
+            Waiting::Request(since) if !self.is_write_blocked.get() => Some(since),
+            _ => None,
+        }
+    }
+
+    /// Asks the connection to close if it is idle. It does not count as idle until its next request.
+    pub(crate) fn request_close(&self) {
+        self.waiting.set(Waiting::Close);
+        self.close_requested.notify_one();
+    }
+
+    /// Waits until the connection is to close.
+    pub(crate) async fn close_requested(&self) {
+        self.close_requested.notified().await;
+    }
+
+    /// Returns true if the connection is to close and nothing arrived since.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.waiting.get() == Waiting::Close
     }
 
     /// Returns true if a part of a request head was received.
@@ -119,6 +149,7 @@
         let (since, limit) = match (self.waiting.get(), until_deadline) {
             (Waiting::Aborted, _) => return Some(Duration::ZERO),
             (_, Some(left)) if self.is_write_blocked.get() => return Some(left),
+            (Waiting::Close, _) => return None,
             (Waiting::Response, left) => return left.filter(|left| !left.is_zero()),
             (Waiting::Request(since), _) => (since, limits.idle_timeout),
             (Waiting::Head(since), _) => (since, limits.head_timeout),
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::boundary::Registry;
+use crate::client_connections::ClientConnections;
 use crate::invalid_inputs::InvalidInputs;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
@@ -93,6 +94,8 @@
     pub registry: R,
     /// Log.
     pub log: Logger,
+    /// Open client connections.
+    pub client_connections: Rc<ClientConnections>,
     /// Messages that were left out.
     pub invalid_inputs: InvalidInputs,
     /// Metrics.
@@ -177,6 +180,7 @@
             settings,
             wire,
             registry,
+            client_connections: Rc::default(),
             invalid_inputs: InvalidInputs::new(log.clone()),
             log,
             metrics: Metrics::default(),
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`settings`]: validated settings of a host.
 //! - [`context`]: shared state of the host.
 //! - [`listener`]: accepts client connections.
+//! - [`client_connections`]: open client connections, of which idle ones make room for others.
 //! - [`cold_endpoints`]: keeps to the rate of requests that cold endpoints tolerate.
 //! - [`connection`]: timeouts of a client connection.
 //! - [`intake`]: validates a client request and turns it into a call, or refuses it.
@@ -67,6 +68,7 @@
 
 pub mod boundary;
 pub mod call;
+pub mod client_connections;
 pub mod cold_endpoints;
 pub mod config_exchange;
 pub mod connecting;
--- a/crates/host/src/lifecycle.rs
+++ b/crates/host/src/lifecycle.rs
@@ -115,19 +115,23 @@
     let listener = bind(cx.settings.clients)?;
     let (host, open) = (cx.clone(), clients.clone());
     let max_clients = cx.settings.max_connections / (1 + DESCRIPTORS_PER_CLIENT);
-    spawn_local(accept_loop(cx.clone(), listener, max_clients, move |stream| {
+    let connections = cx.client_connections.clone();
+    let make_room = move || connections.close_longest_idle(Instant::now());
+    let serve = move |stream| {
         let (host, open) = (host.clone(), open.clone());
         async move {
             serve_client(host, stream).await;
             drop(open);
         }
-    }));
+    };
+    spawn_local(accept_loop(cx.clone(), listener, max_clients, serve, make_room));
     for (addr, probe) in
         [(cx.settings.readiness, Probe::Readiness), (cx.settings.metrics, Probe::Metrics)]
     {
         let host = cx.clone();
         let serve = move |stream| serve_probe(host.clone(), probe, stream);
-        spawn_local(accept_loop(cx.clone(), bind(addr)?, MAX_PROBE_CONNECTIONS, serve));
+        let listener = bind(addr)?;
+        spawn_local(accept_loop(cx.clone(), listener, MAX_PROBE_CONNECTIONS, serve, || false));
     }
     spawn_local(serving_watch::follow(cx.clone()));
     spawn_local(endpoint_watch::follow(cx.clone()));
--- a/crates/host/src/listener.rs
+++ b/crates/host/src/listener.rs
@@ -31,6 +31,8 @@
 /// Delay before accepting again after an error, such as a lack of file descriptors, or while the
 /// maximum number of connections is open.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time in which an idle connection closes.
+const CLOSE_DELAY: Duration = Duration::from_millis(1);
 /// Minimum buffer size for a request head that the HTTP library accepts, in bytes.
 const MIN_HEAD_BUFFER: u64 = 8192;
 
@@ -46,22 +48,25 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections and passes each to `serve`, at most `max_connections` at a time.
-pub async fn accept_loop<W, R, Serve, Served>(
+/// Accepts connections and passes each to `serve`, at most `max_connections` at a time. While so many are open,
+/// `make_room` is to close one, and returns false if it cannot.
+pub async fn accept_loop<W, R, Serve, Served, MakeRoom>(
     cx: Rc<Host<W, R>>,
     listener: TcpListener,
     max_connections: usize,
     serve: Serve,
+    make_room: MakeRoom,
 ) where
     W: Wire,
     R: Registry,
     Serve: Fn(TcpStream) -> Served,
     Served: Future<Output = ()> + 'static,
+    MakeRoom: Fn() -> bool,
 {
     let open = Rc::new(());
     loop {
         if Rc::strong_count(&open) > max_connections {
-            sleep(ACCEPT_RETRY_DELAY).await;
+            sleep(if make_room() { CLOSE_DELAY } else { ACCEPT_RETRY_DELAY }).await;
             continue;
         }
         match listener.accept().await {
@@ -91,6 +96,7 @@
         return;
     }
     let phase = Rc::new(Phase::new());
+    let _open = cx.client_connections.add(phase.clone());
     let limits = cx.serving().map_or_else(ClientLimits::default, |serving| serving.limits);
     let service = service_fn(|req: Request<Incoming>| {
         let (cx, phase) = (cx.clone(), phase.clone());
@@ -135,6 +141,11 @@
                     connection.as_mut().graceful_shutdown();
                 }
             }
+            () = phase.close_requested() => {
+                if phase.is_closing() {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
             () = crate::lifecycle::wait_for_accept_end(&cx, &mut stages), if !accept_ended => {
                 accept_ended = true;
             }
