Limit the memory of requests, not of their bodies alone

All requests ended without a response when 1,240 of them, within the limits of the configuration, waited on a host with 88 MB: it was killed for its memory.

Budgets limited bodies. Heads, buffers of connections and the state of requests were in none, and what was being refused kept its head while the rest of its body was read.

The budget of request bodies is now that of requests, with 32 KiB for the buffers and state of each and three times its head. What does not fit is refused at once with 503, closes its connection, and gives up its head before its body is read. The refusal's reason is requests_fill_memory in place of bodies_fill_memory.

--- a/crates/host/src/call.rs
+++ b/crates/host/src/call.rs
@@ -13,6 +13,7 @@
 use crate::boundary::{EnginePriority, GenerationParams};
 use crate::event_id::EventId;
 use crate::last_event::LastEvent;
+use crate::memory_budget::BudgetShare;
 
 /// An accepted request: routed, with its complete body.
 #[derive(Debug)]
@@ -37,6 +38,8 @@
     pub last_event_id: Option<EventId>,
     /// Attempt of the client in which the stream that it takes up again began.
     pub resumes: Option<CallId>,
+    /// Memory of its head and its buffers, besides that of its body.
+    pub memory: BudgetShare,
     /// What it may have in common with other requests: its content, and the shared parts of its prompt.
     pub features: Rc<[RequestFeature]>,
     /// Whether it is sent although it has features that crash endpoints, to find out whether they do.
--- a/crates/host/src/context.rs
+++ b/crates/host/src/context.rs
@@ -29,8 +29,8 @@
 
 /// Maximum number of requests that wait for the start of this host.
 const MAX_START_WAITS: usize = 64;
-/// Fraction of the memory limit of the process that buffered request bodies may use.
-const REQUEST_BODY_FRACTION: f64 = 0.45;
+/// Fraction of the memory limit of the process that requests may use, with their heads, bodies and buffers.
+const REQUEST_FRACTION: f64 = 0.45;
 /// Fraction of the memory limit of the process that buffered responses may use.
 const RESPONSE_BODY_FRACTION: f64 = 0.2;
 /// Fraction of the memory limit of the process that events may use which clients have not taken.
@@ -110,8 +110,8 @@
     pub announced_hosts: Cell<usize>,
     /// Mutable state. Must not be borrowed across an `await`.
     pub state: RefCell<State>,
-    /// Memory of buffered request bodies.
-    pub request_bodies: MemoryBudget,
+    /// Memory of the requests in progress: their heads, bodies and buffers.
+    pub request_memory: MemoryBudget,
     /// Memory of responses that are read completely before they are forwarded.
     pub response_bodies: MemoryBudget,
     /// Memory of events that clients have not taken.
@@ -189,7 +189,7 @@
             has_full_list: Cell::new(false),
             announced_hosts: Cell::new(0),
             state: RefCell::new(state),
-            request_bodies: budget(REQUEST_BODY_FRACTION),
+            request_memory: budget(REQUEST_FRACTION),
             response_bodies: budget(RESPONSE_BODY_FRACTION),
             stream_memory: StreamMemory::new(
                 (memory * STREAM_BUFFER_FRACTION) as u64,
--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -9,7 +9,7 @@
 use camphorloft_dispatch::start_return::{retry_delay, start_wait};
 use camphorloft_serving::prelude::*;
 use camphorloft_types::prelude::*;
-use http::{Request, Response, StatusCode, header, request};
+use http::{HeaderValue, Request, Response, StatusCode, header, request};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use rand::Rng;
@@ -28,8 +28,15 @@
 
 /// Interval at which a request that waits for the start of the host checks whether it has ended.
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(25);
-/// Retry delay sent when buffered request bodies have used up their part of the memory limit.
+/// Retry delay sent when requests have used up their part of the memory limit.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Memory of a request besides its head and body, in bytes: the buffers of the connections to its client and its
+/// endpoint, and its state.
+const REQUEST_BYTES: usize = 32 << 10;
+/// Number of times that a head is held: as it was received, parsed, and as it is sent.
+const HEAD_COPIES: usize = 3;
+/// Reason of a refusal for lack of memory.
+const MEMORY_FULL: &str = "requests_fill_memory";
 
 /// Reason that a request was refused, and the response to send.
 struct Refusal {
@@ -88,7 +95,13 @@
                 "version" => cx.serving().map(|serving| serving.version.to_string()),
                 "took_ms" => arrived_at.elapsed().as_millis() as u64);
             let Refusal { status, reason, retry_after, .. } = refusal;
-            return local_response(status, Outcome::NotRun, reason, retry_after);
+            let mut response = local_response(status, Outcome::NotRun, reason, retry_after);
+            if reason == MEMORY_FULL {
+                // The buffers of the connection use memory too, and another host may have some.
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            return response;
         }
     };
     let deadline = call.deadline;
@@ -143,10 +156,22 @@
     if let Err(refusal) = cx.check_residency(&serving.services[service].name, &residency) {
         return Err(Refusal::out_of_region(refusal, &serving.routes[route], residency));
     }
+    let (mut memory, mut body_memory) = (cx.request_memory.share(), cx.request_memory.share());
+    let stated = body.size_hint().lower();
+    if stated > serving.limits.max_body.0 {
+        return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
+    }
+    // Bodies that were all read in part would leave memory for none of them.
+    if !memory.grow(memory_of(&head)) || !body_memory.grow(stated as usize) {
+        // What is left of the body is read into the memory of the head.
+        drop((head, decoded, memory));
+        discard(body, &serving.limits, deadline).await;
+        return Err(Refusal::unavailable(MEMORY_FULL, MEMORY_RETRY_AFTER));
+    }
     let mut stages = cx.stages();
     let body = tokio::select! {
         biased;
-        body = read_body(&serving.limits, body, deadline, cx.request_bodies.share()) => body?,
+        body = read_body(&serving.limits, body, deadline, body_memory) => body?,
         // The rest of the body may arrive only after the end of the process.
         () = wait_for_accept_end(cx, &mut stages) => {
             return Err(Refusal::unavailable("draining", DRAINING_RETRY_AFTER));
@@ -163,6 +188,7 @@
         service,
         head,
         body,
+        memory,
         serving,
         route,
         organisation,
@@ -179,6 +205,13 @@
     Ok(call)
 }
 
+/// Returns the memory that a request uses besides its body, in bytes.
+fn memory_of(head: &request::Parts) -> usize {
+    let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    let path = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    REQUEST_BYTES + HEAD_COPIES * (path + headers.sum::<usize>())
+}
+
 /// Waits until a host that has just started knows the configuration and the endpoints, for as long as a
 /// request may wait for that. Only some requests wait at a time, which bounds their memory.
 async fn wait_until_started<W, R>(cx: &Rc<Host<W, R>>, time_limit: Option<Duration>) {
@@ -208,8 +241,8 @@
     Ok(())
 }
 
-/// Reads the body of a request into the memory of a share, which the returned bytes keep. A body that the memory
-/// does not suffice for is not kept, if its length is stated from its begin.
+/// Reads the body of a request into the memory of a share, which the returned bytes keep. The share already has the
+/// length of the body, if that is stated from its begin.
 async fn read_body(
     limits: &ClientLimits,
     mut body: Incoming,
@@ -217,17 +250,7 @@
     mut memory: BudgetShare,
 ) -> Result<Bytes, Refusal> {
     let too_large = || Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
-    let no_memory = || Refusal::unavailable("bodies_fill_memory", MEMORY_RETRY_AFTER);
-    let stated = body.size_hint().lower();
-    if stated > limits.max_body.0 {
-        return Err(too_large());
-    }
-    // Bodies that were all read in part would leave memory for none of them.
-    let mut reserved = stated as usize;
-    if !memory.grow(reserved) {
-        discard(body, limits, deadline).await;
-        return Err(no_memory());
-    }
+    let mut reserved = body.size_hint().lower() as usize;
     let mut buf = BytesMut::with_capacity(reserved);
     loop {
         let frame = timeout_at(deadline.into(), body.frame()).await;
@@ -246,7 +269,7 @@
             if !memory.grow(buf.len() - reserved) {
                 drop((buf, memory));
                 discard(body, limits, deadline).await;
-                return Err(no_memory());
+                return Err(Refusal::unavailable(MEMORY_FULL, MEMORY_RETRY_AFTER));
             }
             reserved = buf.len();
         }
--- a/crates/host/src/queued_request.rs
+++ b/crates/host/src/queued_request.rs
@@ -151,7 +151,7 @@
         let (ticket, is_first) = {
             let mut state = cx.state.borrow_mut();
             let queue = state.queues.entry(service.clone()).or_default();
-            queue.set_max_body_bytes(cx.request_bodies.limit() / 2);
+            queue.set_max_body_bytes(cx.request_memory.limit() / 2);
             (queue.push(work, waiter), queue.len() == 1)
         };
         match is_first {
