Answer a refused request of a draining host before its body is read

Cause: since the last change, a request refused for lack of memory waits for the rest of its body also while the host drains. Clients with slow bodies got no response before the process ended. Found by reading the change. Change: the end of the time in which a draining host reads ends that wait. Result: refused_request_whose_body_is_slow_gets_no_response failed before and passes.

--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -161,14 +161,17 @@
     if stated > serving.limits.max_body.0 {
         return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"));
     }
+    let mut stages = cx.stages();
     // Bodies that were all read in part would leave memory for none of them.
     if !memory.grow(memory_of(&head)) || !body_memory.grow(stated as usize) {
         // What is left of the body is read into the memory of the head.
         drop((head, decoded, memory));
-        discard(body, &serving.limits, deadline).await;
+        tokio::select! {
+            () = discard(body, &serving.limits, deadline) => {}
+            () = wait_for_accept_end(cx, &mut stages) => {}
+        }
         return Err(Refusal::unavailable(MEMORY_FULL, MEMORY_RETRY_AFTER));
     }
-    let mut stages = cx.stages();
     let body = tokio::select! {
         biased;
         body = read_body(&serving.limits, body, deadline, body_memory) => body?,
