--- a/crates/host/src/intake.rs
+++ b/crates/host/src/intake.rs
@@ -35,21 +35,21 @@
 const REQUEST_BYTES: usize = 32 << 10;
 /// Number of times that a head is held: as it was received, parsed, and as it is sent.
 const HEAD_COPIES: usize = 3;
-/// Reason of a refusal for lack of memory.
-const MEMORY_FULL: &str = "requests_fill_memory";
 
 /// Reason that a request was refused, and the response to send.
 struct Refusal {
     status: StatusCode,
     reason: &'static str,
     retry_after: Option<Duration>,
+    /// Whether the connection of the client closes after the response.
+    closes_connection: bool,
     /// Route and allowed regions, if the reason is where the request may be processed.
     restriction: Option<(RouteName, Residency)>,
 }
 
 impl Refusal {
     fn new(status: StatusCode, reason: &'static str) -> Self {
-        Self { status, reason, retry_after: None, restriction: None }
+        Self { status, reason, retry_after: None, closes_connection: false, restriction: None }
     }
 
     fn unavailable(reason: &'static str, retry_after: Duration) -> Self {
@@ -57,6 +57,12 @@
         Self { retry_after, ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason) }
     }
 
+    /// Closes the connection: its buffers use memory too, and another host may have some.
+    fn no_memory() -> Self {
+        let refusal = Self::unavailable("requests_fill_memory", MEMORY_RETRY_AFTER);
+        Self { closes_connection: true, ..refusal }
+    }
+
     fn out_of_region(refusal: ResidencyRefusal, route: &Route, residency: Residency) -> Self {
         Self {
             retry_after: refusal.retry_after(),
@@ -94,10 +100,9 @@
                 "regions" => restriction.and_then(|(_, residency)| residency.log_text()),
                 "version" => cx.serving().map(|serving| serving.version.to_string()),
                 "took_ms" => arrived_at.elapsed().as_millis() as u64);
-            let Refusal { status, reason, retry_after, .. } = refusal;
+            let Refusal { status, reason, retry_after, closes_connection, .. } = refusal;
             let mut response = local_response(status, Outcome::NotRun, reason, retry_after);
-            if reason == MEMORY_FULL {
-                // The buffers of the connection use memory too, and another host may have some.
+            if closes_connection {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -170,7 +175,7 @@
             () = discard(body, &serving.limits, deadline) => {}
             () = wait_for_accept_end(cx, &mut stages) => {}
         }
-        return Err(Refusal::unavailable(MEMORY_FULL, MEMORY_RETRY_AFTER));
+        return Err(Refusal::no_memory());
     }
     let body = tokio::select! {
         biased;
@@ -272,7 +277,7 @@
             if !memory.grow(buf.len() - reserved) {
                 drop((buf, memory));
                 discard(body, limits, deadline).await;
-                return Err(Refusal::unavailable(MEMORY_FULL, MEMORY_RETRY_AFTER));
+                return Err(Refusal::no_memory());
             }
             reserved = buf.len();
         }
--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -38,12 +38,12 @@
 //! - [`stream_continuation`]: which software version may continue a stream.
 //! - [`transfer`]: copies the KV cache of a running generation to another engine.
 //! - [`event_id`]: identifier of an event of a stream.
-//! - [`invalid_inputs`]: logs rows and messages that are left out.
 //! - [`last_event`]: the last event of a stream that its client has received.
 //! - [`event_order`]: which events of a stream are sent to the client, and whether some are missing.
 //! - [`event_splitter`]: splits a byte stream into server-sent events.
 //! - [`event_steps`]: the steps by which the identifiers of a stream's events increase.
 //! - [`gap_window`]: measures the mean time between the events of a stream.
+//! - [`invalid_inputs`]: logs rows and messages that are left out.
 //! - [`stall_monitor`]: recognises times in which this process did not run.
 //! - [`speed_observation`]: observes how fast engines are.
 //! - [`serving_watch`]: keeps the configuration version in force up to date.
