Do not judge the links of a host by endpoints that are down

A crash is attributed only if another endpoint accepts a connection. Two endpoints that are known to be down made the host count as cut off, and it withdrew their failures each time, so that it used them again and asked them whether it is cut off. It asked the three nearest ones, however long ago they had accepted a connection.

Reachability now keeps the endpoints that accepted no connection before another one did; they say nothing about the links until they accept one. The endpoints that accepted a connection last are asked first.

--- a/crates/host/src/connecting.rs
+++ b/crates/host/src/connecting.rs
@@ -185,7 +185,7 @@
                 endpoint.record_connect_time(now - begun_at);
                 endpoint.reached_at = Some(now);
             }
-            record_own_links_work(cx, now);
+            record_own_links_work(cx, ix, now);
         }
         Err(_) => record_own_links_failed(cx, ix, begun_at, now),
     }
@@ -207,8 +207,12 @@
     }
 }
 
-fn record_own_links_work<W, R>(cx: &Rc<Host<W, R>>, now: Instant) {
-    let cut_off_for = cx.state.borrow_mut().reachability.record_reached(now);
+fn record_own_links_work<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx, now: Instant) {
+    let cut_off_for = {
+        let mut guard = cx.state.borrow_mut();
+        let State { fleet, reachability, .. } = &mut *guard;
+        fleet.get(ix).and_then(|endpoint| reachability.record_reached(endpoint.digest, now))
+    };
     if let Some(duration) = cut_off_for {
         info!(cx.log, "endpoints reached again"; "after_ms" => duration.as_millis() as u64);
     }
@@ -223,7 +227,9 @@
     let mut guard = cx.state.borrow_mut();
     let State { fleet, reachability, .. } = &mut *guard;
     let Some(digest) = fleet.get(ix).map(|endpoint| endpoint.digest) else { return };
-    let ready = fleet.iter().filter(|(_, endpoint)| endpoint.is_ready()).count();
+    reachability.retain_down(|digest| fleet.find_digest(digest).is_some());
+    let is_up = |endpoint: &Endpoint| endpoint.is_ready() && !reachability.is_down(endpoint.digest);
+    let ready = fleet.iter().filter(|(_, endpoint)| is_up(endpoint)).count();
     if !reachability.record_failed(digest, ready, begun_at, now) {
         return;
     }
--- a/crates/host/src/crash_check.rs
+++ b/crates/host/src/crash_check.rs
@@ -10,6 +10,7 @@
 use camphorloft_dispatch::assignment;
 use camphorloft_dispatch::crash_suspects::REFUSE_AT;
 use camphorloft_dispatch::prelude::*;
+use camphorloft_dispatch::reachability;
 use camphorloft_peer::updates::Updates;
 use camphorloft_peer::wire::{WireFeatureCrash, WireFinishedFeature};
 use camphorloft_types::prelude::*;
@@ -20,14 +21,12 @@
 
 use crate::boundary::{Registry, Wire};
 use crate::call::Call;
-use crate::connecting::{connect_timeout, probe_endpoint};
+use crate::connecting::probe_endpoint;
 use crate::context::{Host, State};
 
 /// Time from the interruption of a request to the check of its endpoint, in which the other requests
 /// that a crash interrupts break off too.
 const CHECK_DELAY: Duration = Duration::from_millis(20);
-/// Maximum number of other endpoints that are probed to find out whether this host is cut off.
-const MAX_OTHERS_PROBED: usize = 3;
 /// Maximum random delay before this host tells others that a feature is sound. Many hosts may know that,
 /// and one is enough.
 const MAX_REFUTATION_DELAY: Duration = Duration::from_millis(300);
@@ -266,21 +265,18 @@
     !is_cut_off() || !probe_endpoint(cx, ix).await
 }
 
-/// Returns true if one of the nearest endpoints other than `ix` accepts a connection. Those that lately
-/// accepted none may have crashed too.
+/// Returns true if an endpoint other than `ix` accepts a connection.
 async fn reaches_another<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx) -> bool
 where
     W: Wire,
     R: Registry,
 {
-    let mut others: Vec<(Duration, EndpointIx)> = {
-        let (state, now) = (cx.state.borrow(), Instant::now());
-        let others = state.fleet.iter().filter(|(other, e)| *other != ix && e.is_usable(now));
-        others.map(|(other, endpoint)| (connect_timeout(endpoint), other)).collect()
+    let witnesses = {
+        let state = cx.state.borrow();
+        reachability::witnesses(&state.fleet, &state.reachability, ix, Instant::now())
     };
-    others.sort_unstable();
-    for (_, other) in others.into_iter().take(MAX_OTHERS_PROBED) {
-        if probe_endpoint(cx, other).await {
+    for witness in witnesses {
+        if probe_endpoint(cx, witness).await {
             return true;
         }
     }
