Compare the steps of an engine's events with those before it

Clients of a sound stream got a closed connection where the engine that continued it sent more tokens in an event than the one before. The other way round, an event missing before larger ones was not found.

EventOrder judged the steps of all answers together, and three equal ones ended the stream before the new engine had shown any.

An event that the steps before do not explain is now kept until the new engine shows a step. If its steps are larger, they alone decide; a smaller one does not explain the difference.

--- a/crates/host/src/event_order.rs
+++ b/crates/host/src/event_order.rs
@@ -41,7 +41,9 @@
     last_in_answer: Option<EventId>,
     /// First event that is kept.
     kept: Option<EventId>,
+    /// Steps of the engine's answer, and of those before.
     steps: EventSteps,
+    earlier_steps: EventSteps,
 }
 
 impl EventOrder {
@@ -54,6 +56,24 @@
     pub fn begin_answer(&mut self) {
         self.last_in_answer = None;
         self.kept = None;
+        self.earlier_steps = self.all_steps();
+        self.steps = EventSteps::default();
+    }
+
+    fn all_steps(&self) -> EventSteps {
+        self.earlier_steps.and(self.steps)
+    }
+
+    /// Returns whether equal steps are known that show how large the event after the last one is, or `None` if too
+    /// few are known. Engines may send different numbers of tokens in an event: the larger ones are compared with.
+    fn are_steps_equal(&self) -> Option<bool> {
+        match self.earlier_steps.are_equal() {
+            _ if self.steps.largest() > self.earlier_steps.largest() => self.steps.are_equal(),
+            // The next event may be larger than all before.
+            Some(true) if self.steps.is_empty() => None,
+            Some(are_equal) => Some(are_equal),
+            None => self.all_steps().are_equal(),
+        }
     }
 
     /// Decides what to do with the next event of the answer.
@@ -76,8 +96,8 @@
             return self.send(Some(id));
         }
         let first = *self.kept.get_or_insert(id);
-        match self.steps.are_equal() {
-            _ if !self.steps.exceeded_by(last, first) => self.send(Some(id)),
+        match self.are_steps_equal() {
+            _ if !self.all_steps().exceeded_by(last, first) => self.send(Some(id)),
             None => EventVerdict::Keep,
             Some(true) => EventVerdict::Missing(first),
             Some(false) => self.send(Some(id)),
@@ -89,7 +109,8 @@
         let (Some(first), Some(last)) = (self.kept, self.last.id()) else {
             return EventVerdict::Drop;
         };
-        match !self.steps.is_empty() && self.steps.exceeded_by(last, first) {
+        let steps = self.all_steps();
+        match !steps.is_empty() && steps.exceeded_by(last, first) {
             true => EventVerdict::Missing(first),
             false => self.send(self.last_in_answer),
         }
--- a/crates/host/src/event_steps.rs
+++ b/crates/host/src/event_steps.rs
@@ -17,9 +17,22 @@
     /// Records two events of an answer that follow each other.
     pub fn record(&mut self, before: EventId, next: EventId) {
         let step = next.distance_from(before);
-        self.smallest = if self.count == 0 { step } else { self.smallest.min(step) };
-        self.largest = self.largest.max(step);
-        self.count = self.count.saturating_add(1);
+        *self = self.and(Self { count: 1, smallest: step, largest: step });
+    }
+
+    /// Returns these steps and others.
+    pub fn and(self, other: Self) -> Self {
+        if self.is_empty() {
+            return other;
+        }
+        if other.is_empty() {
+            return self;
+        }
+        Self {
+            count: self.count.saturating_add(other.count),
+            smallest: self.smallest.min(other.smallest),
+            largest: self.largest.max(other.largest),
+        }
     }
 
     /// Returns true if `before` and `next` differ by at least twice as much as any two events that follow each
@@ -38,6 +51,11 @@
         next.distance_from(before) >= self.largest.max(1).saturating_mul(2)
     }
 
+    /// Returns the largest step, or zero if there are none.
+    pub fn largest(self) -> u64 {
+        self.largest
+    }
+
     /// Returns true if there are none.
     pub fn is_empty(&self) -> bool {
         self.count == 0
--- a/crates/host/tests/event_order.rs
+++ b/crates/host/tests/event_order.rs
@@ -65,6 +65,29 @@
     assert_eq!(relay(&mut order, &[13, 14]), Some(vec![13, 14]));
 }
 
+/// Guards against a sound stream that is cut off because the engine that continues it sends several tokens in an event,
+/// and the one before sent one, as engines may under another load.
+#[test]
+fn larger_events_of_another_engine_count_as_missing() {
+    let mut order = EventOrder::default();
+    relay(&mut order, &[1, 2, 3, 4, 5]).unwrap();
+    order.begin_answer();
+    assert_eq!(relay(&mut order, &[9, 13, 17, 18]), Some(vec![9, 13, 17, 18]));
+    order.begin_answer();
+    assert_eq!(relay(&mut order, &[19, 20]), Some(vec![19, 20]));
+}
+
+/// Guards against events missing where larger events follow that are not found, since the steps differ.
+#[test]
+fn events_missing_before_larger_ones_are_not_found() {
+    for head in [&[1, 2, 3, 4, 5][..], &[4, 5], &[5]] {
+        let mut order = EventOrder::default();
+        relay(&mut order, head).unwrap();
+        order.begin_answer();
+        assert_eq!(relay(&mut order, &[13, 17, 21, 25]), None, "{head:?}");
+    }
+}
+
 /// Guards against events missing near the end of a stream, where the last step is smaller than the others.
 #[test]
 fn events_missing_before_the_last_ones_are_not_found() {
@@ -115,6 +138,21 @@
         prop_assert_eq!(sent, numbers);
     }
 
+    /// Guards against a sound stream that is cut off where an engine continues it that sends another number of tokens
+    /// in an event.
+    #[test]
+    fn sound_join_of_unlike_engines_is_cut_off(
+        before_step in 1_u64..50, before in 1_u64..20, after_step in 1_u64..50, after in 2_u64..20,
+    ) {
+        let head: Vec<_> = (1..=before).map(|ix| ix * before_step).collect();
+        let tail: Vec<_> =
+            (1..=after).map(|ix| before * before_step + ix * after_step).collect();
+        let mut order = EventOrder::default();
+        relay(&mut order, &head).unwrap();
+        order.begin_answer();
+        prop_assert_eq!(relay(&mut order, &tail), Some(tail));
+    }
+
     /// Guards against a stream that ends as complete although events are missing at a join.
     #[test]
     fn events_missing_at_a_join_are_not_found(
