--- a/crates/host/src/lib.rs
+++ b/crates/host/src/lib.rs
@@ -34,6 +34,7 @@
 //! - [`queue_states`]: tells other hosts what waits here for engines.
 //! - [`stream_buffer`]: events of a stream that its client has not taken yet.
 //! - [`stream_relay`]: relays the events of a generation to its client.
+//! - [`stream_forwarding`]: forwards the events of a relayed generation.
 //! - [`stream_migration`]: migrates a relayed generation when its engine is draining.
 //! - [`stream_continuation`]: which software version may continue a stream.
 //! - [`transfer`]: copies the KV cache of a running generation to another engine.
@@ -119,6 +120,7 @@
 pub mod start_reads;
 pub mod stream_buffer;
 pub mod stream_continuation;
+pub mod stream_forwarding;
 pub mod stream_migration;
 pub mod stream_relay;
 pub mod subset_table;
