Record that an endpoint was reached also if it was removed meanwhile

Cause: since the links are judged by the endpoints that are up, the end of a cut is recorded with the digest of the endpoint, and was not recorded if the endpoint left the list while the host connected to it. Found by reading. Change: the digest is read before the connect, with the address. Result: the tests of cut_off.rs, poison_part.rs and event_ids.rs passed; no test shows the fault.

--- a/crates/host/src/connecting.rs
+++ b/crates/host/src/connecting.rs
@@ -169,12 +169,13 @@
     ix: EndpointIx,
     left: Duration,
 ) -> Result<TcpStream, ExchangeError> {
-    let (addr, connect_timeout) = {
+    let (addr, digest, connect_timeout) = {
         let state = cx.state.borrow();
         let Some(endpoint) = state.fleet.get(ix) else {
             return Err(ExchangeError::NotSent("the endpoint was removed".to_owned()));
         };
-        (cx.settings.endpoint_addr(endpoint.entry.addr), connect_timeout(endpoint).min(left))
+        let addr = cx.settings.endpoint_addr(endpoint.entry.addr);
+        (addr, endpoint.digest, connect_timeout(endpoint).min(left))
     };
     let begun_at = Instant::now();
     let stream = connect_stream(addr, connect_timeout).await;
@@ -185,7 +186,7 @@
                 endpoint.record_connect_time(now - begun_at);
                 endpoint.reached_at = Some(now);
             }
-            record_own_links_work(cx, ix, now);
+            record_own_links_work(cx, digest, now);
         }
         Err(_) => record_own_links_failed(cx, ix, begun_at, now),
     }
@@ -207,12 +208,8 @@
     }
 }
 
-fn record_own_links_work<W, R>(cx: &Rc<Host<W, R>>, ix: EndpointIx, now: Instant) {
-    let cut_off_for = {
-        let mut guard = cx.state.borrow_mut();
-        let State { fleet, reachability, .. } = &mut *guard;
-        fleet.get(ix).and_then(|endpoint| reachability.record_reached(endpoint.digest, now))
-    };
+fn record_own_links_work<W, R>(cx: &Rc<Host<W, R>>, endpoint: u64, now: Instant) {
+    let cut_off_for = cx.state.borrow_mut().reachability.record_reached(endpoint, now);
     if let Some(duration) = cut_off_for {
         info!(cx.log, "endpoints reached again"; "after_ms" => duration.as_millis() as u64);
     }
